--- /dev/null
+++ b/cmd/mangodrumd/main.go
@@ -0,0 +1,4 @@
+// Command mangodrumd is the daemon of mangodrum.
+package main
+
+func main() {}
