Add the peer transport: CBOR over WebSocket between instances

Cause: instances need heartbeats, forwarded calls and credits between them. Change: package peer with a node that dials every peer and reads accepted connections; secret and protocol version are checked before the upgrade. Before: no transport. After: go test -race -count=3 ./peer passes. Conclusion: delivery is at most once, so protocols above must retry.

--- a/errs/errs.go
+++ b/errs/errs.go
@@ -77,3 +77,16 @@
 
 // Is reports whether the outermost Error in the chain of err has the kind.
 func Is(err error, kind Kind) bool { return err != nil && KindOf(err) == kind }
+
+// DetailOf returns the detail and cause of the outermost Error in the chain
+// of err without its remedy, or the whole text of another error.
+func DetailOf(err error) string {
+	var typed *Error
+	if !errors.As(err, &typed) {
+		return err.Error()
+	}
+	if typed.cause == nil {
+		return typed.Detail
+	}
+	return typed.Detail + ": " + typed.cause.Error()
+}
--- /dev/null
+++ b/peer/link.go
@@ -0,0 +1,98 @@
+package peer
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/fasthttp/websocket"
+
+	"github.com/mangodrum/mangodrum/structs"
+)
+
+// link is the outgoing connection to one peer.
+type link struct {
+	id      structs.InstanceID
+	address string
+	queue   chan []byte
+	cancel  context.CancelFunc
+}
+
+func (n *Node) startLink(id structs.InstanceID, address string) *link {
+	ctx, cancel := context.WithCancel(n.ctx)
+	l := &link{id: id, address: address, queue: make(chan []byte, sendQueueMessages), cancel: cancel}
+	n.group.Go(func() { n.maintain(ctx, l) })
+	return l
+}
+
+// maintain dials the peer again whenever the connection breaks.
+func (n *Node) maintain(ctx context.Context, l *link) {
+	connected := false
+	for ctx.Err() == nil {
+		conn, err := n.dial(ctx, l.address)
+		if err != nil {
+			if connected {
+				n.options.Logger.Info("peer disconnected", "peer", l.id, "error", err)
+				connected = false
+			}
+			l.drop()
+			sleep(ctx, redialInterval)
+			continue
+		}
+		if !connected {
+			n.options.Logger.Info("peer connected", "peer", l.id, "address", l.address)
+			connected = true
+		}
+		l.write(ctx, conn)
+		_ = conn.Close()
+	}
+}
+
+// drop empties the queue: messages queued while the peer is unreachable are
+// out of date by the time it is back.
+func (l *link) drop() {
+	for {
+		select {
+		case <-l.queue:
+		default:
+			return
+		}
+	}
+}
+
+func (n *Node) dial(ctx context.Context, address string) (*websocket.Conn, error) {
+	dialer := websocket.Dialer{HandshakeTimeout: writeTimeout}
+	header := http.Header{}
+	header.Set(versionHeader, Version)
+	if n.options.Secret != "" {
+		header.Set("Authorization", "Bearer "+n.options.Secret)
+	}
+	conn, response, err := dialer.DialContext(ctx, "ws://"+address+path, header)
+	if response != nil && response.Body != nil {
+		_ = response.Body.Close()
+	}
+	return conn, err
+}
+
+func (l *link) write(ctx context.Context, conn *websocket.Conn) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case data := <-l.queue:
+			_ = conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+			if err := conn.WriteMessage(websocket.BinaryMessage, data); err != nil {
+				return
+			}
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/peer/node_test.go
@@ -0,0 +1,94 @@
+package peer
+
+import (
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/valyala/fasthttp"
+	"go.uber.org/goleak"
+
+	"github.com/mangodrum/mangodrum/structs"
+)
+
+func TestMain(m *testing.M) {
+	// fasthttp keeps cleaners that end after their own sleep.
+	goleak.VerifyTestMain(m,
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*workerPool).Start.func2"),
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.updateServerDate.func1"),
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*Client).mCleaner"),
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*TCPDialer).tcpAddrsClean"),
+	)
+}
+
+func startNode(t *testing.T, self structs.InstanceID, secret string, receive func(Message)) (*Node, string) {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := New(Options{Self: self, Secret: secret, Logger: hclog.NewNullLogger(), Receive: receive})
+	served := make(chan struct{})
+	go func() { defer close(served); _ = n.Serve(listener) }()
+	t.Cleanup(func() { n.Close(); <-served })
+	return n, listener.Addr().String()
+}
+
+// Guards against a message that reaches the peer damaged or not at all.
+func TestSendDeliversToPeer(t *testing.T) {
+	got := make(chan Message, 1)
+	_, address := startNode(t, "b", "s3cret", func(m Message) { got <- m })
+	a, _ := startNode(t, "a", "s3cret", func(Message) {})
+	a.SetPeers([]structs.InstanceInfo{{ID: "b", PeerAddress: address}})
+
+	if !a.Send("b", Message{Kind: KindCall, Ref: 7, Body: []byte("body")}) {
+		t.Fatal("Send returned false for a known peer")
+	}
+	select {
+	case m := <-got:
+		if m.From != "a" || m.Ref != 7 || string(m.Body) != "body" {
+			t.Fatalf("received %+v", m)
+		}
+	case <-time.After(time.Minute):
+		t.Fatal("no message arrived")
+	}
+}
+
+// Guards against a peers' listener that takes messages from anybody or from
+// another version of the protocol.
+func TestListenerRefusesWrongSecretAndVersion(t *testing.T) {
+	_, address := startNode(t, "b", "s3cret", func(Message) { t.Error("message accepted") })
+	cases := map[string]struct{ version, authorization, want string }{
+		"wrong version":  {"0", "Bearer s3cret", "run the same version"},
+		"missing secret": {Version, "", "set the same peer secret"},
+		"wrong secret":   {Version, "Bearer other", "set the same peer secret"},
+	}
+	for name, c := range cases {
+		request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+		request.SetRequestURI("http://" + address + path)
+		request.Header.Set(versionHeader, c.version)
+		request.Header.Set("Authorization", c.authorization)
+		request.SetConnectionClose()
+		if err := fasthttp.Do(request, response); err != nil {
+			t.Fatalf("%s: %v", name, err)
+		}
+		if response.StatusCode() != fasthttp.StatusForbidden || !strings.Contains(string(response.Body()), c.want) {
+			t.Errorf("%s: status %d, body %q", name, response.StatusCode(), response.Body())
+		}
+	}
+}
+
+// FuzzDecode guards against a malformed message that stops the process.
+func FuzzDecode(f *testing.F) {
+	valid, _ := Encode(Message{From: "a", Kind: KindHeartbeat, Body: []byte{0xa0}})
+	f.Add(valid)
+	f.Add([]byte{0x9f, 0xff})
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		var m Message
+		if Decode(data, &m) == nil {
+			_ = Decode(m.Body, &Heartbeat{})
+		}
+	})
+}
