--- /dev/null
+++ b/instance/dispatcher.go
@@ -0,0 +1,110 @@
+package instance
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/mangodrum/mangodrum/platform"
+	"github.com/mangodrum/mangodrum/structs"
+)
+
+const (
+	workerCallTimeout = 2 * time.Second
+	// maxWorkerCalls bounds the calls to workers at one time, so that many
+	// unreachable workers do not hold a connection each.
+	maxWorkerCalls = 64
+)
+
+// dispatcher sends batches to workers: one call at a time for each worker, in
+// order, and several workers at once. Batches that wait are merged.
+type dispatcher struct {
+	ctx     context.Context
+	workers platform.Workers
+	done    func(worker structs.WorkerID, report platform.WorkerReport, err error)
+	slots   chan struct{}
+	group   conc.WaitGroup
+
+	mu      sync.Mutex
+	pending map[structs.WorkerID]*workerQueue
+}
+
+type workerQueue struct {
+	worker structs.Worker
+	batch  platform.WorkerBatch
+	queued bool // batch holds something to send
+}
+
+func newDispatcher(
+	ctx context.Context,
+	workers platform.Workers,
+	done func(structs.WorkerID, platform.WorkerReport, error),
+) *dispatcher {
+	return &dispatcher{
+		ctx:     ctx,
+		workers: workers,
+		done:    done,
+		slots:   make(chan struct{}, maxWorkerCalls),
+		pending: map[structs.WorkerID]*workerQueue{},
+	}
+}
+
+// send queues batch for worker.
+func (d *dispatcher) send(worker structs.Worker, batch platform.WorkerBatch) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	queue := d.pending[worker.ID]
+	if queue != nil {
+		queue.worker = worker
+		queue.batch = mergeBatches(queue.batch, batch)
+		queue.queued = true
+		return
+	}
+	queue = &workerQueue{worker: worker, batch: batch, queued: true}
+	d.pending[worker.ID] = queue
+	d.group.Go(func() { d.drain(queue) })
+}
+
+// drain sends the worker's batches until none is queued.
+func (d *dispatcher) drain(queue *workerQueue) {
+	for {
+		worker, batch, ok := d.take(queue)
+		if !ok {
+			return
+		}
+		d.slots <- struct{}{}
+		ctx, cancel := context.WithTimeout(d.ctx, workerCallTimeout)
+		report, err := d.workers.Do(ctx, worker, batch)
+		cancel()
+		<-d.slots
+		d.done(worker.ID, report, err)
+	}
+}
+
+func (d *dispatcher) take(queue *workerQueue) (structs.Worker, platform.WorkerBatch, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !queue.queued || d.ctx.Err() != nil {
+		delete(d.pending, queue.worker.ID)
+		return structs.Worker{}, platform.WorkerBatch{}, false
+	}
+	batch := queue.batch
+	queue.batch, queue.queued = platform.WorkerBatch{}, false
+	return queue.worker, batch, true
+}
+
+func mergeBatches(a, b platform.WorkerBatch) platform.WorkerBatch {
+	return platform.WorkerBatch{
+		Starts:      append(a.Starts, b.Starts...),
+		Renewals:    append(a.Renewals, b.Renewals...),
+		Stops:       append(a.Stops, b.Stops...),
+		Throttles:   append(a.Throttles, b.Throttles...),
+		Checkpoints: append(a.Checkpoints, b.Checkpoints...),
+		Acks:        append(a.Acks, b.Acks...),
+	}
+}
+
+// wait returns when no call runs.
+func (d *dispatcher) wait() { d.group.Wait() }
--- /dev/null
+++ b/telemetry/telemetry.go
@@ -0,0 +1,56 @@
+// Package telemetry sets up logs and metrics. Metrics come first: log lines
+// are written only for changes of state.
+package telemetry
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/mangodrum/mangodrum/errs"
+	"github.com/mangodrum/mangodrum/structs"
+)
+
+// NewLogger returns a logger that writes to out at the given level ("debug",
+// "info", "warn", "error"), as JSON if asked for.
+func NewLogger(out io.Writer, name, level string, json bool) (hclog.Logger, error) {
+	parsed := hclog.LevelFromString(level)
+	if parsed == hclog.NoLevel {
+		return nil, errs.New(errs.InvalidInput, "use debug, info, warn or error", "log level %q does not exist", level)
+	}
+	return hclog.New(&hclog.LoggerOptions{Name: name, Output: out, Level: parsed, JSONFormat: json}), nil
+}
+
+// Reducer counts the events and effects of a reducer by kind.
+type Reducer struct {
+	set     *metrics.Set
+	events  map[string]*metrics.Counter
+	effects map[string]*metrics.Counter
+}
+
+// NewReducer returns counters in set. It is not safe for concurrent use, as
+// the loop of a reducer is a single goroutine.
+func NewReducer(set *metrics.Set) *Reducer {
+	return &Reducer{set: set, events: map[string]*metrics.Counter{}, effects: map[string]*metrics.Counter{}}
+}
+
+// Event counts one event.
+func (r *Reducer) Event(event structs.Event) {
+	r.count(r.events, "mangodrum_events_total", event.Kind())
+}
+
+// Effect counts one effect.
+func (r *Reducer) Effect(effect structs.Effect) {
+	r.count(r.effects, "mangodrum_effects_total", effect.Kind())
+}
+
+func (r *Reducer) count(counters map[string]*metrics.Counter, name, kind string) {
+	counter := counters[kind]
+	if counter == nil {
+		counter = r.set.GetOrCreateCounter(fmt.Sprintf(`%s{kind=%q}`, name, kind))
+		counters[kind] = counter
+	}
+	counter.Inc()
+}
