placement: add the index over workers

Cause: the scheduler needs Find, FindGang, Reserve, Release and Explain with the signatures of docs/design.md section 8.

--- /dev/null
+++ b/placement/domain.go
@@ -0,0 +1,62 @@
+package placement
+
+import (
+	"slices"
+
+	"github.com/mangodrum/mangodrum/structs"
+)
+
+type domainKey struct {
+	region structs.Region
+	domain structs.FailureDomain
+}
+
+type domain struct {
+	domainKey
+	usage Usage // of the listed workers, including those that take no new work
+}
+
+// domainTable numbers the failure domains in the order of their appearance.
+type domainTable struct {
+	byLocation map[domainKey]int32
+	list       []domain
+}
+
+func (t *domainTable) intern(key domainKey) int32 {
+	if n, ok := t.byLocation[key]; ok {
+		return n
+	}
+	n := int32(len(t.list))
+	t.list = append(t.list, domain{domainKey: key})
+	t.byLocation[key] = n
+	return n
+}
+
+// domainBit is the domain's bit in a summary. Domains may share a bit, so a
+// match is confirmed on the worker itself.
+func domainBit(n int32) uint64 { return 1 << (uint32(n) % 64) }
+
+// DomainUsage is the capacity and the reservations of a failure domain.
+type DomainUsage struct {
+	Region        structs.Region
+	FailureDomain structs.FailureDomain
+	Usage
+}
+
+// Domains returns the usage of every failure domain with listed workers, in
+// order of region and name. It includes workers that take no new work.
+func (x *Index) Domains() []DomainUsage {
+	var list []DomainUsage
+	for _, d := range x.domains.list {
+		if d.usage.Workers > 0 {
+			list = append(list, DomainUsage{d.region, d.domain, d.usage})
+		}
+	}
+	slices.SortFunc(list, func(a, b DomainUsage) int {
+		if c := compareStrings(a.Region, b.Region); c != 0 {
+			return c
+		}
+		return compareStrings(a.FailureDomain, b.FailureDomain)
+	})
+	return list
+}
--- /dev/null
+++ b/placement/explain.go
@@ -0,0 +1,141 @@
+package placement
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/mangodrum/mangodrum/structs"
+)
+
+// Reason says why a worker cannot take a task now.
+type Reason string
+
+// Reasons, in the order in which they are tested; a worker counts once.
+const (
+	ReasonRegion        Reason = "other region"
+	ReasonDomain        Reason = "other failure domain"
+	ReasonLabels        Reason = "labels differ"
+	ReasonExcluded      Reason = "excluded by the task"
+	ReasonUnschedulable Reason = "takes no new work"
+	ReasonTooSmall      Reason = "too small even when empty"
+	ReasonCPU           Reason = "not enough free processors"
+	ReasonMemory        Reason = "not enough free memory"
+	ReasonAccelerators  Reason = "not enough free accelerators"
+)
+
+// reasonOrder is the order of reasons in messages.
+var reasonOrder = []Reason{
+	ReasonRegion, ReasonDomain, ReasonLabels, ReasonExcluded, ReasonUnschedulable,
+	ReasonTooSmall, ReasonCPU, ReasonMemory, ReasonAccelerators,
+}
+
+// Explanation tells why a task has no place, and what would give it one.
+type Explanation struct {
+	Workers     int               // listed
+	Fitting     int               // that can take the task now
+	Counts      map[Reason]int    // workers by the first reason against them
+	LargestFree structs.Resources // largest free amount of each resource on one worker the task may use
+	Remedy      string            // what would let it run
+}
+
+// String formats the explanation in one line.
+func (e Explanation) String() string {
+	parts := make([]string, 0, len(e.Counts))
+	for _, reason := range reasonOrder {
+		if n := e.Counts[reason]; n > 0 {
+			parts = append(parts, fmt.Sprintf("%d %s", n, reason))
+		}
+	}
+	return fmt.Sprintf("%d of %d workers fit (%s); %s", e.Fitting, e.Workers, strings.Join(parts, ", "), e.Remedy)
+}
+
+// Explain looks at every worker and counts the reasons against it.
+func (x *Index) Explain(req *Request) Explanation {
+	e := Explanation{Counts: make(map[Reason]int)}
+	for i := range x.workers {
+		rec := &x.workers[i]
+		if !rec.listed {
+			continue
+		}
+		e.Workers++
+		reason := x.reasonAgainst(rec, req)
+		if reason == "" {
+			e.Fitting++
+		} else {
+			e.Counts[reason]++
+		}
+		if mayRunOn(reason) {
+			largest := summary{free: e.LargestFree}
+			largest.include(&summary{free: rec.free()})
+			e.LargestFree = largest.free
+		}
+	}
+	e.Remedy = remedyFor(&e, req)
+	return e
+}
+
+func (x *Index) reasonAgainst(rec *worker, req *Request) Reason {
+	c := &req.Constraint
+	key := x.domains.list[rec.domain].domainKey
+	if !allowsDomain(&structs.Constraint{Regions: c.Regions}, key) {
+		return ReasonRegion
+	}
+	if !allowsDomain(c, key) {
+		return ReasonDomain
+	}
+	if !allowsWorker(&structs.Constraint{Labels: c.Labels}, rec) {
+		return ReasonLabels
+	}
+	if !allowsWorker(c, rec) {
+		return ReasonExcluded
+	}
+	if !rec.takesWork() {
+		return ReasonUnschedulable
+	}
+	if !req.Resources.Fits(rec.Capacity) {
+		return ReasonTooSmall
+	}
+	return shortageOf(req.Resources, rec.free())
+}
+
+func shortageOf(r, free structs.Resources) Reason {
+	if r.Accelerators > free.Accelerators {
+		return ReasonAccelerators
+	}
+	if r.MilliCPU > free.MilliCPU {
+		return ReasonCPU
+	}
+	if r.MemoryBytes > free.MemoryBytes {
+		return ReasonMemory
+	}
+	return ""
+}
+
+// mayRunOn reports whether only a shortage of resources stands against the
+// worker.
+func mayRunOn(reason Reason) bool {
+	switch reason {
+	case "", ReasonTooSmall, ReasonCPU, ReasonMemory, ReasonAccelerators:
+		return true
+	}
+	return false
+}
+
+func remedyFor(e *Explanation, req *Request) string {
+	busy := e.Counts[ReasonCPU] + e.Counts[ReasonMemory] + e.Counts[ReasonAccelerators]
+	switch {
+	case e.Fitting > 0:
+		return "the task can be placed now"
+	case e.Workers == 0:
+		return "no worker is listed; wait for the directory"
+	case busy > 0:
+		return fmt.Sprintf("wait until %s are free on one worker; the largest free amounts are %s", req.Resources, e.LargestFree)
+	case e.Counts[ReasonTooSmall] > 0:
+		return fmt.Sprintf("ask for less than %s, or add a larger worker", req.Resources)
+	case e.Counts[ReasonUnschedulable] > 0:
+		return "end the drain or quarantine of a worker that matches"
+	case e.Counts[ReasonExcluded] > 0:
+		return "exclude fewer workers"
+	}
+	return "relax the regions, failure domains or labels of the task"
+}
