--- /dev/null
+++ b/faulttest/driver_test.go
@@ -0,0 +1,127 @@
+package faulttest
+
+import (
+	"flag"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/mangodrum/mangodrum/journal"
+	"github.com/mangodrum/mangodrum/ownership"
+)
+
+var (
+	schedules = flag.Int("schedules", 500, "number of fault schedules")
+	onlySeed  = flag.Int64("seed", -1, "run only this seed and print its faults")
+)
+
+// minSteps is the least number of events of a schedule.
+const minSteps = 200
+
+// play runs a schedule and returns its first violation, or "".
+func play(seed uint64, faults []fault, opts options) (broken string, steps int) {
+	s := newSim(seed, 3, 2, opts)
+	end := epochStart.Add(settled)
+	s.startClients(end)
+	for _, f := range faults {
+		s.inject(f)
+	}
+	s.runUntil(end)
+	s.checkSettled()
+	return s.broken, s.steps
+}
+
+// checkSettled fails if the cell did not recover after the last fault.
+func (s *sim) checkSettled() {
+	for _, shard := range s.shards {
+		n := s.owner(shard.ID)
+		if n == nil || n.runs[shard.ID] == nil || n.runs[shard.ID].app == nil {
+			s.fail("shard %s has no working owner after all faults ended", shard.ID)
+			return
+		}
+		s.clients.checkRestored(s, shard.ID, n.runs[shard.ID].app)
+	}
+}
+
+// shorten drops faults one by one as long as the schedule still fails.
+func shorten(seed uint64, faults []fault, opts options) ([]fault, string) {
+	broken, _ := play(seed, faults, opts)
+	for i := 0; i < len(faults); {
+		fewer := append(append([]fault{}, faults[:i]...), faults[i+1:]...)
+		if b, _ := play(seed, fewer, opts); b != "" {
+			faults, broken = fewer, b
+			continue
+		}
+		i++
+	}
+	return faults, broken
+}
+
+func history(seed uint64, faults []fault, broken string) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "seed %d: %s\nshortest history:\n", seed, broken)
+	for _, f := range faults {
+		fmt.Fprintf(&b, "  %v\n", f)
+	}
+	fmt.Fprintf(&b, "replay: go test -run TestFaultSchedules -seed=%d ./faulttest", seed)
+	return b.String()
+}
+
+// Guards against every violation that the driver checks: two owners, epochs
+// that go back, lost or doubled records, rows of ended epochs.
+func TestFaultSchedules(t *testing.T) {
+	if *onlySeed >= 0 {
+		t.Logf("faults: %v", schedule(uint64(*onlySeed)))
+		playRange(t, uint64(*onlySeed), uint64(*onlySeed)+1, 1)
+		return
+	}
+	const parts = 4 // one core each
+	for part := range uint64(parts) {
+		t.Run(fmt.Sprintf("part-%d", part), func(t *testing.T) {
+			t.Parallel()
+			playRange(t, part, uint64(*schedules), parts)
+		})
+	}
+}
+
+func playRange(t *testing.T, first, last, step uint64) {
+	least, total, count := 1<<62, 0, 0
+	for seed := first; seed < last; seed += step {
+		faults := schedule(seed)
+		broken, steps := play(seed, faults, options{})
+		if broken != "" {
+			short, why := shorten(seed, faults, options{})
+			t.Errorf("%s", history(seed, short, why))
+			continue
+		}
+		least, total, count = min(least, steps), total+steps, count+1
+	}
+	t.Logf("%d schedules, %d events, at least %d in each", count, total, least)
+	if count > 0 && least < minSteps {
+		t.Errorf("a schedule has only %d events, want %d", least, minSteps)
+	}
+}
+
+// Guards against a driver that cannot fail: with each mechanism broken on
+// purpose, one of the first schedules must show a violation.
+func TestDriverFindsDefects(t *testing.T) {
+	defects := map[string]options{
+		"takeover without waiting":    {ownership: ownership.Defects{SkipWait: true}},
+		"takeover without read-back":  {ownership: ownership.Defects{SkipReadBack: true}},
+		"journal without read-back":   {journal: journal.Defects{SkipReadBack: true}},
+		"journal without epoch check": {journal: journal.Defects{SkipEpochTest: true}},
+	}
+	for name, opts := range defects {
+		found := false
+		for seed := uint64(0); seed < 400 && !found; seed++ {
+			if broken, _ := play(seed, schedule(seed), opts); broken != "" {
+				found = true
+				short, why := shorten(seed, schedule(seed), opts)
+				t.Logf("%s: %s", name, history(seed, short, why))
+			}
+		}
+		if !found {
+			t.Errorf("%s: not found in 400 schedules", name)
+		}
+	}
+}
--- /dev/null
+++ b/faulttest/faults_test.go
@@ -0,0 +1,144 @@
+package faulttest
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/mangodrum/mangodrum/ownership"
+	"github.com/mangodrum/mangodrum/structs"
+)
+
+// kind is a kind of fault.
+type kind int
+
+const (
+	instanceDies kind = iota
+	instancePauses
+	leaseLapses // the owner of a shard pauses past its lease
+	allInstancesDie
+	plannedStop // no fault, but a change that faults may hit
+	storeDown
+	storeSlow
+	repliesLost
+	messagesLost
+	messagesDelayed
+	messagesDoubled
+	messagesReordered
+	kinds
+)
+
+var kindNames = [kinds]string{
+	"instance-dies", "instance-pauses", "lease-lapses", "all-instances-die", "planned-stop", "store-down",
+	"store-slow", "replies-lost", "messages-lost", "messages-delayed", "messages-doubled", "messages-reordered",
+}
+
+// fault is one fault of a schedule.
+type fault struct {
+	kind   kind
+	at     time.Duration // after the start
+	length time.Duration
+	target int
+}
+
+func (f fault) String() string {
+	return fmt.Sprintf("%v %s for %v on %d", f.at, kindNames[f.kind], f.length, f.target)
+}
+
+const (
+	warmUp     = 8 * time.Second
+	faultsOver = 45 * time.Second // start of the last fault, at the latest
+	longest    = 12 * time.Second
+	settled    = faultsOver + longest + 3*horizon/2 // all is well again
+)
+
+// schedule returns the faults of a seed: one alone, two together, one twice in
+// a row, or a mixture, by the seed's remainder.
+func schedule(seed uint64) []fault {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	one := func(k kind, at time.Duration) fault {
+		length := time.Second + time.Duration(rng.Int64N(int64(longest-time.Second)))
+		return fault{k, at.Round(time.Millisecond), length.Round(time.Millisecond), rng.IntN(8)}
+	}
+	at := func() time.Duration { return warmUp + time.Duration(rng.Int64N(int64(faultsOver-warmUp))) }
+	first := kind(seed / 4 % uint64(kinds))
+	switch seed % 4 {
+	case 0:
+		return []fault{one(first, at())}
+	case 1:
+		t := at()
+		return []fault{one(first, t), one(kind(rng.IntN(int(kinds))), t.Round(time.Second))}
+	case 2:
+		f := one(first, min(at(), faultsOver-longest))
+		again := f
+		again.at += f.length + time.Duration(rng.Int64N(int64(time.Second))).Round(time.Millisecond)
+		return []fault{f, again}
+	}
+	out := []fault{one(first, at())}
+	for range 2 + rng.IntN(6) {
+		out = append(out, one(kind(rng.IntN(int(kinds))), at()))
+	}
+	slices.SortStableFunc(out, func(a, b fault) int { return int(a.at - b.at) })
+	return out
+}
+
+func (s *sim) inject(f fault) {
+	s.after(f.at, func() {
+		n := s.nodes[f.target%len(s.nodes)]
+		shard := s.shards[f.target%len(s.shards)].ID
+		switch f.kind {
+		case instanceDies:
+			s.kill(n, f.length)
+		case allInstancesDie:
+			for _, n := range s.nodes {
+				s.kill(n, f.length)
+			}
+		case instancePauses:
+			n.pausedUntil = max(n.pausedUntil, s.now.Add(f.length))
+		case leaseLapses:
+			if owner := s.owner(shard); owner != nil {
+				owner.pausedUntil = max(owner.pausedUntil, s.now.Add(7*time.Second+f.length/2))
+			}
+		case plannedStop:
+			s.stop(shard)
+		default:
+			s.active[f.kind]++
+			s.after(f.length, func() { s.active[f.kind]-- })
+		}
+	})
+}
+
+func (s *sim) kill(n *node, length time.Duration) {
+	if !n.up {
+		return
+	}
+	n.up = false
+	s.after(length, n.boot)
+}
+
+// owner returns the process that believes to own the shard, or nil.
+func (s *sim) owner(shard structs.ShardID) *node {
+	for _, n := range s.nodes {
+		if n.up && n.own.Standing(n.clock(), shard) == ownership.Owner {
+			return n
+		}
+	}
+	return nil
+}
+
+// stop hands the shard over to another live instance.
+func (s *sim) stop(shard structs.ShardID) {
+	n := s.owner(shard)
+	if n == nil {
+		return
+	}
+	s.deliver(n, n.gen, func() {
+		for _, info := range n.mem.Live() {
+			if info.ID != n.info.ID {
+				n.owner(ownership.HandOver{Shard: shard, To: info.ID})
+				return
+			}
+		}
+	})
+}
