--- a/journal/load.go
+++ b/journal/load.go
@@ -30,6 +30,8 @@
 
 // Load reads the newest usable snapshot and the journal after it. The caller
 // owns the shard: its takeover is committed, so no earlier epoch can add rows.
+// If it lost the shard meanwhile, the new owner may truncate rows that Load
+// reads, and an error of Load says nothing about the journal.
 func Load(ctx context.Context, store Store, shard structs.ShardID) (Loaded, error) {
 	if err := validShard(shard); err != nil {
 		return Loaded{}, err
@@ -92,6 +94,7 @@
 	next := max(snapshot.Row, 1)
 	after := RowKey(shard, next-1)
 	out.NextRow = next
+	var last Row
 	for {
 		rows, err := store.Table.Scan(ctx, rowPrefix(shard), after, scanRows)
 		if err != nil {
@@ -105,6 +108,10 @@
 			if err := checkRow(shard, row, stored.Key, out.NextRow); err != nil {
 				return err
 			}
+			if err := checkOrder(last, row); err != nil {
+				return err
+			}
+			last = row
 			out.Entries = appendEntries(out.Entries, row, snapshot)
 			out.NextRow = row.Row + 1
 			after = stored.Key
@@ -125,6 +132,24 @@
 		key, row.Row, row.Shard, want, shard)
 }
 
+// checkOrder refuses a row of an epoch that had ended before, and a gap in the
+// append sequence. Both would mean that the condition on the epoch failed.
+func checkOrder(last, row Row) error {
+	want := uint64(1)
+	switch {
+	case last.Row == 0:
+		return nil // the first row after a snapshot may be in the middle of an epoch
+	case row.Epoch < last.Epoch:
+		return damaged(nil, "journal row %d has epoch %d after epoch %d", row.Row, row.Epoch, last.Epoch)
+	case row.Epoch == last.Epoch:
+		want = last.First + uint64(len(last.Payloads))
+	}
+	if row.First == want {
+		return nil
+	}
+	return damaged(nil, "journal row %d starts at append %d of epoch %d, not at %d", row.Row, row.First, row.Epoch, want)
+}
+
 func appendEntries(entries []Entry, row Row, snapshot Snapshot) []Entry {
 	for i, payload := range row.Payloads {
 		sequence := row.First + uint64(i)
--- a/journal/row.go
+++ b/journal/row.go
@@ -80,6 +80,10 @@
 	if err != nil {
 		return nil, errs.Wrap(err, errs.InvalidInput, "report this fault", "encode journal row %d of shard %q", row.Row, row.Shard)
 	}
+	return sealRow(body)
+}
+
+func sealRow(body []byte) ([]byte, error) {
 	return cbor.Marshal(wireRow{Format: rowFormat, Checksum: crc32.Checksum(body, checksumTable), Body: body})
 }
 
--- a/journal/snapshot.go
+++ b/journal/snapshot.go
@@ -48,11 +48,15 @@
 	if err != nil {
 		return nil, errs.Wrap(err, errs.InvalidInput, "report this fault", "encode snapshot of shard %q", s.Shard)
 	}
+	return sealSnapshot(body), nil
+}
+
+func sealSnapshot(body []byte) []byte {
 	data := make([]byte, 0, snapshotHeader+len(body))
 	data = append(data, snapshotMagic...)
 	data = append(data, snapshotFormat)
 	data = binary.BigEndian.AppendUint32(data, crc32.Checksum(body, checksumTable))
-	return append(data, body...), nil
+	return append(data, body...)
 }
 
 // DecodeSnapshot reads the object of a snapshot.
