queue: add pending work by class and team

Cause: the shard reducer needs an order of pending work in which a flood of one class starves no other and a head that does not fit holds up nobody. Change: weighted shares of occupied capacity between classes and teams, floors, ageing, NotBefore, lines per job that Skip sets aside, lazy removal.

--- /dev/null
+++ b/queue/config.go
@@ -0,0 +1,73 @@
+package queue
+
+import (
+	"time"
+
+	"github.com/mangodrum/mangodrum/structs"
+)
+
+const (
+	million = 1_000_000
+
+	// DefaultFloorPPM is the floor of a class that declares none: every class
+	// keeps a guaranteed part of the fleet.
+	DefaultFloorPPM = 10_000
+	// DefaultAgeing is the ageing period when the configuration has none.
+	DefaultAgeing = 10 * time.Minute
+	// maxAgeFactor bounds how far ageing raises the weight of a class.
+	maxAgeFactor = 16
+	// maxSkips bounds the lines set aside in one pass, and with them the
+	// searches without result that one pass can cost.
+	maxSkips = 128
+)
+
+// ClassConfig declares one class of work.
+type ClassConfig struct {
+	Name     structs.ClassName
+	Urgency  structs.Urgency
+	Weight   int64 // share above the floors; at least 1
+	FloorPPM int64 // guaranteed part of the capacity in parts per million
+	MaxDepth int   // pending items; 0 means unbounded; ignored for deferrable work
+}
+
+// Config declares classes, team weights and the ageing period.
+type Config struct {
+	Classes     []ClassConfig
+	TeamWeights map[structs.TeamID]int64 // 1 for teams that are not listed
+	Ageing      time.Duration            // a class gains its weight again for each period its oldest item waits
+}
+
+// Item is one unit of pending work: a task or a whole gang.
+type Item struct {
+	ID        structs.TaskID
+	Job       structs.JobID // items of one job have one shape and form a line
+	Team      structs.TeamID
+	Class     structs.ClassName
+	Resources structs.Resources
+	Enqueued  structs.Timestamp
+	NotBefore structs.Timestamp
+	Cost      int64 // in the unit of SetCapacity
+}
+
+func urgencyRank(u structs.Urgency) int {
+	switch u {
+	case structs.Urgent:
+		return 0
+	case structs.Normal:
+		return 1
+	default:
+		return 2
+	}
+}
+
+func (c ClassConfig) normalised() ClassConfig {
+	c.Weight = max(c.Weight, 1)
+	if c.FloorPPM <= 0 {
+		c.FloorPPM = DefaultFloorPPM
+	}
+	return c
+}
+
+func (c Config) teamWeight(id structs.TeamID) int64 {
+	return max(c.TeamWeights[id], 1)
+}
--- /dev/null
+++ b/queue/doc.go
@@ -0,0 +1,14 @@
+// Package queue orders the pending work of one shard by class and team.
+//
+// A class below its floor goes first, the most urgent one before the others;
+// above the floors, classes share by weight, and the teams of a class share
+// by weight as well. Shares are measured in occupied capacity: Take charges
+// the cost of an item to its class and team and Release returns it.
+//
+// Items of one job form a line. Skip sets the line of an item aside until the
+// next pass, so a head that does not fit holds up nobody.
+//
+// Push, Next, Take and Release cost O(log n) in the number of items. Remove
+// costs amortised constant time, so a cancellation wave is linear in its
+// size. The package has no clock and no randomness.
+package queue
--- /dev/null
+++ b/queue/pass.go
@@ -0,0 +1,183 @@
+package queue
+
+import (
+	"container/heap"
+	"time"
+
+	"github.com/mangodrum/mangodrum/structs"
+)
+
+// BeginPass starts a scheduling pass at now: items that became due join their
+// lines, and lines set aside return. If the last pass ended at its bound, only
+// lines of urgent classes return, so that successive passes reach every line.
+func (q *Queue) BeginPass(now structs.Timestamp) {
+	q.admitDue(now)
+	q.releaseHeld(now)
+	everything := q.skips < maxSkips
+	q.skips = 0
+	kept := q.aside[:0]
+	for _, l := range q.aside {
+		if !everything && l.team.class.cfg.Urgency != structs.Urgent {
+			kept = append(kept, l)
+			continue
+		}
+		l.aside = false
+		q.refresh(l)
+	}
+	clear(q.aside[len(kept):])
+	q.aside = kept
+}
+
+func (q *Queue) admitDue(now structs.Timestamp) {
+	for len(q.waiting.list) > 0 {
+		e := q.waiting.list[0]
+		if !e.dead && e.item.NotBefore.After(now) {
+			return
+		}
+		heap.Pop(&q.waiting)
+		if e.dead {
+			q.deadWait--
+			continue
+		}
+		q.makeDue(e)
+	}
+}
+
+func (q *Queue) releaseHeld(now structs.Timestamp) {
+	kept := q.held[:0]
+	for _, l := range q.held {
+		if l.held.After(now) && l.live > 0 {
+			kept = append(kept, l)
+			continue
+		}
+		l.holding = false
+		q.refresh(l)
+	}
+	clear(q.held[len(kept):])
+	q.held = kept
+}
+
+// Hold keeps the line of a job out of all passes that begin before until.
+func (q *Queue) Hold(it Item, until structs.Timestamp) {
+	e := q.items[it.ID]
+	if e == nil {
+		return
+	}
+	e.line.held = until
+	if !e.line.holding {
+		e.line.holding = true
+		q.held = append(q.held, e.line)
+	}
+	q.refresh(e.line)
+}
+
+// Next returns the item to try next, without taking it. The caller answers
+// with Take, Skip, Hold or Remove. It returns false when every line is empty
+// or set aside, or when the pass reached its bound.
+func (q *Queue) Next(now structs.Timestamp) (Item, bool) {
+	if q.skips >= maxSkips {
+		return Item{}, false
+	}
+	c := q.pick(now)
+	if c == nil {
+		return Item{}, false
+	}
+	t := c.heaps[byShare].list[0]
+	if aged := c.heaps[byAge].list[0]; q.isOverdue(aged, now) && q.seq%2 == 0 {
+		t = aged
+	}
+	return t.oldest().item, true
+}
+
+// isOverdue reports whether the oldest item of t has waited for the ageing
+// period; every second pick of its class then goes by age instead of share.
+func (q *Queue) isOverdue(t *team, now structs.Timestamp) bool {
+	return now.Sub(t.oldest().item.Enqueued) > q.cfg.Ageing
+}
+
+// pick returns the class to serve: the most urgent one below its floor, or
+// else the one with the least occupied capacity per weight.
+func (q *Queue) pick(now structs.Timestamp) *class {
+	var best *class
+	bestLoad := 0.0
+	for _, c := range q.classes {
+		if len(c.heaps[byShare].list) == 0 {
+			continue
+		}
+		if c.belowFloor(q.capacity) {
+			return c
+		}
+		load := c.load(now, q.cfg.Ageing)
+		if best == nil || load < bestLoad {
+			best, bestLoad = c, load
+		}
+	}
+	return best
+}
+
+// Take removes the item and charges its cost to its class and team.
+func (q *Queue) Take(it Item) {
+	if !q.Remove(it.ID) {
+		return
+	}
+	q.Charge(it.Class, it.Team, it.Cost)
+}
+
+// Charge adds cost to the occupied capacity of a class and team.
+func (q *Queue) Charge(name structs.ClassName, id structs.TeamID, cost int64) {
+	c := q.byName[name]
+	if c == nil {
+		return
+	}
+	q.seq++
+	t := c.team(id, q.cfg.teamWeight(id))
+	t.usage += cost
+	t.served = q.seq
+	c.usage += cost
+	c.update(t)
+}
+
+// Release returns the cost of an item that ended.
+func (q *Queue) Release(name structs.ClassName, id structs.TeamID, cost int64) {
+	c := q.byName[name]
+	if c == nil || c.teams[id] == nil {
+		return
+	}
+	t := c.teams[id]
+	t.usage -= cost
+	c.usage -= cost
+	c.update(t)
+}
+
+// Skip sets the line of the item aside for this pass.
+func (q *Queue) Skip(it Item) {
+	e := q.items[it.ID]
+	if e == nil || e.line.aside {
+		return
+	}
+	q.skips++
+	e.line.aside = true
+	q.aside = append(q.aside, e.line)
+	q.refresh(e.line)
+}
+
+// Stat is the state of one class, or of one team in a class.
+type Stat struct {
+	Class     structs.ClassName
+	Team      structs.TeamID // empty for the class as a whole
+	Depth     int
+	OldestAge time.Duration
+	SharePPM  int64 // occupied capacity
+	FloorPPM  int64 // of the class
+}
+
+// Stats returns the state of every class, each followed by its teams in the
+// order of their names.
+func (q *Queue) Stats(now structs.Timestamp) []Stat {
+	oldest := q.oldestByTeam()
+	var out []Stat
+	for _, c := range q.classes {
+		out = append(out, q.classStats(c, oldest, now)...)
+	}
+	return out
+}
