--- a/queue/pass.go
+++ b/queue/pass.go
@@ -13,6 +13,11 @@
 func (q *Queue) BeginPass(now structs.Timestamp) {
 	q.admitDue(now)
 	q.releaseHeld(now)
+	for _, t := range q.blocked {
+		t.aside = false
+		t.class.update(t)
+	}
+	q.blocked = q.blocked[:0]
 	everything := q.skips < maxSkips
 	q.skips = 0
 	kept := q.aside[:0]
@@ -161,6 +166,32 @@
 	q.refresh(e.line)
 }
 
+// SkipTeam sets all lines of the item's team and class aside for this pass.
+func (q *Queue) SkipTeam(it Item) {
+	e := q.items[it.ID]
+	if e == nil || e.line.team.aside {
+		return
+	}
+	t := e.line.team
+	t.aside = true
+	q.blocked = append(q.blocked, t)
+	t.class.update(t)
+}
+
+// HasDue reports whether the next pass would admit items or lines whose time
+// has come.
+func (q *Queue) HasDue(now structs.Timestamp) bool {
+	if len(q.waiting.list) > 0 && !q.waiting.list[0].item.NotBefore.After(now) {
+		return true
+	}
+	for _, l := range q.held {
+		if !l.held.After(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // Stat is the state of one class, or of one team in a class.
 type Stat struct {
 	Class     structs.ClassName
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -25,6 +25,7 @@
 	deadWait int
 	aside    []*line
 	held     []*line
+	blocked  []*team // set aside for this pass
 	capacity int64
 	seq      uint64
 	skips    int
@@ -93,6 +94,11 @@
 	if bounded && c.depth >= c.cfg.MaxDepth {
 		return ErrFull
 	}
+	q.add(c, it)
+	return nil
+}
+
+func (q *Queue) add(c *class, it Item) {
 	q.Remove(it.ID)
 	t := c.team(it.Team, q.cfg.teamWeight(it.Team))
 	l := t.lines[it.Job]
@@ -108,10 +114,9 @@
 	c.depth++
 	if it.NotBefore > 0 {
 		heap.Push(&q.waiting, e)
-		return nil
+		return
 	}
 	q.makeDue(e)
-	return nil
 }
 
 func (q *Queue) makeDue(e *entry) {
@@ -200,3 +205,22 @@
 		q.refresh(l)
 	}
 }
+
+// Force adds an item like Push and ignores the depth of the class. It is for
+// work that was admitted before and returns.
+func (q *Queue) Force(it Item) {
+	c := q.byName[it.Class]
+	if c == nil {
+		q.configureClass(ClassConfig{Name: it.Class, Urgency: structs.Deferrable})
+		c = q.byName[it.Class]
+	}
+	q.add(c, it)
+}
+
+// Depth returns the number of pending items of a class.
+func (q *Queue) Depth(name structs.ClassName) int {
+	if c := q.byName[name]; c != nil {
+		return c.depth
+	}
+	return 0
+}
--- a/queue/teams.go
+++ b/queue/teams.go
@@ -15,6 +15,7 @@
 	usage  int64 // cost of its items that run
 	served uint64
 	depth  int
+	aside  bool // for this pass
 	lines  map[structs.JobID]*line
 	ready  lineHeap
 	pos    [2]int // index in the heaps of the class, or -1
@@ -105,12 +106,13 @@
 func (c *class) update(t *team) {
 	for order := range c.heaps {
 		h := &c.heaps[order]
+		ready := len(t.ready) > 0 && !t.aside
 		switch {
-		case len(t.ready) == 0 && t.pos[order] >= 0:
+		case !ready && t.pos[order] >= 0:
 			heap.Remove(h, t.pos[order])
-		case len(t.ready) > 0 && t.pos[order] < 0:
+		case ready && t.pos[order] < 0:
 			heap.Push(h, t)
-		case len(t.ready) > 0:
+		case ready:
 			heap.Fix(h, t.pos[order])
 		}
 	}
--- /dev/null
+++ b/scheduler/claim.go
@@ -0,0 +1,201 @@
+package scheduler
+
+import (
+	"slices"
+
+	"github.com/mangodrum/mangodrum/placement"
+	"github.com/mangodrum/mangodrum/queue"
+	"github.com/mangodrum/mangodrum/structs"
+)
+
+const (
+	// maxClaims bounds the jobs for which workers are kept free at a time.
+	maxClaims = 8
+	// claimedPart is the largest part of the workers kept free, as a divisor.
+	claimedPart = 4
+)
+
+// claim keeps workers free for a task or gang that found no place for long.
+// Other work that ends in time is backfilled on them.
+type claim struct {
+	job     *job
+	workers []structs.WorkerID
+	ready   structs.Timestamp // estimated time at which the workers have room
+}
+
+// claims holds the current claims in the order in which they were made.
+type claims struct {
+	list     []*claim
+	byWorker map[structs.WorkerID]*claim
+	tried    structs.Timestamp // last attempt to make a claim
+}
+
+func (c *claims) init() { c.byWorker = map[structs.WorkerID]*claim{} }
+
+func (c *claims) of(j *job) *claim {
+	for _, cl := range c.list {
+		if cl.job == j {
+			return cl
+		}
+	}
+	return nil
+}
+
+// drop ends the claim of a job, if it has one.
+func (c *claims) drop(s *State, j *job) {
+	cl := c.of(j)
+	if cl == nil {
+		return
+	}
+	c.list = slices.DeleteFunc(c.list, func(x *claim) bool { return x == cl })
+	for _, id := range cl.workers {
+		delete(c.byWorker, id)
+		s.updateSchedulable(s.workers[id])
+	}
+}
+
+// dropIdle ends the claims of jobs that wait for nothing.
+func (c *claims) dropIdle(s *State) {
+	for _, cl := range slices.Clone(c.list) {
+		if cl.job.placed >= cl.job.Open || cl.job.held != "" {
+			c.drop(s, cl.job)
+		}
+	}
+}
+
+// noteBlocked makes a claim for an item that has waited for long, and notes
+// urgent items for preemption.
+func (s *State) noteBlocked(p *pass, it queue.Item, j *job) {
+	waited := s.now.Sub(max(it.Enqueued, j.Spec.NotBefore))
+	c, _ := s.policy.class(it.Class)
+	if c.Urgency == structs.Urgent && waited >= s.policy.Preemption.After {
+		p.blocked = append(p.blocked, it)
+	}
+	if waited < s.policy.Gang.ReserveAfter || s.claims.of(j) != nil || len(s.claims.list) >= maxClaims {
+		return
+	}
+	if s.now.Sub(s.claims.tried) < s.policy.Gang.ReserveAfter/10 {
+		return
+	}
+	s.claims.tried = s.now
+	s.makeClaim(j)
+}
+
+// makeClaim chooses workers that will have room once the tasks on them that
+// end by themselves are over.
+func (s *State) makeClaim(j *job) {
+	reqs := []placement.Request{s.request(j)}
+	if j.Spec.Kind == structs.KindGang {
+		_, reqs = s.gangRequests(j)
+	}
+	x := s.shadow(func(t *task) bool { return t.job.Spec.Kind == structs.KindService || t.live.unknown })
+	for _, w := range s.workers {
+		if _, taken := s.claims.byWorker[w.id]; taken || !s.isUsable(w) {
+			x.Remove(w.id)
+		}
+	}
+	ids, ok := x.FindGang(reqs)
+	if !ok {
+		return
+	}
+	slices.Sort(ids)
+	ids = slices.Compact(ids)
+	if (len(s.claims.byWorker)+len(ids))*claimedPart > len(s.workers) && len(s.claims.list) > 0 {
+		return
+	}
+	s.claimWorkers(&claim{job: j, workers: ids})
+}
+
+func (s *State) claimWorkers(cl *claim) {
+	cl.ready = s.now
+	s.claims.list = append(s.claims.list, cl)
+	for _, id := range cl.workers {
+		w := s.workers[id]
+		s.claims.byWorker[id] = cl
+		s.updateSchedulable(w)
+		for _, t := range w.tasks {
+			if t.job.Spec.Kind != structs.KindService {
+				cl.ready = max(cl.ready, t.live.since.Add(s.runTimeOf(t.job)))
+			}
+		}
+	}
+}
+
+// isUsable reports whether the worker takes new work, apart from claims.
+func (s *State) isUsable(w *worker) bool {
+	_, quarantined := s.quarantine[w.id]
+	return w.listed && w.down == 0 && !s.drained[w.id] && !quarantined && w.info.State == structs.Live
+}
+
+// openClaim lets the index see the workers claimed for the job, until the
+// returned function is called.
+func (s *State) openClaim(j *job) func() {
+	cl := s.claims.of(j)
+	if cl == nil {
+		return func() {}
+	}
+	for _, id := range cl.workers {
+		s.index.SetSchedulable(id, s.isUsable(s.workers[id]))
+	}
+	return func() {
+		for _, id := range cl.workers {
+			s.index.SetSchedulable(id, false)
+		}
+	}
+}
+
+// useClaim starts a task on the worker claimed for its job, once it has room.
+func (s *State) useClaim(p *pass, it queue.Item, t *task) bool {
+	cl := s.claims.of(t.job)
+	if cl == nil {
+		return false
+	}
+	restore := s.openClaim(t.job)
+	placed := false
+	for _, id := range cl.workers {
+		if allows(&t.job.Spec.Constraint, &s.workers[id].info) && s.start(p, it, t, id) {
+			placed = true
+			break
+		}
+	}
+	restore()
+	if placed {
+		s.claims.drop(s, t.job)
+	}
+	return placed
+}
+
+// backfill starts a task on a worker that is kept free, if the task ends
+// before the worker is expected to have room.
+func (s *State) backfill(p *pass, it queue.Item, t *task) bool {
+	estimate := s.runTimeOf(t.job)
+	if estimate <= 0 {
+		return false
+	}
+	for _, cl := range s.claims.list {
+		if cl.job == t.job || s.now.Add(estimate).After(cl.ready) {
+			continue
+		}
+		if s.backfillOn(cl, p, it, t) {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *State) backfillOn(cl *claim, p *pass, it queue.Item, t *task) bool {
+	for _, id := range cl.workers {
+		w := s.workers[id]
+		free, ok := s.index.Free(id)
+		if !ok || !t.job.need().Fits(free) || !s.isUsable(w) || !allows(&t.job.Spec.Constraint, &w.info) {
+			continue
+		}
+		s.index.SetSchedulable(id, true)
+		placed := s.start(p, it, t, id)
+		s.index.SetSchedulable(id, false)
+		if placed {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/scheduler/model.go
@@ -0,0 +1,145 @@
+package scheduler
+
+import (
+	"github.com/mangodrum/mangodrum/structs"
+)
+
+// job is a job and its tasks. Exported fields are durable: records change
+// them and snapshots hold them.
+type job struct {
+	Spec      structs.Job       `cbor:"1,keyasint"`
+	Next      int               `cbor:"2,keyasint"` // index of the next task
+	Size      structs.Resources `cbor:"3,keyasint"` // what is reserved for a task; at least the declared size
+	Cancelled bool              `cbor:"4,keyasint"`
+	Reason    string            `cbor:"5,keyasint,omitempty"`
+	Ended     structs.Timestamp `cbor:"6,keyasint,omitempty"`
+	Done      doneCounts        `cbor:"7,keyasint"`
+	Tasks     []*task           `cbor:"8,keyasint,omitempty"` // in the order of their indexes; empty after the end
+	Open      int               `cbor:"9,keyasint"`           // tasks without a final state
+
+	seq      uint64 // sequence of the last JobAccepted or JobCancelled record
+	held     holdReason
+	estimate estimate
+	health   jobHealth
+	verdict  verdict
+	placed   int // tasks with a live attempt
+}
+
+// doneCounts counts ended tasks by their state.
+type doneCounts struct {
+	Succeeded int `cbor:"1,keyasint,omitempty"`
+	Failed    int `cbor:"2,keyasint,omitempty"`
+	Cancelled int `cbor:"3,keyasint,omitempty"`
+}
+
+// phase is the durable part of a task's state.
+type phase uint8
+
+const (
+	phasePending phase = iota
+	phasePlaced        // a start record exists and the attempt is not known to be over
+	phaseEnded
+)
+
+// task is one task. Exported fields are durable.
+type task struct {
+	ID         structs.TaskID    `cbor:"1,keyasint"`
+	Phase      phase             `cbor:"2,keyasint"`
+	Attempt    int               `cbor:"3,keyasint"`
+	Failures   int               `cbor:"4,keyasint,omitempty"`
+	Worker     structs.WorkerID  `cbor:"5,keyasint,omitempty"`
+	NotAfter   structs.Timestamp `cbor:"6,keyasint,omitempty"`
+	Reserved   structs.Resources `cbor:"7,keyasint"` // on the worker, while placed
+	Enqueued   structs.Timestamp `cbor:"8,keyasint"`
+	NotBefore  structs.Timestamp `cbor:"9,keyasint,omitempty"`
+	Started    structs.Timestamp `cbor:"10,keyasint,omitempty"`
+	Ended      structs.Timestamp `cbor:"11,keyasint,omitempty"`
+	Generation int               `cbor:"12,keyasint,omitempty"`
+	Superseded bool              `cbor:"13,keyasint,omitempty"` // another replica takes its place
+	State      structs.TaskState `cbor:"14,keyasint,omitempty"` // final state
+	Message    string            `cbor:"15,keyasint,omitempty"`
+
+	job  *job
+	live *attempt // of a placed task
+}
+
+// attempt is the volatile state of a placed task.
+type attempt struct {
+	seq       uint64            // sequence of its start record
+	durable   bool              // the start record is committed
+	sent      bool              // the start may have reached the worker
+	sentAt    structs.Timestamp // last time the start was sent
+	listed    structs.Timestamp // newest report that lists it, by the worker's clock
+	running   bool              // confirmed by a report
+	unknown   bool              // the worker does not answer
+	stop      stopReason
+	stopAt    structs.Timestamp // last time the stop was sent
+	since     structs.Timestamp // first report that it runs
+	leaseEnd  structs.Timestamp // largest lease end that may have been granted
+	slot      int               // index in the worker's list
+	cost      int64             // charged in the queue
+	reserved  structs.Resources // on the worker; at least Reserved of the task
+	throttled structs.Timestamp // last time a throttle was sent
+	preempt   structs.Timestamp // time of the checkpoint before a preemption
+	saved     bool              // a checkpoint exists
+}
+
+// stopReason says why an attempt is to be stopped.
+type stopReason uint8
+
+const (
+	stopNone stopReason = iota
+	stopEnd             // the job is cancelled or the replica has been replaced
+	stopRequeue
+)
+
+func (j *job) spreadKey() string {
+	if !j.Spec.Spread {
+		return ""
+	}
+	return string(j.Spec.ID)
+}
+
+// isOver reports whether all tasks of the job have ended for good.
+func (j *job) isOver() bool {
+	return j.Open == 0 && (j.Cancelled || j.Spec.Kind != structs.KindService)
+}
+
+// addTasks appends n pending tasks.
+func (j *job) addTasks(n int, at, notBefore structs.Timestamp) []*task {
+	first := len(j.Tasks)
+	for range n {
+		t := &task{
+			ID: structs.TaskIDFor(j.Spec.ID, j.Next), job: j,
+			Enqueued: at, NotBefore: notBefore, Generation: j.Spec.Generation,
+		}
+		j.Next++
+		j.Open++
+		j.Tasks = append(j.Tasks, t)
+	}
+	return j.Tasks[first:]
+}
+
+// view returns the task as the other packages see it.
+func (t *task) view() structs.Task {
+	return structs.Task{
+		ID: t.ID, Job: t.job.Spec.ID, State: t.state(), Attempt: t.Attempt, Worker: t.Worker,
+		NotAfter: t.NotAfter, Enqueued: t.Enqueued, Started: t.Started, Ended: t.Ended, Message: t.Message,
+	}
+}
+
+func (t *task) state() structs.TaskState {
+	switch {
+	case t.Phase == phaseEnded:
+		return t.State
+	case t.Phase == phasePending:
+		return structs.TaskPending
+	case t.live == nil || t.live.unknown:
+		return structs.TaskUnknown
+	case t.live.stop != stopNone:
+		return structs.TaskStopping
+	case t.live.running:
+		return structs.TaskRunning
+	}
+	return structs.TaskStarting
+}
--- /dev/null
+++ b/scheduler/policy.go
@@ -0,0 +1,135 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/mangodrum/mangodrum/placement"
+	"github.com/mangodrum/mangodrum/queue"
+	"github.com/mangodrum/mangodrum/structs"
+)
+
+// Defaults of a Policy.
+const (
+	DefaultLease         = 30 * time.Second
+	DefaultStartWindow   = 5 * time.Second
+	DefaultRetention     = time.Hour
+	DefaultReserveAfter  = 10 * time.Second
+	DefaultPreemptAfter  = time.Second
+	DefaultCheckpoint    = 2 * time.Second
+	DefaultReplaceSurge  = 1
+	DefaultServiceReplan = 10 * time.Second
+)
+
+// ClassPolicy declares one class of work.
+type ClassPolicy struct {
+	Name     structs.ClassName
+	Urgency  structs.Urgency
+	Weight   int64 // share above the floors
+	FloorPPM int64 // guaranteed part of the shard's capacity in parts per million
+	MaxDepth int   // pending tasks; 0 means unbounded; ignored for deferrable work
+}
+
+// TeamPolicy is the part of a team's quota that belongs to this shard.
+type TeamPolicy struct {
+	Guaranteed  structs.Resources
+	BorrowLimit structs.Resources // what it may use above Guaranteed while others leave it idle
+	Weight      int64
+}
+
+// GangPolicy holds the options of gangs and of other work that finds no place.
+type GangPolicy struct {
+	// ReserveAfter is how long a task or gang waits without a place before
+	// workers are kept free for it; others are backfilled meanwhile.
+	ReserveAfter time.Duration
+}
+
+// PreemptionPolicy holds the options of preemption by urgent work.
+type PreemptionPolicy struct {
+	Disabled       bool
+	After          time.Duration // how long an urgent task waits before it preempts
+	CheckpointWait time.Duration // time to write a checkpoint before the stop
+}
+
+// Policy is what the settings say about classes, teams and leases.
+type Policy struct {
+	Classes      []ClassPolicy
+	Teams        map[structs.TeamID]TeamPolicy
+	Lease        time.Duration // granted to a task at a time
+	StartWindow  time.Duration // from the decision to the not-after time of a start
+	Ageing       time.Duration // a class gains its weight again for each period its oldest task waits
+	Retention    time.Duration // how long an ended job stays known
+	AffinityCost int64         // percentage of a worker's score given up before another region is chosen
+	ReplaceSurge int           // replicas of a service replaced at a time
+	Gang         GangPolicy
+	Preemption   PreemptionPolicy
+}
+
+// Config is what a State needs to begin.
+type Config struct {
+	Shard  structs.ShardID
+	Epoch  structs.Epoch
+	Policy Policy
+	// Horizon is the durable lease horizon of this epoch; no lease end is
+	// granted past it. It is raised by HorizonExtended.
+	Horizon structs.Timestamp
+	// PreviousHorizon is the lease horizon of the previous owner. Tasks that
+	// it placed may run until then unless their workers say otherwise.
+	PreviousHorizon structs.Timestamp
+}
+
+// withDefaults returns the policy with every unset option set.
+func (p Policy) withDefaults() Policy {
+	setDefault(&p.Lease, DefaultLease)
+	setDefault(&p.StartWindow, DefaultStartWindow)
+	setDefault(&p.Retention, DefaultRetention)
+	setDefault(&p.Gang.ReserveAfter, DefaultReserveAfter)
+	setDefault(&p.Preemption.After, DefaultPreemptAfter)
+	setDefault(&p.Preemption.CheckpointWait, DefaultCheckpoint)
+	if p.ReplaceSurge <= 0 {
+		p.ReplaceSurge = DefaultReplaceSurge
+	}
+	return p
+}
+
+func setDefault(d *time.Duration, value time.Duration) {
+	if *d <= 0 {
+		*d = value
+	}
+}
+
+func (p Policy) class(name structs.ClassName) (ClassPolicy, bool) {
+	for _, c := range p.Classes {
+		if c.Name == name {
+			return c, true
+		}
+	}
+	return ClassPolicy{}, false
+}
+
+func (p Policy) queueConfig() queue.Config {
+	cfg := queue.Config{TeamWeights: map[structs.TeamID]int64{}, Ageing: p.Ageing}
+	for _, c := range p.Classes {
+		cfg.Classes = append(cfg.Classes, queue.ClassConfig{
+			Name: c.Name, Urgency: c.Urgency, Weight: c.Weight, FloorPPM: c.FloorPPM, MaxDepth: c.MaxDepth,
+		})
+	}
+	for id, t := range p.Teams {
+		cfg.TeamWeights[id] = t.Weight
+	}
+	return cfg
+}
+
+// request describes one task of the job to the index.
+func (s *State) request(j *job) placement.Request {
+	req := placement.Request{
+		Resources:    j.need(),
+		Constraint:   j.Spec.Constraint,
+		Prefer:       j.Spec.PreferRegion,
+		AffinityCost: s.policy.AffinityCost,
+		SpreadKey:    j.spreadKey(),
+	}
+	if len(j.health.workers) > 0 {
+		req.Constraint.ExcludeWorkers = j.health.exclude
+	}
+	return req
+}
--- /dev/null
+++ b/scheduler/query.go
@@ -0,0 +1,150 @@
+package scheduler
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/mangodrum/mangodrum/placement"
+	"github.com/mangodrum/mangodrum/queue"
+	"github.com/mangodrum/mangodrum/structs"
+)
+
+// JobStatus is the state of a job. Tasks lists the open tasks, and those that
+// ended while the job is open.
+type JobStatus struct {
+	Job       structs.Job
+	Cancelled bool
+	Reason    string // why it was cancelled
+	Held      string // why it cannot run
+	Ended     structs.Timestamp
+	Pending   int
+	Placed    int
+	Succeeded int
+	Failed    int
+	Stopped   int               // tasks that ended because of a cancellation or replacement
+	Size      structs.Resources // reserved for a task
+	RunTime   time.Duration     // estimate; 0 if not known
+	Tasks     []structs.Task
+}
+
+// WorkerStatus is the state of a worker.
+type WorkerStatus struct {
+	Worker      structs.Worker
+	Listed      bool
+	Drained     bool
+	Quarantined structs.Timestamp // until the next probe; 0 if it is not quarantined
+	DownSince   structs.Timestamp // 0 if it answers
+	Claimed     bool              // kept free for work that waited for long
+	Tasks       int
+	Reserved    structs.Resources
+}
+
+// Job returns the state of a job and its tasks.
+func (s *State) Job(id structs.JobID) (JobStatus, bool) {
+	j := s.jobs[id]
+	if j == nil {
+		return JobStatus{}, false
+	}
+	st := s.jobStatus(j)
+	st.Tasks = make([]structs.Task, 0, len(j.Tasks))
+	for _, t := range j.Tasks {
+		st.Tasks = append(st.Tasks, t.view())
+	}
+	return st, true
+}
+
+// Jobs returns the state of all jobs without their tasks, in the order of
+// their acceptance.
+func (s *State) Jobs() []JobStatus {
+	out := make([]JobStatus, 0, len(s.jobs))
+	for _, j := range s.jobsInOrder() {
+		out = append(out, s.jobStatus(j))
+	}
+	return out
+}
+
+func (s *State) jobStatus(j *job) JobStatus {
+	return JobStatus{
+		Job: j.Spec, Cancelled: j.Cancelled, Reason: j.Reason, Held: string(j.held), Ended: j.Ended,
+		Pending: j.Open - j.placed, Placed: j.placed,
+		Succeeded: j.Done.Succeeded, Failed: j.Done.Failed, Stopped: j.Done.Cancelled,
+		Size: j.need(), RunTime: s.runTimeOf(j),
+	}
+}
+
+// Workers returns the state of all workers in the order of their identifiers.
+func (s *State) Workers() []WorkerStatus {
+	out := make([]WorkerStatus, 0, len(s.workers))
+	for _, w := range s.sortedWorkers() {
+		_, claimed := s.claims.byWorker[w.id]
+		st := WorkerStatus{
+			Worker: w.info, Listed: w.listed, Drained: s.drained[w.id], Quarantined: s.quarantine[w.id].Until,
+			DownSince: w.down, Claimed: claimed, Tasks: len(w.tasks),
+		}
+		for _, t := range w.tasks {
+			st.Reserved = st.Reserved.Add(t.live.reserved)
+		}
+		out = append(out, st)
+	}
+	return out
+}
+
+// Queues returns depth, oldest age, share and floor by class and team.
+func (s *State) Queues(now structs.Timestamp) []queue.Stat { return s.queue.Stats(now) }
+
+// Explanation tells why tasks of a job wait, or that none does.
+type Explanation struct {
+	Job     structs.JobID
+	Summary string // one line
+	Held    string // why the job can never run with the current workers and policy
+	Pending int
+	Used    structs.Resources // by the team
+	Limit   structs.Resources // guaranteed quota and borrow limit of the team
+	Need    structs.Resources // of one task, or of the whole gang
+	Until   structs.Timestamp // the job is held back as failing, or not due, until then
+	Workers placement.Explanation
+	Remedy  string
+}
+
+// Explain tells in numbers why tasks of the job wait.
+func (s *State) Explain(now structs.Timestamp, id structs.JobID) (Explanation, bool) {
+	j := s.jobs[id]
+	if j == nil {
+		return Explanation{}, false
+	}
+	req := s.request(j)
+	e := Explanation{
+		Job: id, Held: string(j.held), Pending: j.Open - j.placed,
+		Used: s.quota.used[j.Spec.Team], Limit: s.quota.limit(j.Spec.Team), Need: s.itemSize(j),
+		Workers: s.index.Explain(&req),
+	}
+	s.explain(now, j, &e)
+	return e, true
+}
+
+func (s *State) explain(now structs.Timestamp, j *job, e *Explanation) {
+	free := e.Limit.Sub(e.Used)
+	switch until := max(j.health.until, j.Spec.NotBefore); {
+	case e.Pending == 0:
+		e.Summary, e.Remedy = "no task waits", "nothing to do"
+	case j.held == holdQuota:
+		e.Summary = fmt.Sprintf("can never run: needs %s at once, team %s may use %s", e.Need, j.Spec.Team, e.Limit)
+		e.Remedy = "raise the quota or borrow limit of the team, or ask for less"
+	case j.held != "":
+		e.Summary = "can never run: " + e.Workers.String()
+		e.Remedy = e.Workers.Remedy
+		if j.Spec.Kind == structs.KindGang && possible(e.Workers) {
+			e.Summary = fmt.Sprintf("can never run: %d tasks of %s do not fit together into the empty fleet", j.Open, j.need())
+			e.Remedy = "ask for fewer or smaller tasks, or add workers"
+		}
+	case until.After(now):
+		e.Until = until
+		e.Summary = fmt.Sprintf("not before %s: %d failures in a row on %d workers", until.Time().Format(time.RFC3339), j.health.failures, len(j.health.workers))
+		e.Remedy = "correct or cancel the job if it fails by itself, otherwise wait"
+	case !e.Need.Fits(free):
+		e.Summary = fmt.Sprintf("above quota: needs %s, team %s uses %s of %s", e.Need, j.Spec.Team, e.Used, e.Limit)
+		e.Remedy = "wait for the team's other tasks, or raise its quota or borrow limit"
+	default:
+		e.Summary, e.Remedy = e.Workers.String(), e.Workers.Remedy
+	}
+}
--- /dev/null
+++ b/scheduler/records.go
@@ -0,0 +1,81 @@
+package scheduler
+
+import "github.com/mangodrum/mangodrum/structs"
+
+// Record is one durable decision. Exactly one field is set.
+type Record struct {
+	JobAccepted       *JobAccepted       `cbor:"1,keyasint,omitempty"`
+	JobCancelled      *JobCancelled      `cbor:"2,keyasint,omitempty"`
+	TaskStarted       *TaskStarted       `cbor:"3,keyasint,omitempty"`
+	TaskEnded         *TaskEnded         `cbor:"4,keyasint,omitempty"`
+	TaskRequeued      *TaskRequeued      `cbor:"5,keyasint,omitempty"`
+	WorkerDrained     *WorkerDrained     `cbor:"6,keyasint,omitempty"`
+	WorkerQuarantined *WorkerQuarantined `cbor:"7,keyasint,omitempty"`
+	JobRemoved        *JobRemoved        `cbor:"8,keyasint,omitempty"`
+}
+
+// JobAccepted records a new job, or a higher generation of a service.
+type JobAccepted struct {
+	Job structs.Job `cbor:"1,keyasint"`
+}
+
+// JobCancelled records the end of a job by its owner, or by the scheduler if
+// a gang cannot finish any more. Tasks that run are stopped.
+type JobCancelled struct {
+	Job    structs.JobID     `cbor:"1,keyasint"`
+	At     structs.Timestamp `cbor:"2,keyasint"`
+	Reason string            `cbor:"3,keyasint,omitempty"`
+}
+
+// JobRemoved records that an ended job is forgotten after its retention.
+type JobRemoved struct {
+	Job structs.JobID `cbor:"1,keyasint"`
+}
+
+// TaskStarted is the start record of an attempt. The start is sent after it
+// is durable and never after NotAfter.
+type TaskStarted struct {
+	Task      structs.TaskID    `cbor:"1,keyasint"`
+	Attempt   int               `cbor:"2,keyasint"`
+	Worker    structs.WorkerID  `cbor:"3,keyasint"`
+	NotAfter  structs.Timestamp `cbor:"4,keyasint"`
+	Resources structs.Resources `cbor:"5,keyasint"`
+	At        structs.Timestamp `cbor:"6,keyasint"`
+}
+
+// TaskEnded records the final end of a task. For a replica of a service a new
+// task takes its place, not before NotBefore.
+type TaskEnded struct {
+	Task      structs.TaskID    `cbor:"1,keyasint"`
+	State     structs.TaskState `cbor:"2,keyasint"`
+	At        structs.Timestamp `cbor:"3,keyasint"`
+	Message   string            `cbor:"4,keyasint,omitempty"`
+	NotBefore structs.Timestamp `cbor:"5,keyasint,omitempty"`
+}
+
+// TaskRequeued records that an attempt is over and the task waits for the
+// next one. With Replace the attempt is not over: a new task takes the place
+// of this replica, which is stopped when that is safe.
+type TaskRequeued struct {
+	Task      structs.TaskID    `cbor:"1,keyasint"`
+	At        structs.Timestamp `cbor:"2,keyasint"`
+	NotBefore structs.Timestamp `cbor:"3,keyasint,omitempty"`
+	Failed    bool              `cbor:"4,keyasint,omitempty"`
+	Replace   bool              `cbor:"5,keyasint,omitempty"`
+	Resources structs.Resources `cbor:"6,keyasint"` // if not zero, the size of the job's tasks from now on
+	Message   string            `cbor:"7,keyasint,omitempty"`
+}
+
+// WorkerDrained records the begin or end of a drain.
+type WorkerDrained struct {
+	Worker structs.WorkerID `cbor:"1,keyasint"`
+	Drain  bool             `cbor:"2,keyasint"`
+}
+
+// WorkerQuarantined records that a worker takes no work until Until, when one
+// task probes it, or with Until 0 that it takes work again.
+type WorkerQuarantined struct {
+	Worker  structs.WorkerID  `cbor:"1,keyasint"`
+	Until   structs.Timestamp `cbor:"2,keyasint"`
+	Strikes int               `cbor:"3,keyasint"`
+}
--- /dev/null
+++ b/scheduler/reduce.go
@@ -0,0 +1,208 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/mangodrum/mangodrum/errs"
+	"github.com/mangodrum/mangodrum/platform"
+	"github.com/mangodrum/mangodrum/structs"
+)
+
+// stallAfter is the age of an uncommitted append after which the journal
+// counts as stalled: nothing new is placed or accepted until it catches up.
+// It is below the start window, so starts recorded before a short stall can
+// still be sent.
+const stallAfter = 2 * time.Second
+
+// Reduce applies one event at now and returns the effects. Time never goes
+// back; an earlier now counts as the latest one seen.
+func (s *State) Reduce(now structs.Timestamp, ev structs.Event) []structs.Effect {
+	s.now = max(s.now, now)
+	s.dispatch(ev)
+	s.schedule(ev)
+	return s.flush()
+}
+
+func (s *State) dispatch(ev structs.Event) {
+	switch e := ev.(type) {
+	case SubmitJob:
+		s.submit(e)
+	case CancelJob:
+		s.cancel(e)
+	case DrainWorker:
+		s.drainWorker(e)
+	case ConfirmStopped:
+		s.confirmStopped(e)
+	case WorkersListed:
+		s.listWorkers(e.Workers)
+	case WorkerReported:
+		s.report(&e.Report)
+	case WorkerUnreachable:
+		s.callFailed(e.Worker)
+	case Committed:
+		s.commit(e.Sequence)
+	case HorizonExtended:
+		s.horizon = max(s.horizon, e.Until)
+		s.dirty = true
+	case PolicyChanged:
+		s.changePolicy(e.Policy)
+	case Tick:
+		s.tick()
+	}
+}
+
+// tick does what is due.
+func (s *State) tick() {
+	s.serveWorkers()
+	s.endWaits()
+	s.rollServices()
+	s.probeQuarantined()
+	s.removeEndedJobs()
+}
+
+// record decides: it applies r and holds it for the Append of this call.
+func (s *State) record(r Record) {
+	s.apply(&r)
+	s.records = append(s.records, r)
+	for _, id := range s.dropped {
+		s.queue.Remove(id)
+	}
+	clear(s.dropped)
+	s.dropped = s.dropped[:0]
+	fresh := s.fresh
+	s.fresh = nil
+	for _, t := range fresh {
+		s.enqueue(t)
+	}
+}
+
+// nextSequence is the sequence that the records of this call get.
+func (s *State) nextSequence() uint64 { return s.sequence + 1 }
+
+// lastSequence is the sequence of the last record so far, in this call or
+// before.
+func (s *State) lastSequence() uint64 {
+	if len(s.records) > 0 {
+		return s.nextSequence()
+	}
+	return s.sequence
+}
+
+// afterCommit holds d until the records of this call are committed.
+func (s *State) afterCommit(d deferred) {
+	d.sequence = s.nextSequence()
+	s.deferred = append(s.deferred, d)
+}
+
+// replyAfter answers a call once the sequence is committed.
+func (s *State) replyAfter(sequence uint64, r Reply) {
+	if sequence <= s.committed {
+		s.effects = append(s.effects, r)
+		return
+	}
+	if sequence == s.nextSequence() {
+		s.afterCommit(deferred{reply: &r})
+		return
+	}
+	// The answer waits at its place in the order of sequences.
+	at := len(s.deferred)
+	for at > 0 && s.deferred[at-1].sequence > sequence {
+		at--
+	}
+	s.deferred = append(s.deferred, deferred{})
+	copy(s.deferred[at+1:], s.deferred[at:])
+	s.deferred[at] = deferred{sequence: sequence, reply: &r}
+}
+
+func (s *State) replyError(call CallID, err error) {
+	s.effects = append(s.effects, Reply{Call: call, Err: err})
+}
+
+// commit releases the effects of all records up to the sequence.
+func (s *State) commit(sequence uint64) {
+	if sequence <= s.committed || sequence > s.sequence {
+		return
+	}
+	s.committed = sequence
+	n := 0
+	for n < len(s.inFlight) && s.inFlight[n].sequence <= sequence {
+		n++
+	}
+	s.inFlight = s.inFlight[n:]
+	n = 0
+	for n < len(s.deferred) && s.deferred[n].sequence <= sequence {
+		s.release(&s.deferred[n])
+		n++
+	}
+	s.deferred = s.deferred[n:]
+	s.dirty = true
+}
+
+func (s *State) release(d *deferred) {
+	switch {
+	case d.reply != nil:
+		s.effects = append(s.effects, *d.reply)
+	case d.start != nil:
+		s.sendStart(d.start, d.attempt)
+	default:
+		s.acknowledge(d.worker, d.ack)
+	}
+}
+
+func (s *State) acknowledge(id structs.WorkerID, ref platform.AttemptRef) {
+	b := s.outbox.batch(id)
+	b.Acks = append(b.Acks, ref)
+}
+
+// stalled reports whether the journal does not make records durable.
+func (s *State) stalled() bool {
+	return len(s.inFlight) > 0 && s.now.Sub(s.inFlight[0].at) > stallAfter
+}
+
+func errStalled(shard structs.ShardID) error {
+	return errs.New(errs.NotRun, "send the request again when the store answers", "shard %s cannot make records durable", shard)
+}
+
+// flush returns the effects of this call.
+func (s *State) flush() []structs.Effect {
+	out := s.effects
+	s.effects = nil
+	if len(s.records) > 0 {
+		s.sequence++
+		s.inFlight = append(s.inFlight, appended{s.sequence, s.now})
+		out = append(out, Append{Sequence: s.sequence, Records: s.records})
+		s.records = nil
+	}
+	return s.outbox.flush(s, out)
+}
+
+// outbox collects the commands of one call by worker.
+type outbox struct {
+	order   []structs.WorkerID
+	batches map[structs.WorkerID]*platform.WorkerBatch
+}
+
+func (o *outbox) init() { o.batches = map[structs.WorkerID]*platform.WorkerBatch{} }
+
+// batch returns the batch for the worker, which is sent even if it is empty.
+func (o *outbox) batch(id structs.WorkerID) *platform.WorkerBatch {
+	b := o.batches[id]
+	if b == nil {
+		b = &platform.WorkerBatch{}
+		o.batches[id] = b
+		o.order = append(o.order, id)
+	}
+	return b
+}
+
+func (o *outbox) flush(s *State, out []structs.Effect) []structs.Effect {
+	for _, id := range o.order {
+		out = append(out, SendBatch{Worker: id, Batch: *o.batches[id]})
+		if w := s.workers[id]; w != nil {
+			w.sent(s.now)
+		}
+	}
+	clear(o.batches)
+	o.order = o.order[:0]
+	return out
+}
--- /dev/null
+++ b/scheduler/scheduler_test.go
@@ -0,0 +1,235 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/mangodrum/mangodrum/errs"
+	"github.com/mangodrum/mangodrum/structs"
+)
+
+const gib = 1 << 30
+
+func cores(n int64) structs.Resources {
+	return structs.Resources{MilliCPU: n * 1000, MemoryBytes: n * gib}
+}
+
+// testPolicy has three classes and two teams that may use everything.
+func testPolicy() Policy {
+	wide := structs.Resources{MilliCPU: 1 << 40, MemoryBytes: 1 << 60, Accelerators: 1 << 20}
+	return Policy{
+		Classes: []ClassPolicy{
+			{Name: "urgent", Urgency: structs.Urgent, Weight: 16, FloorPPM: 300_000},
+			{Name: "normal", Urgency: structs.Normal, Weight: 4, FloorPPM: 320_000},
+			{Name: "deferrable", Urgency: structs.Deferrable, Weight: 1, FloorPPM: 380_000},
+		},
+		Teams: map[structs.TeamID]TeamPolicy{"/a": {Guaranteed: wide, Weight: 1}, "/b": {Guaranteed: wide, Weight: 1}},
+	}
+}
+
+func fleet(n int, size structs.Resources) []structs.Worker {
+	var out []structs.Worker
+	for i := range n {
+		out = append(out, structs.Worker{
+			ID: structs.WorkerID(fmt.Sprintf("w%04d", i)), Capacity: size, State: structs.Live,
+			Location: structs.Location{Region: "r", FailureDomain: structs.FailureDomain(fmt.Sprintf("d%d", i%3))},
+		})
+	}
+	return out
+}
+
+func batch(id string, class structs.ClassName, count int, size structs.Resources, runTime time.Duration) structs.Job {
+	return structs.Job{
+		ID: structs.JobID(id), Team: "/a", Class: class, Kind: structs.KindBatch, Count: count,
+		Resources: size, Command: []string{runTime.String()},
+	}
+}
+
+func (c *cell) advance(d time.Duration) { c.runUntil(c.now.Add(d)) }
+
+func (c *cell) mustHold(t *testing.T) {
+	t.Helper()
+	for _, f := range c.faults {
+		t.Errorf("broken guarantee: %s", f)
+	}
+}
+
+func (c *cell) status(t *testing.T, id structs.JobID) JobStatus {
+	t.Helper()
+	st, ok := c.s.Job(id)
+	if !ok {
+		t.Fatalf("job %s is unknown", id)
+	}
+	return st
+}
+
+// Guards against an array that loses tasks, runs one twice or never ends.
+func TestArrayRunsEveryTaskOnce(t *testing.T) {
+	c := newCell(1, testPolicy(), fleet(4, cores(8)))
+	c.submit(batch("array", "normal", 100, cores(1), 2*time.Second))
+	c.advance(30 * time.Second)
+	st := c.status(t, "array")
+	if st.Succeeded != 100 || st.Ended == 0 {
+		t.Errorf("succeeded %d, ended %v, want 100 and an end", st.Succeeded, st.Ended)
+	}
+	if len(c.runs) != 100 {
+		t.Errorf("%d attempts ran, want 100", len(c.runs))
+	}
+	c.mustHold(t)
+}
+
+// Guards against a start or an answer that leaves before its record is
+// durable.
+func TestNothingLeavesBeforeItsCommit(t *testing.T) {
+	c := newCell(1, testPolicy(), fleet(1, cores(8)))
+	c.tableUp = false
+	c.onEffect = func(eff structs.Effect) {
+		if b, ok := eff.(SendBatch); ok && len(b.Batch.Starts) > 0 {
+			t.Errorf("a start was sent without a commit")
+		}
+	}
+	c.submit(batch("a", "normal", 1, cores(1), time.Second))
+	c.advance(4 * time.Second)
+	if _, answered := c.replies[1]; answered {
+		t.Error("the job was answered before its record was durable")
+	}
+	c.submit(batch("b", "normal", 1, cores(1), time.Second))
+	if !errs.Is(c.replies[2], errs.NotRun) {
+		t.Errorf("a job during the outage got %v, want not-run", c.replies[2])
+	}
+	c.onEffect = nil
+	c.setTable(true)
+	c.advance(5 * time.Second)
+	if st := c.status(t, "a"); st.Succeeded != 1 {
+		t.Errorf("after the outage %d tasks succeeded, want 1", st.Succeeded)
+	}
+	c.mustHold(t)
+}
+
+// Guards against duplicate jobs and against jobs that can do harm.
+func TestSubmissionIsIdempotentAndChecked(t *testing.T) {
+	c := newCell(1, testPolicy(), fleet(1, cores(8)))
+	job := batch("a", "normal", 2, cores(1), time.Second)
+	c.submit(job)
+	c.advance(time.Second)
+	c.send(SubmitJob{Call: 10, Job: job})
+	other := job
+	other.Count = 3
+	c.send(SubmitJob{Call: 11, Job: other})
+	bad := map[CallID]func(*structs.Job){
+		20: func(j *structs.Job) { j.Count = 0 },
+		21: func(j *structs.Job) { j.Resources.MilliCPU = -1 },
+		22: func(j *structs.Job) { j.Team = "/unknown" },
+		23: func(j *structs.Job) { j.Class = "unknown" },
+	}
+	for call, spoil := range bad {
+		j := batch(fmt.Sprint("bad", call), "normal", 1, cores(1), time.Second)
+		spoil(&j)
+		c.send(SubmitJob{Call: call, Job: j})
+	}
+	c.advance(time.Second)
+	if err, ok := c.replies[10]; !ok || err != nil {
+		t.Errorf("the same job again got %v", err)
+	}
+	if !errs.Is(c.replies[11], errs.Conflict) {
+		t.Errorf("another job with the identifier got %v, want conflict", c.replies[11])
+	}
+	for call := range bad {
+		if err := c.replies[call]; !errs.Is(err, errs.InvalidInput) || errs.RemedyOf(err) == "" {
+			t.Errorf("bad job %d got %v, want invalid input with a remedy", call, err)
+		}
+	}
+	if n := len(c.s.Jobs()); n != 1 {
+		t.Errorf("%d jobs exist, want 1", n)
+	}
+}
+
+// Guards against tasks that keep running after a cancellation, and against
+// leases that end while the owner lives.
+func TestRenewalAndCancellation(t *testing.T) {
+	c := newCell(1, testPolicy(), fleet(2, cores(8)))
+	c.submit(batch("long", "normal", 20, cores(1), 10*time.Minute))
+	c.advance(5 * time.Minute)
+	if len(c.runs) != 16 {
+		t.Errorf("%d attempts after 5 minutes, want the first 16 still under their lease", len(c.runs))
+	}
+	c.send(CancelJob{Call: 2, Job: "long"})
+	c.advance(2 * time.Second)
+	st := c.status(t, "long")
+	if len(c.active) != 0 || st.Ended == 0 || st.Stopped != 20 {
+		t.Errorf("%d tasks run, ended %v, %d stopped; want none, an end, 20", len(c.active), st.Ended, st.Stopped)
+	}
+	c.mustHold(t)
+}
+
+// Guards against a task that starts elsewhere while its first attempt may
+// still run on a worker that does not answer.
+func TestUnreachableWorkerIsWaitedOut(t *testing.T) {
+	c := newCell(1, testPolicy(), fleet(2, cores(4)))
+	c.submit(batch("a", "normal", 1, cores(4), 2*time.Minute))
+	c.advance(10 * time.Second)
+	for _, id := range c.active {
+		c.workers[id].cut = true
+	}
+	c.advance(25 * time.Second)
+	if len(c.runs) != 1 {
+		t.Fatalf("%d attempts before the lease ended, want 1", len(c.runs))
+	}
+	c.advance(15 * time.Second)
+	if len(c.runs) != 2 {
+		t.Errorf("%d attempts after the lease end, want 2", len(c.runs))
+	}
+	c.mustHold(t)
+}
+
+// Guards against a new owner that runs a task again before the previous
+// owner's horizon, and against one that ignores the word `gone`.
+func TestNewOwnerConfirmsOrWaits(t *testing.T) {
+	c := newCell(1, testPolicy(), fleet(3, cores(4)))
+	c.submit(batch("a", "normal", 2, cores(4), 20*time.Minute))
+	c.advance(10 * time.Second)
+	var cut structs.WorkerID
+	for _, id := range c.active {
+		cut = max(cut, id)
+	}
+	c.workers[cut].cut = true
+	c.restart()
+	c.advance(5 * time.Minute)
+	if len(c.runs) != 2 {
+		t.Fatalf("%d attempts, want 2: one adopted, one waited for", len(c.runs))
+	}
+	c.kill(cut)
+	gone := c.workers[cut].info
+	gone.State = structs.Gone
+	c.send(WorkersListed{Workers: []structs.Worker{gone}})
+	c.advance(2 * time.Second)
+	if len(c.runs) != 3 {
+		t.Errorf("%d attempts after the worker is gone, want 3", len(c.runs))
+	}
+	c.mustHold(t)
+}
+
+// Guards against a lost acknowledgement of a completion that was not durable.
+func TestCompletionIsAcknowledgedAfterCommit(t *testing.T) {
+	c := newCell(1, testPolicy(), fleet(1, cores(4)))
+	c.submit(batch("a", "normal", 1, cores(1), time.Second))
+	c.advance(500 * time.Millisecond)
+	c.tableUp = false
+	c.onEffect = func(eff structs.Effect) {
+		if b, ok := eff.(SendBatch); ok && len(b.Batch.Acks) > 0 {
+			t.Error("acknowledged before the end was durable")
+		}
+	}
+	c.advance(3 * time.Second)
+	c.onEffect = nil
+	c.restart()
+	c.setTable(true)
+	c.advance(5 * time.Second)
+	if st := c.status(t, "a"); st.Succeeded != 1 || len(c.runs) != 1 {
+		t.Errorf("succeeded %d in %d attempts, want 1 in 1", st.Succeeded, len(c.runs))
+	}
+	if n := len(c.workers["w0000"].runs); n != 0 {
+		t.Errorf("%d completions were not acknowledged", n)
+	}
+}
--- /dev/null
+++ b/scheduler/snapshot.go
@@ -0,0 +1,146 @@
+package scheduler
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/mangodrum/mangodrum/errs"
+	"github.com/mangodrum/mangodrum/structs"
+)
+
+// snapshotFormat is raised when the meaning of a snapshot changes.
+const snapshotFormat = 1
+
+// image is the durable state in a snapshot.
+type image struct {
+	Format     int                `cbor:"1,keyasint"`
+	Jobs       []*job             `cbor:"2,keyasint"` // in the order of their identifiers
+	Drained    []structs.WorkerID `cbor:"3,keyasint"`
+	Quarantine []quarantineEntry  `cbor:"4,keyasint"`
+}
+
+type quarantineEntry struct {
+	Worker  structs.WorkerID `cbor:"1,keyasint"`
+	Strikes strikes          `cbor:"2,keyasint"`
+}
+
+// encoding gives equal states equal bytes.
+var encoding = func() cbor.EncMode {
+	mode, err := cbor.CanonicalEncOptions().EncMode()
+	if err != nil {
+		panic(err) // the options are constant
+	}
+	return mode
+}()
+
+// Snapshot encodes the durable state: the effect of every record up to
+// Sequence. Equal states give equal bytes.
+func (s *State) Snapshot() ([]byte, error) {
+	img := image{Format: snapshotFormat, Drained: slices.Sorted(maps.Keys(s.drained))}
+	for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
+		img.Jobs = append(img.Jobs, s.jobs[id])
+	}
+	for _, id := range slices.Sorted(maps.Keys(s.quarantine)) {
+		img.Quarantine = append(img.Quarantine, quarantineEntry{id, s.quarantine[id]})
+	}
+	data, err := encoding.Marshal(img)
+	if err != nil {
+		return nil, errs.Wrap(err, errs.Failed, "report this as a defect", "encoding the snapshot of shard %s", s.cfg.Shard)
+	}
+	return data, nil
+}
+
+// Restore rebuilds the state of a shard from a snapshot, which may be empty,
+// and the records after it. Tasks that the records place may still run until
+// cfg.PreviousHorizon; they stay reserved until their workers say otherwise.
+func Restore(cfg Config, snapshot []byte, records []Record) (*State, error) {
+	s := New(cfg)
+	if len(snapshot) > 0 {
+		if err := s.load(snapshot); err != nil {
+			return nil, err
+		}
+	}
+	for i := range records {
+		s.apply(&records[i])
+	}
+	s.fresh = nil
+	s.dropped = nil
+	s.rebuild()
+	return s, nil
+}
+
+func (s *State) load(snapshot []byte) error {
+	var img image
+	if err := cbor.Unmarshal(snapshot, &img); err != nil {
+		return errs.Wrap(err, errs.InvalidInput, "use the previous snapshot", "decoding the snapshot of shard %s", s.cfg.Shard)
+	}
+	if img.Format != snapshotFormat {
+		return errs.New(errs.InvalidInput, "run a version that knows the format", "snapshot of shard %s has format %d, not %d", s.cfg.Shard, img.Format, snapshotFormat)
+	}
+	for _, j := range img.Jobs {
+		s.jobs[j.Spec.ID] = j
+		for _, t := range j.Tasks {
+			t.job = j
+			if t.Phase != phaseEnded || !j.isOver() {
+				s.tasks[t.ID] = t
+			}
+		}
+	}
+	for _, id := range img.Drained {
+		s.drained[id] = true
+	}
+	for _, q := range img.Quarantine {
+		s.quarantine[q.Worker] = q.Strikes
+	}
+	return nil
+}
+
+// rebuild derives the volatile state of a new owner from the durable state.
+func (s *State) rebuild() {
+	for id := range s.drained {
+		s.index.SetSchedulable(id, false)
+	}
+	for id := range s.quarantine {
+		s.index.SetSchedulable(id, false)
+	}
+	for _, j := range s.jobsInOrder() {
+		for _, t := range j.Tasks {
+			if t.Phase == phasePlaced {
+				s.readopt(t)
+			}
+		}
+		s.requeuePending(j)
+		s.trackRolling(j)
+		s.noteEnd(j)
+	}
+	slices.SortStableFunc(s.ended, func(a, b endedJob) int { return cmp.Compare(a.at, b.at) })
+}
+
+// readopt takes over an attempt of the previous owner.
+func (s *State) readopt(t *task) {
+	a := &attempt{
+		durable: true, sent: true, unknown: true, since: t.Started,
+		leaseEnd: s.cfg.PreviousHorizon, reserved: t.Reserved,
+	}
+	if t.job.Cancelled {
+		a.stop = stopEnd
+	}
+	s.index.Adopt(t.Worker, t.Reserved, t.job.spreadKey())
+	s.attach(t, a)
+	s.waitOut(t)
+}
+
+// jobsInOrder returns the jobs in the order of their acceptance.
+func (s *State) jobsInOrder() []*job {
+	out := make([]*job, 0, len(s.jobs))
+	for _, j := range s.jobs {
+		out = append(out, j)
+	}
+	slices.SortFunc(out, func(a, b *job) int {
+		return cmp.Or(cmp.Compare(a.Spec.Accepted, b.Spec.Accepted), cmp.Compare(a.Spec.ID, b.Spec.ID))
+	})
+	return out
+}
