--- a/scheduler/gang.go
+++ b/scheduler/gang.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/mangodrum/mangodrum/placement"
+	"github.com/mangodrum/mangodrum/platform"
 	"github.com/mangodrum/mangodrum/queue"
 	"github.com/mangodrum/mangodrum/structs"
 )
@@ -15,23 +16,31 @@
 		ID: gangItemID(j), Job: j.Spec.ID, Team: j.Spec.Team, Class: j.Spec.Class, Resources: j.need(),
 		Cost: s.unit.cost(s.itemSize(j)),
 	}
+	pending := 0
 	for _, t := range j.Tasks {
 		switch t.Phase {
 		case phasePlaced:
 			return
 		case phasePending:
+			pending++
 			if it.Enqueued == 0 || t.Enqueued < it.Enqueued {
 				it.Enqueued = t.Enqueued
 			}
 			it.NotBefore = max(it.NotBefore, t.NotBefore)
 		}
 	}
-	s.push(it)
+	if pending > 0 {
+		s.push(it)
+	}
 }
 
-// restartGang stops the rest of a gang of which one task ended early; all of
-// them start together again.
-func (s *State) restartGang(j *job) {
+// settleGang stops the rest of a gang of which one task ended early; all open
+// tasks start together again once the last of them is over.
+func (s *State) settleGang(j *job, status platform.RunStatus) {
+	if status == platform.RunSucceeded {
+		s.requeuePending(j)
+		return
+	}
 	for _, t := range j.Tasks {
 		if t.Phase == phasePlaced && t.live != nil {
 			s.stop(t, stopRequeue)
--- a/scheduler/quarantine.go
+++ b/scheduler/quarantine.go
@@ -17,6 +17,10 @@
 	quarantineMax  = 30 * time.Minute
 	// probesToPass is the number of probes in a row that end a quarantine.
 	probesToPass = 2
+	// probeWait is how long a worker that is due waits for a task that may
+	// probe it. Gangs and services do not probe, so without a limit they could
+	// wait for the worker without end.
+	probeWait = time.Minute
 	// strikeMemory is how long the last quarantine makes the next one longer.
 	strikeMemory = time.Hour
 )
@@ -40,6 +44,10 @@
 	if w.health.passed < probesToPass {
 		return
 	}
+	s.liftQuarantine(w)
+}
+
+func (s *State) liftQuarantine(w *worker) {
 	w.health.strikes = s.quarantine[w.id].Strikes
 	w.health.released = s.now
 	s.record(Record{WorkerQuarantined: &WorkerQuarantined{Worker: w.id}})
@@ -103,8 +111,14 @@
 		}
 	}
 	slices.Sort(s.probes)
-	if len(s.probes) > 0 && s.queue.Len() > 0 {
-		s.dirty = true
+	if len(s.probes) == 0 || s.queue.Len() == 0 || s.stalled() {
+		return
+	}
+	s.dirty = true
+	for _, id := range s.probes {
+		if s.now.Sub(s.quarantine[id].Until) > probeWait {
+			s.liftQuarantine(s.workers[id])
+		}
 	}
 }
 
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -78,13 +78,18 @@
 		return
 	}
 	e, known := w.ending[ref]
-	if known {
-		e.listed = max(e.listed, at)
-		w.ending[ref] = e
-	}
-	if !known || e.sequence <= s.committed {
+	if !known {
+		// The attempt was settled without its worker, possibly by a record
+		// that is still under way.
+		e.sequence = s.lastSequence()
+	}
+	e.listed = max(e.listed, at)
+	w.ending[ref] = e
+	if e.sequence <= s.committed {
 		s.acknowledge(w.id, ref)
+		return
 	}
+	s.callAt(w, s.now.Add(fastPoll))
 }
 
 // settleAbsent settles the attempts that a fresh report does not list. After
@@ -140,8 +145,8 @@
 	default:
 		s.requeue(t, status, message)
 	}
-	if j.Spec.Kind == structs.KindGang && !j.Cancelled && status != platform.RunSucceeded {
-		s.restartGang(j)
+	if j.Spec.Kind == structs.KindGang && !j.Cancelled {
+		s.settleGang(j, status)
 	}
 }
 
