faulttest: run the scheduler, workers and clients under faults

Cause: the guarantees on tasks and jobs need the real scheduler in the driver. Change: the scheduler replaces the counter as the state machine; stand-in workers that die, come back empty, lose their connections and fail every task; clients with repeats, cancellation waves, wrong sizes, wrong run times and jobs that fit nowhere; checks of double runs, overcommitment, durable starts, lost jobs and wrong "not run" answers. standin gets a virtual clock, reported usage and a total order of reports.

--- a/faulttest/driver_test.go
+++ b/faulttest/driver_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 
@@ -20,9 +21,9 @@
 
 // play runs a schedule and returns its first violation, or "".
 func play(seed uint64, faults []fault, opts options) (broken string, steps int) {
-	s := newSim(seed, 3, 2, opts)
+	s := newSim(seed, 3, 2, 8, opts)
 	end := epochStart.Add(settled)
-	s.startClients(end)
+	s.startClients(epochStart.Add(faultsOver + longest))
 	for _, f := range faults {
 		s.inject(f)
 	}
@@ -39,7 +40,7 @@
 			s.fail("shard %s has no working owner after all faults ended", shard.ID)
 			return
 		}
-		s.clients.checkRestored(s, shard.ID, n.runs[shard.ID].app)
+		s.clients.check(s, shard.ID, n.runs[shard.ID].app)
 	}
 }
 
@@ -63,7 +64,7 @@
 	for _, f := range faults {
 		fmt.Fprintf(&b, "  %v\n", f)
 	}
-	fmt.Fprintf(&b, "replay: go test -run TestFaultSchedules -seed=%d ./faulttest", seed)
+	fmt.Fprintf(&b, "replay: go test ./faulttest -run 'TestFaultSchedules|TestAcknowledged' -seed=%d", seed)
 	return b.String()
 }
 
@@ -72,25 +73,38 @@
 func TestFaultSchedules(t *testing.T) {
 	if *onlySeed >= 0 {
 		t.Logf("faults: %v", schedule(uint64(*onlySeed)))
-		playRange(t, uint64(*onlySeed), uint64(*onlySeed)+1, 1)
+		playRange(t, uint64(*onlySeed), uint64(*onlySeed)+1, 1, options{})
 		return
 	}
 	const parts = 4 // one core each
 	for part := range uint64(parts) {
 		t.Run(fmt.Sprintf("part-%d", part), func(t *testing.T) {
 			t.Parallel()
-			playRange(t, part, uint64(*schedules), parts)
+			playRange(t, part, uint64(*schedules), parts, options{})
 		})
 	}
 }
 
-func playRange(t *testing.T, first, last, step uint64) {
+// Guards against an acknowledged cancellation that a takeover undoes. It plays
+// the schedules with a wave of cancellations.
+func TestAcknowledgedCancellations(t *testing.T) {
+	first, last := uint64(0), uint64(*schedules)
+	if *onlySeed >= 0 {
+		first, last = uint64(*onlySeed), uint64(*onlySeed)+1
+	}
+	playRange(t, first, last, 1, options{cancellations: true})
+}
+
+func playRange(t *testing.T, first, last, step uint64, opts options) {
 	least, total, count := 1<<62, 0, 0
 	for seed := first; seed < last; seed += step {
 		faults := schedule(seed)
-		broken, steps := play(seed, faults, options{})
+		if opts.cancellations && !slices.ContainsFunc(faults, func(f fault) bool { return f.kind == cancelWave }) {
+			continue
+		}
+		broken, steps := play(seed, faults, opts)
 		if broken != "" {
-			short, why := shorten(seed, faults, options{})
+			short, why := shorten(seed, faults, opts)
 			t.Errorf("%s", history(seed, short, why))
 			continue
 		}
@@ -110,6 +124,7 @@
 		"takeover without read-back":  {ownership: ownership.Defects{SkipReadBack: true}},
 		"journal without read-back":   {journal: journal.Defects{SkipReadBack: true}},
 		"journal without epoch check": {journal: journal.Defects{SkipEpochTest: true}},
+		"no wait for the horizon":     {skipHorizon: true},
 	}
 	for name, opts := range defects {
 		found := false
--- a/faulttest/faults_test.go
+++ b/faulttest/faults_test.go
@@ -19,6 +19,10 @@
 	leaseLapses // the owner of a shard pauses past its lease
 	allInstancesDie
 	plannedStop // no fault, but a change that faults may hit
+	workerDies
+	workerUnreachable
+	workerFailsAll
+	cancelWave
 	storeDown
 	storeSlow
 	repliesLost
@@ -26,12 +30,17 @@
 	messagesDelayed
 	messagesDoubled
 	messagesReordered
+	wrongSizes
+	wrongRunTimes
+	jobsTooLarge
 	kinds
 )
 
 var kindNames = [kinds]string{
-	"instance-dies", "instance-pauses", "lease-lapses", "all-instances-die", "planned-stop", "store-down",
+	"instance-dies", "instance-pauses", "lease-lapses", "all-instances-die", "planned-stop",
+	"worker-dies", "worker-unreachable", "worker-fails-all", "cancel-wave", "store-down",
 	"store-slow", "replies-lost", "messages-lost", "messages-delayed", "messages-doubled", "messages-reordered",
+	"wrong-sizes", "wrong-run-times", "jobs-too-large",
 }
 
 // fault is one fault of a schedule.
@@ -84,8 +93,9 @@
 }
 
 func (s *sim) inject(f fault) {
-	s.after(f.at, func() {
+	s.After(f.at, func() {
 		n := s.nodes[f.target%len(s.nodes)]
+		w := s.workers[f.target%len(s.workers)]
 		shard := s.shards[f.target%len(s.shards)].ID
 		switch f.kind {
 		case instanceDies:
@@ -95,16 +105,25 @@
 				s.kill(n, f.length)
 			}
 		case instancePauses:
-			n.pausedUntil = max(n.pausedUntil, s.now.Add(f.length))
+			n.pausedUntil = max(n.pausedUntil, s.Now.Add(f.length))
 		case leaseLapses:
 			if owner := s.owner(shard); owner != nil {
-				owner.pausedUntil = max(owner.pausedUntil, s.now.Add(7*time.Second+f.length/2))
+				owner.pausedUntil = max(owner.pausedUntil, s.Now.Add(7*time.Second+f.length/2))
 			}
 		case plannedStop:
 			s.stop(shard)
+		case workerDies:
+			w.die(f.length)
+		case workerUnreachable:
+			w.cutUntil = max(w.cutUntil, s.Now.Add(f.length))
+		case workerFailsAll:
+			w.FailAll = true
+			s.After(f.length, func() { w.FailAll = false })
+		case cancelWave:
+			s.cancelWave()
 		default:
 			s.active[f.kind]++
-			s.after(f.length, func() { s.active[f.kind]-- })
+			s.After(f.length, func() { s.active[f.kind]-- })
 		}
 	})
 }
@@ -114,7 +133,7 @@
 		return
 	}
 	n.up = false
-	s.after(length, n.boot)
+	s.After(length, n.boot)
 }
 
 // owner returns the process that believes to own the shard, or nil.
--- a/faulttest/shard_test.go
+++ b/faulttest/shard_test.go
@@ -2,44 +2,49 @@
 
 import (
 	"context"
-	"fmt"
-	"strings"
-	"time"
+
+	"github.com/fxamacker/cbor/v2"
 
 	"github.com/mangodrum/mangodrum/errs"
 	"github.com/mangodrum/mangodrum/journal"
 	"github.com/mangodrum/mangodrum/ownership"
+	"github.com/mangodrum/mangodrum/platform"
+	"github.com/mangodrum/mangodrum/scheduler"
 	"github.com/mangodrum/mangodrum/structs"
 )
 
 // shardRun is what one process does for one shard in one epoch.
 type shardRun struct {
-	node     *node
-	acquired ownership.Acquired
-	app      *counter // nil until the journal is loaded
-	journal  *journal.State
-	until    structs.Timestamp // horizon
-	pending  *journal.Snapshot // taken, but not durable up to its sequence yet
-	saved    uint64            // sequence of the last snapshot
+	node    *node
+	sim     *sim
+	shard   structs.ShardID
+	epoch   structs.Epoch
+	before  structs.Timestamp // horizon of the previous owner
+	until   structs.Timestamp // own horizon
+	app     *scheduler.State  // nil until the journal is loaded
+	journal *journal.State
+	pending *journal.Snapshot // taken, but not durable up to its sequence yet
+	saved   uint64            // sequence of the last snapshot
 }
 
 // snapshotEvery is the number of appends between two snapshots.
 const snapshotEvery = 25
 
-func (r *shardRun) extend(until structs.Timestamp) { r.until = until }
-
 func (n *node) acquire(e ownership.Acquired) {
-	r := &shardRun{node: n, acquired: e}
+	r := &shardRun{node: n, sim: n.sim, shard: e.Shard, epoch: e.Epoch, before: e.PreviousHorizon}
+	if n.sim.opts.skipHorizon {
+		r.before = 0
+	}
 	n.runs[e.Shard] = r
 	r.load()
 }
 
-func (r *shardRun) current() bool { return r.node.runs[r.acquired.Shard] == r }
-
 func (r *shardRun) store() journal.Store {
-	return journal.Store{Table: r.node.sim.store, Objects: r.node.sim.store.Objects()}
+	return journal.Store{Table: r.sim.store, Objects: r.sim.store.Objects()}
 }
 
+func (r *shardRun) guard() platform.Condition { return ownership.EpochCondition(r.shard, r.epoch) }
+
 // answer carries the result of a call that is no reducer's event.
 type answer struct {
 	loaded journal.Loaded
@@ -53,239 +58,174 @@
 }
 
 func (r *shardRun) load() {
-	sim := r.node.sim
-	sim.call(r.node, func(ctx context.Context) structs.Event {
-		loaded, err := journal.Load(ctx, r.store(), r.acquired.Shard)
-		if err != nil {
-			sim.fail("load of %s by %s: %v", r.acquired.Shard, r.node.name(), err)
-			return answer{err: err}
-		}
+	r.sim.call(r.node, func(ctx context.Context) structs.Event {
+		loaded, err := journal.Load(ctx, r.store(), r.shard)
 		// The check is made here: while the answer travels, another process may
 		// take over and acknowledge more.
-		sim.clients.checkRestored(sim, r.acquired.Shard, restoreCounter(loaded))
-		return answer{loaded: loaded}
-	}, failedCall, func(ev structs.Event) {
-		if !r.current() {
-			return
+		if app := r.restore(loaded, err); app != nil {
+			r.sim.clients.check(r.sim, r.shard, app)
 		}
-		if a := ev.(answer); a.err == nil {
+		return answer{loaded, err}
+	}, failedCall, func(ev structs.Event) {
+		a := ev.(answer)
+		switch {
+		case r.node.runs[r.shard] != r:
+		case a.err != nil:
+			r.load()
+		default:
 			r.start(a.loaded)
-			return
 		}
-		r.load()
 	})
 }
 
+func (r *shardRun) restore(loaded journal.Loaded, err error) *scheduler.State {
+	var records []scheduler.Record
+	for _, entry := range loaded.Entries {
+		records = append(records, r.sim.decode(entry.Payload)...)
+	}
+	var app *scheduler.State
+	if err == nil {
+		app, err = scheduler.Restore(scheduler.Config{
+			Shard: r.shard, Epoch: r.epoch, Policy: policy(), Horizon: r.until, PreviousHorizon: r.before,
+		}, loaded.Snapshot, records)
+	}
+	if err != nil {
+		r.sim.fail("recovery of %s by %s: %v", r.shard, r.node.name(), err)
+		return nil
+	}
+	return app
+}
+
+func (s *sim) decode(payload []byte) []scheduler.Record {
+	var records []scheduler.Record
+	if err := cbor.Unmarshal(payload, &records); err != nil {
+		s.fail("decode records: %v", err)
+	}
+	return records
+}
+
 func (r *shardRun) start(loaded journal.Loaded) {
-	sim := r.node.sim
-	shard, epoch := r.acquired.Shard, r.acquired.Epoch
+	r.app = r.restore(loaded, nil)
 	r.journal = journal.New(journal.Config{
-		Shard: shard, Epoch: epoch, Guard: ownership.EpochCondition(shard, epoch),
-		NextRow: loaded.NextRow, Seed: r.node.gen, Defects: sim.opts.journal,
+		Shard: r.shard, Epoch: r.epoch, Guard: r.guard(),
+		NextRow: loaded.NextRow, Seed: r.node.gen, Defects: r.sim.opts.journal,
 	})
-	r.app = restoreCounter(loaded)
+	r.node.listWorkers()
 }
 
-func (n *node) flush() {
+// working runs f for every shard that this process has loaded.
+func (n *node) working(f func(*shardRun)) {
 	for _, shard := range n.sim.shards {
 		if r := n.runs[shard.ID]; r != nil && r.app != nil {
-			r.reduceJournal(journal.FlushDue{})
+			f(r)
 		}
 	}
 }
 
+func (n *node) flush() {
+	n.working(func(r *shardRun) { r.reduceJournal(journal.FlushDue{}) })
+}
+
 func (n *node) drive() {
-	for _, shard := range n.sim.shards {
-		if r := n.runs[shard.ID]; r != nil && r.app != nil {
-			r.snapshot()
+	n.working(func(r *shardRun) {
+		r.reduce(scheduler.Tick{})
+		r.takeSnapshot()
+	})
+}
+
+// reduce passes an event to the scheduler while this process may act.
+func (r *shardRun) reduce(ev structs.Event) {
+	if r.node.runs[r.shard] != r || r.app == nil || r.node.own.Standing(r.node.clock(), r.shard) == ownership.NotOwner {
+		return
+	}
+	for _, effect := range r.app.Reduce(r.node.clock(), ev) {
+		switch e := effect.(type) {
+		case scheduler.Append:
+			payload, err := cbor.Marshal(e.Records)
+			if err != nil {
+				r.sim.fail("encode records: %v", err)
+			}
+			r.reduceJournal(journal.Append{Sequence: e.Sequence, Payload: payload})
+		case scheduler.SendBatch:
+			r.callWorker(e)
+		case scheduler.Reply:
+			r.sim.clients.reply(e)
 		}
 	}
 }
 
 func (r *shardRun) reduceJournal(ev structs.Event) {
-	if !r.current() {
+	if r.node.runs[r.shard] != r {
 		return
 	}
 	for _, effect := range r.journal.Reduce(r.node.clock(), ev) {
 		switch e := effect.(type) {
 		case journal.Committed:
-			r.committed(e)
+			r.reduce(scheduler.Committed{Sequence: e.Sequence})
+			r.saveSnapshot(e)
 		case journal.Fenced:
-			delete(r.node.runs, r.acquired.Shard)
+			delete(r.node.runs, r.shard)
 		default:
-			r.node.sim.call(r.node, func(ctx context.Context) structs.Event {
-				ev := journal.Execute(ctx, r.node.sim.store, effect)
-				r.checkCommit(effect, ev)
+			r.sim.call(r.node, func(ctx context.Context) structs.Event {
+				ev := journal.Execute(ctx, r.sim.store, effect)
+				r.observe(effect, ev)
 				return ev
-			}, failedJournal(effect), r.reduceJournal)
-		}
-	}
-}
-
-func failedJournal(effect structs.Effect) func(errs.Kind) structs.Event {
-	return func(kind errs.Kind) structs.Event {
-		if _, ok := effect.(journal.ReadRow); ok {
-			return journal.ReadBack{ErrKind: kind}
+			}, func(kind errs.Kind) structs.Event {
+				if _, ok := effect.(journal.ReadRow); ok {
+					return journal.ReadBack{ErrKind: kind}
+				}
+				return journal.CommitEnded{ErrKind: kind}
+			}, r.reduceJournal)
 		}
-		return journal.CommitEnded{ErrKind: kind}
 	}
 }
 
-// checkCommit fails if a row was written by an owner of an ended epoch.
-func (r *shardRun) checkCommit(effect structs.Effect, ev structs.Event) {
+// observe notes durable starts, and fails if a row was written by an owner of
+// an ended epoch.
+func (r *shardRun) observe(effect structs.Effect, ev structs.Event) {
 	ended, ok := ev.(journal.CommitEnded)
 	if !ok || ended.ErrKind != "" {
 		return
 	}
 	row, err := journal.DecodeRow(effect.(journal.CommitRow).Value)
-	if epoch := r.node.sim.epochs[r.acquired.Shard]; err != nil || uint64(row.Epoch) != epoch {
-		r.node.sim.fail("row %d of %s written by epoch %d in epoch %d", row.Row, r.acquired.Shard, row.Epoch, epoch)
+	if epoch := r.sim.epochs[r.shard]; err != nil || uint64(row.Epoch) != epoch {
+		r.sim.fail("row %d of %s written by epoch %d in epoch %d (%v)", row.Row, r.shard, row.Epoch, epoch, err)
+	}
+	for _, payload := range row.Payloads {
+		for _, record := range r.sim.decode(payload) {
+			if start := record.TaskStarted; start != nil {
+				r.sim.durable[platform.AttemptRef{Task: start.Task, Attempt: start.Attempt}] = true
+			}
+		}
 	}
 }
 
-func (r *shardRun) committed(e journal.Committed) {
-	for _, reply := range r.app.committed(e.Sequence) {
-		r.node.sim.message(func() { r.node.sim.clients.acknowledged(reply) })
+// takeSnapshot takes a snapshot; it is saved once its last append is durable.
+func (r *shardRun) takeSnapshot() {
+	sequence := r.app.Sequence()
+	if r.pending != nil || sequence < r.saved+snapshotEvery {
+		return
 	}
+	state, err := r.app.Snapshot()
+	if err != nil {
+		r.sim.fail("snapshot: %v", err)
+	}
+	r.saved = sequence
+	r.pending = &journal.Snapshot{Shard: r.shard, Epoch: r.epoch, Sequence: sequence, State: state}
+}
+
+func (r *shardRun) saveSnapshot(e journal.Committed) {
 	if r.pending == nil || r.pending.Sequence > e.Sequence {
 		return
 	}
 	snapshot := *r.pending
 	snapshot.Row = e.Row
 	r.pending = nil
-	guard := ownership.EpochCondition(r.acquired.Shard, r.acquired.Epoch)
-	r.node.sim.call(r.node, func(ctx context.Context) structs.Event {
-		if err := journal.SaveSnapshot(ctx, r.store(), guard, snapshot); err != nil {
-			return answer{err: err}
+	r.sim.call(r.node, func(ctx context.Context) structs.Event {
+		err := journal.SaveSnapshot(ctx, r.store(), r.guard(), snapshot)
+		if err == nil {
+			_, err = journal.Truncate(ctx, r.sim.store, r.guard(), r.shard, 10)
 		}
-		_, err := journal.Truncate(ctx, r.node.sim.store, guard, r.acquired.Shard, 10)
 		return answer{err: err}
 	}, failedCall, func(structs.Event) {})
 }
-
-// snapshot takes a snapshot; it is saved once its last append is durable.
-func (r *shardRun) snapshot() {
-	if r.pending != nil || r.app.sequence < r.saved+snapshotEvery {
-		return
-	}
-	r.saved = r.app.sequence
-	r.pending = &journal.Snapshot{
-		Shard: r.acquired.Shard, Epoch: r.acquired.Epoch, Sequence: r.app.sequence, State: r.app.snapshot(),
-	}
-}
-
-// submit hands a job to the owner. The client learns the outcome by message.
-func (n *node) submit(shard structs.ShardID, job string) {
-	r := n.runs[shard]
-	if r == nil || r.app == nil || n.own.Standing(n.clock(), shard) != ownership.Owner {
-		return
-	}
-	if payload, isNew := r.app.submit(job); isNew {
-		r.reduceJournal(journal.Append{Sequence: r.app.sequence, Payload: payload})
-	}
-}
-
-// counter is a state machine that records jobs, for tests of ownership and
-// journal without the scheduler.
-type counter struct {
-	jobs     map[string]uint64 // job to the append that recorded it; 0 if replayed
-	order    []string
-	sequence uint64
-	durable  uint64
-	waiting  []string
-}
-
-func restoreCounter(loaded journal.Loaded) *counter {
-	c := &counter{jobs: map[string]uint64{}}
-	for _, job := range strings.Fields(string(loaded.Snapshot)) {
-		c.add(job, 0)
-	}
-	for _, entry := range loaded.Entries {
-		c.add(string(entry.Payload), 0)
-	}
-	return c
-}
-
-func (c *counter) add(job string, sequence uint64) {
-	c.jobs[job] = sequence
-	c.order = append(c.order, job)
-}
-
-func (c *counter) snapshot() []byte { return []byte(strings.Join(c.order, " ")) }
-
-// submit records a job, or queues the reply for one that is recorded already.
-func (c *counter) submit(job string) (payload []byte, isNew bool) {
-	c.waiting = append(c.waiting, job)
-	if _, known := c.jobs[job]; known {
-		return nil, false
-	}
-	c.sequence++
-	c.add(job, c.sequence)
-	return []byte(job), true
-}
-
-// committed returns the jobs to acknowledge.
-func (c *counter) committed(sequence uint64) []string {
-	c.durable = sequence
-	var out, rest []string
-	for _, job := range c.waiting {
-		if c.jobs[job] <= sequence {
-			out = append(out, job)
-		} else {
-			rest = append(rest, job)
-		}
-	}
-	c.waiting = rest
-	return out
-}
-
-// clients submit jobs and remember which were acknowledged.
-type clients struct {
-	next  int
-	acked map[string]bool
-}
-
-func (s *sim) startClients(end structs.Timestamp) {
-	s.clients = &clients{acked: map[string]bool{}}
-	var again func()
-	again = func() {
-		s.submitOne()
-		if s.now < end {
-			s.after(50*time.Millisecond+s.random(100*time.Millisecond), again)
-		}
-	}
-	s.after(0, again)
-}
-
-func (s *sim) submitOne() {
-	shard := s.shards[s.rng.IntN(len(s.shards))].ID
-	c := s.clients
-	job := fmt.Sprintf("%s/%d", shard, s.rng.IntN(c.next+1)) // a repeat, usually
-	if s.rng.IntN(4) > 0 {
-		c.next++
-		job = fmt.Sprintf("%s/%d", shard, c.next)
-	}
-	n := s.nodes[s.rng.IntN(len(s.nodes))]
-	if owner, _ := n.own.Owner(shard); owner != "" {
-		for _, other := range s.nodes {
-			if other.info.ID == owner {
-				n = other
-			}
-		}
-	}
-	s.message(func() { s.deliver(n, n.gen, func() { n.submit(shard, job) }) })
-}
-
-func (c *clients) acknowledged(job string) { c.acked[job] = true }
-
-// checkRestored fails if an acknowledged job is absent or recorded twice.
-func (c *clients) checkRestored(s *sim, shard structs.ShardID, app *counter) {
-	for job := range c.acked {
-		if _, found := app.jobs[job]; !found && strings.HasPrefix(job, string(shard)+"/") {
-			s.fail("acknowledged job %s is lost", job)
-		}
-	}
-	if len(app.order) != len(app.jobs) {
-		s.fail("%d records for %d jobs of %s", len(app.order), len(app.jobs), shard)
-	}
-}
--- a/faulttest/sim_test.go
+++ b/faulttest/sim_test.go
@@ -1,7 +1,6 @@
 package faulttest
 
 import (
-	"container/heap"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -12,7 +11,9 @@
 	"github.com/mangodrum/mangodrum/journal"
 	"github.com/mangodrum/mangodrum/membership"
 	"github.com/mangodrum/mangodrum/ownership"
+	"github.com/mangodrum/mangodrum/platform"
 	"github.com/mangodrum/mangodrum/platform/standin"
+	"github.com/mangodrum/mangodrum/scheduler"
 	"github.com/mangodrum/mangodrum/structs"
 )
 
@@ -20,67 +21,53 @@
 	epochStart  = structs.Timestamp(1_000_000 * time.Second)
 	callTimeout = 2 * time.Second
 	horizon     = 20 * time.Second // shorter than in production, so that schedules cross it
-	storeError  = errs.OutcomeUnknown
 )
 
 // sim is a discrete-event simulation of instances, store, workers and network.
 type sim struct {
+	standin.Clock
 	opts    options
 	rng     *rand.Rand
-	now     structs.Timestamp
-	queue   eventQueue
-	seq     uint64
 	steps   int // events delivered to reducers
 	active  [kinds]int
 	store   *standin.Store
 	nodes   []*node
+	workers []*simWorker
 	shards  []ownership.Shard
 	epochs  map[structs.ShardID]uint64
 	holders map[string]string // shard and epoch to process
-	clients *clients
+	durable map[platform.AttemptRef]bool
+	clients clients
 	broken  string // first violation
 }
 
+// options break mechanisms on purpose.
 type options struct {
-	ownership ownership.Defects
-	journal   journal.Defects
+	ownership   ownership.Defects
+	journal     journal.Defects
+	skipHorizon bool // the new owner does not wait for the previous horizon
+	// cancellations adds the check that acknowledged cancellations are durable.
+	cancellations bool
 }
 
-type scheduled struct {
-	at  structs.Timestamp
-	seq uint64
-	run func()
-}
-
-type eventQueue []scheduled
-
-func (q eventQueue) Len() int { return len(q) }
-func (q eventQueue) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
-}
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *eventQueue) Push(x any)   { *q = append(*q, x.(scheduled)) }
-func (q *eventQueue) Pop() any {
-	last := (*q)[len(*q)-1]
-	*q = (*q)[:len(*q)-1]
-	return last
-}
-
-func newSim(seed uint64, instances, shards int, opts options) *sim {
+func newSim(seed uint64, instances, shards, workers int, opts options) *sim {
 	s := &sim{
-		opts: opts, rng: rand.New(rand.NewPCG(seed, 2)), now: epochStart, store: standin.NewStore(),
-		epochs: map[structs.ShardID]uint64{}, holders: map[string]string{},
+		Clock: standin.Clock{Now: epochStart}, opts: opts, rng: rand.New(rand.NewPCG(seed, 2)),
+		store: standin.NewStore(), epochs: map[structs.ShardID]uint64{}, holders: map[string]string{},
+		durable: map[platform.AttemptRef]bool{}, clients: newClients(),
 	}
 	for i := range shards {
 		s.shards = append(s.shards, ownership.Shard{ID: structs.ShardID("s" + strconv.Itoa(i)), Region: "r"})
 	}
+	for i := range workers {
+		s.addWorker(i)
+	}
 	for i := range instances {
 		info := structs.InstanceInfo{
 			ID: structs.InstanceID("i" + strconv.Itoa(i)), PeerAddress: "x", State: structs.Live,
 			Location: structs.Location{Region: "r"},
 		}
-		skew := time.Duration(s.rng.Int64N(int64(500*time.Millisecond))) - 250*time.Millisecond
-		s.nodes = append(s.nodes, &node{sim: s, info: info, skew: skew})
+		s.nodes = append(s.nodes, &node{sim: s, info: info, skew: s.skew()})
 	}
 	for _, n := range s.nodes {
 		n.boot()
@@ -88,24 +75,18 @@
 	return s
 }
 
-func (s *sim) after(d time.Duration, run func()) {
-	s.seq++
-	heap.Push(&s.queue, scheduled{s.now.Add(d), s.seq, run})
-}
+// skew returns a clock's offset; any two differ by at most the clock bound.
+func (s *sim) skew() time.Duration { return s.random(platform.ClockBound) - platform.ClockBound/2 }
 
 // runUntil processes events up to the end or the first violation.
 func (s *sim) runUntil(end structs.Timestamp) {
-	for s.broken == "" && len(s.queue) > 0 && s.queue[0].at <= end {
-		next := heap.Pop(&s.queue).(scheduled)
-		s.now = next.at
-		next.run()
+	for s.broken == "" && s.Step(end) {
 	}
-	s.now = max(s.now, end)
 }
 
 func (s *sim) fail(format string, args ...any) {
 	if s.broken == "" {
-		s.broken = fmt.Sprintf("at %v: ", s.now.Sub(epochStart)) + fmt.Sprintf(format, args...)
+		s.broken = fmt.Sprintf("at %v: ", s.Now.Sub(epochStart)) + fmt.Sprintf(format, args...)
 	}
 }
 
@@ -125,9 +106,9 @@
 	if s.active[messagesReordered] > 0 {
 		delay += s.random(400 * time.Millisecond)
 	}
-	s.after(delay, run)
+	s.After(delay, run)
 	if s.coin(messagesDoubled) {
-		s.after(delay+s.random(3*time.Second), run)
+		s.After(delay+s.random(3*time.Second), run)
 	}
 }
 
@@ -136,7 +117,7 @@
 func (s *sim) call(n *node, exec func(context.Context) structs.Event, failed func(errs.Kind) structs.Event, done func(structs.Event)) {
 	gen := n.gen
 	reply := func(d time.Duration, ev structs.Event) {
-		s.after(d, func() { s.deliver(n, gen, func() { done(ev) }) })
+		s.After(d, func() { s.deliver(n, gen, func() { done(ev) }) })
 	}
 	request := time.Millisecond + s.random(5*time.Millisecond)
 	if s.active[storeSlow] > 0 {
@@ -147,11 +128,11 @@
 			reply(request, failed(errs.NotRun))
 			return
 		}
-		reply(callTimeout, failed(storeError))
+		reply(callTimeout, failed(errs.OutcomeUnknown))
 		return
 	}
 	lost := s.coin(repliesLost) || request >= callTimeout
-	s.after(request, func() {
+	s.After(request, func() {
 		ev := exec(context.Background())
 		if _, wrote := ev.(ownership.WriteEnded); wrote {
 			s.checkStore()
@@ -161,7 +142,7 @@
 		}
 	})
 	if lost {
-		reply(callTimeout, failed(storeError))
+		reply(callTimeout, failed(errs.OutcomeUnknown))
 	}
 }
 
@@ -170,8 +151,8 @@
 	if !n.up || n.gen != gen || s.broken != "" {
 		return
 	}
-	if s.now < n.pausedUntil {
-		s.after(n.pausedUntil.Sub(s.now), func() { s.deliver(n, gen, run) })
+	if s.Now < n.pausedUntil {
+		s.After(n.pausedUntil.Sub(s.Now), func() { s.deliver(n, gen, run) })
 		return
 	}
 	s.steps++
@@ -241,7 +222,7 @@
 	runs        map[structs.ShardID]*shardRun
 }
 
-func (n *node) clock() structs.Timestamp { return n.sim.now.Add(n.skew) }
+func (n *node) clock() structs.Timestamp { return n.sim.Now.Add(n.skew) }
 func (n *node) name() string             { return processName(n.info.ID, n.gen) }
 
 func processName(id structs.InstanceID, incarnation uint64) string {
@@ -259,11 +240,12 @@
 		Horizon: horizon, HorizonStep: 5 * time.Second, Defects: n.sim.opts.ownership,
 	})
 	gen := n.gen
-	n.sim.after(1500*time.Millisecond, func() { n.sim.deliver(n, gen, n.announce) })
+	n.sim.After(1500*time.Millisecond, func() { n.sim.deliver(n, gen, n.announce) })
 	n.every(time.Second, n.heartbeat)
 	n.every(250*time.Millisecond, n.tick)
 	n.every(journal.FlushInterval, n.flush)
 	n.every(100*time.Millisecond, n.drive)
+	n.every(time.Second, n.listWorkers)
 }
 
 // every runs step at an interval as long as the process lives.
@@ -272,9 +254,9 @@
 	var again func()
 	again = func() {
 		step()
-		n.sim.after(d, func() { n.sim.deliver(n, gen, again) })
+		n.sim.After(d, func() { n.sim.deliver(n, gen, again) })
 	}
-	n.sim.after(n.sim.random(d), func() { n.sim.deliver(n, gen, again) })
+	n.sim.After(n.sim.random(d), func() { n.sim.deliver(n, gen, again) })
 }
 
 func (n *node) heartbeat() {
@@ -312,7 +294,8 @@
 			delete(n.runs, e.Shard)
 		case ownership.HorizonExtended:
 			if r := n.runs[e.Shard]; r != nil {
-				r.extend(e.Until)
+				r.until = e.Until
+				r.reduce(scheduler.HorizonExtended{Until: e.Until})
 			}
 		default:
 			n.sim.call(n, func(ctx context.Context) structs.Event {
