Add the core reducer and the shell's event loop (not connected yet)

Cause: the reducers of the packages need one place that routes events and effects between them. Change: package core; loop, effects and call tables of package instance.

--- /dev/null
+++ b/core/state.go
@@ -0,0 +1,182 @@
+package core
+
+import (
+	"slices"
+
+	"github.com/mangodrum/mangodrum/errs"
+	"github.com/mangodrum/mangodrum/membership"
+	"github.com/mangodrum/mangodrum/ownership"
+	"github.com/mangodrum/mangodrum/settings"
+	"github.com/mangodrum/mangodrum/structs"
+)
+
+// Config identifies the process.
+type Config struct {
+	Self        structs.InstanceInfo
+	Incarnation uint64 // grows with every process of Self
+	Seed        uint64
+}
+
+// State is the state of one instance. It is not safe for concurrent use.
+type State struct {
+	cfg       Config
+	members   *membership.State
+	owners    *ownership.State // nil until the directory was read
+	shardSet  []ownership.Shard
+	shards    map[structs.ShardID]*shard // owned
+	live      []structs.InstanceInfo     // last told to ownership
+	peers     []structs.InstanceInfo     // last told to the shell
+	directory DirectoryRead
+	tree      *settings.Tree
+	draining  bool
+}
+
+// New returns the state of an instance that knows nothing yet.
+func New(cfg Config) *State {
+	return &State{
+		cfg:     cfg,
+		members: membership.New(membership.Config{Self: cfg.Self, Incarnation: cfg.Incarnation}),
+		shards:  map[structs.ShardID]*shard{},
+	}
+}
+
+// Reduce applies ev at now and returns the resulting effects.
+func (s *State) Reduce(now structs.Timestamp, ev structs.Event) []structs.Effect {
+	switch e := ev.(type) {
+	case DirectoryRead:
+		return s.directoryRead(now, e)
+	case SettingsChanged:
+		return s.settingsChanged(now, e)
+	case ShardLoaded:
+		return s.onEpoch(e.Shard, e.Epoch, func(x *shard) []structs.Effect { return s.loaded(now, x, e) })
+	case ToShard:
+		return s.toShard(now, e)
+	case ToJournal:
+		return s.onEpoch(e.Shard, e.Epoch, func(x *shard) []structs.Effect { return s.journal(now, x, e.Event) })
+	case SnapshotSaved:
+		return s.onEpoch(e.Shard, e.Epoch, func(x *shard) []structs.Effect { return x.snapshotSaved(e) })
+	case CreditsReceived:
+		return s.creditsReceived(now, e)
+	case Drain:
+		return s.drain(now)
+	case Tick:
+		return s.tick(now)
+	case ownership.RowRead, ownership.WriteEnded, ownership.HandOverReceived:
+		return s.ownership(now, ev)
+	}
+	return s.membership(now, ev)
+}
+
+// Members returns this instance's view of the others.
+func (s *State) Members() *membership.State { return s.members }
+
+// Shards returns all shards of the cell in order.
+func (s *State) Shards() []ownership.Shard { return s.shardSet }
+
+// Owner returns the owner of a shard in this instance's view, or "".
+func (s *State) Owner(id structs.ShardID) structs.InstanceID {
+	if s.owners == nil {
+		return ""
+	}
+	owner, _ := s.owners.Owner(id)
+	return owner
+}
+
+// Directory returns the newest lists of the platform.
+func (s *State) Directory() DirectoryRead { return s.directory }
+
+func (s *State) membership(now structs.Timestamp, ev structs.Event) []structs.Effect {
+	effects := s.members.Reduce(now, ev)
+	return append(effects, s.membersChanged(now)...)
+}
+
+// membersChanged passes a changed set of instances on.
+func (s *State) membersChanged(now structs.Timestamp) []structs.Effect {
+	var effects []structs.Effect
+	if peers := s.members.Peers(); !slices.Equal(peers, s.peers) {
+		s.peers = peers
+		effects = append(effects, PeersChanged{Peers: peers})
+	}
+	if live := s.members.Live(); s.owners != nil && !slices.Equal(live, s.live) {
+		s.live = live
+		effects = append(effects, s.ownership(now, ownership.LiveChanged{Instances: live})...)
+	}
+	return effects
+}
+
+func (s *State) directoryRead(now structs.Timestamp, e DirectoryRead) []structs.Effect {
+	s.directory = e
+	effects := s.membership(now, membership.DirectoryListed{Instances: e.Instances})
+	if s.owners == nil && len(e.Workers) > 0 {
+		s.shardSet = shardsOf(e.Workers)
+		s.owners = ownership.New(ownership.Config{
+			Self: s.cfg.Self, Incarnation: s.cfg.Incarnation, Shards: s.shardSet,
+		})
+		effects = append(effects, s.membersChanged(now)...)
+	}
+	for _, id := range s.ownedShards() {
+		effects = append(effects, s.listWorkers(now, s.shards[id])...)
+	}
+	return effects
+}
+
+// shardsOf returns one shard for each region that has workers.
+func shardsOf(workers []structs.Worker) []ownership.Shard {
+	seen := map[structs.Region]bool{}
+	var shards []ownership.Shard
+	for _, worker := range workers {
+		region := worker.Location.Region
+		if !seen[region] {
+			seen[region] = true
+			shards = append(shards, ownership.Shard{ID: structs.ShardID(region), Region: region})
+		}
+	}
+	slices.SortFunc(shards, func(a, b ownership.Shard) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return shards
+}
+
+func (s *State) tick(now structs.Timestamp) []structs.Effect {
+	effects := s.membership(now, membership.Tick{})
+	effects = append(effects, s.ownership(now, ownership.Tick{})...)
+	for _, id := range s.ownedShards() {
+		effects = append(effects, s.tickShard(now, s.shards[id])...)
+	}
+	return effects
+}
+
+// drain hands all shards over once their journals are flushed; tickShard does
+// the rest.
+func (s *State) drain(now structs.Timestamp) []structs.Effect {
+	s.draining = true
+	return s.membership(now, membership.SelfPhase{Phase: membership.Leaving})
+}
+
+// IsDrained reports whether a drain has handed over all shards.
+func (s *State) IsDrained() bool { return s.draining && len(s.shards) == 0 }
+
+func (s *State) ownedShards() []structs.ShardID {
+	ids := make([]structs.ShardID, 0, len(s.shards))
+	for id := range s.shards {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// onEpoch calls f with the owned shard unless its epoch has ended.
+func (s *State) onEpoch(id structs.ShardID, epoch structs.Epoch, f func(*shard) []structs.Effect) []structs.Effect {
+	x := s.shards[id]
+	if x == nil || x.epoch != epoch {
+		return nil
+	}
+	return f(x)
+}
+
+func errNotOwner(id structs.ShardID) error {
+	return errs.New(errs.NotRun, "try again in a few seconds", "this instance does not own shard %q", id)
+}
--- a/instance/calls.go
+++ b/instance/calls.go
@@ -14,17 +14,47 @@
 // flush to a slow store and shorter than an operator's patience.
 const callTimeout = 5 * time.Second
 
-// callTable matches replies of peers to the calls that wait for them.
-type callTable struct {
-	send func(structs.InstanceID, peer.Message) bool
-
+// waitTable matches answers to the calls that wait for them.
+type waitTable[T any] struct {
 	mu      sync.Mutex
 	next    uint64
-	waiting map[uint64]chan peer.Reply
+	waiting map[uint64]chan T
+}
+
+func (t *waitTable[T]) open() (uint64, chan T) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.waiting == nil {
+		t.waiting = map[uint64]chan T{}
+	}
+	t.next++
+	answer := make(chan T, 1)
+	t.waiting[t.next] = answer
+	return t.next, answer
+}
+
+func (t *waitTable[T]) close(ref uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.waiting, ref)
+}
+
+// deliver hands an answer to the call that waits for it; a late or doubled
+// one is dropped.
+func (t *waitTable[T]) deliver(ref uint64, answer T) {
+	t.mu.Lock()
+	waiting := t.waiting[ref]
+	delete(t.waiting, ref)
+	t.mu.Unlock()
+	if waiting != nil {
+		waiting <- answer
+	}
 }
 
-func newCallTable(send func(structs.InstanceID, peer.Message) bool) *callTable {
-	return &callTable{send: send, waiting: map[uint64]chan peer.Reply{}}
+// callTable carries calls to other instances.
+type callTable struct {
+	send  func(structs.InstanceID, peer.Message) bool
+	table waitTable[peer.Reply]
 }
 
 // call sends call to a peer and waits for its reply. Without a reply the
@@ -34,8 +64,8 @@
 	if err != nil {
 		return nil, err
 	}
-	ref, reply := t.open()
-	defer t.close(ref)
+	ref, reply := t.table.open()
+	defer t.table.close(ref)
 	if !t.send(to, peer.Message{Kind: peer.KindCall, Ref: ref, Body: body}) {
 		return nil, errs.New(errs.NotRun, "try again in a few seconds", "instance %q is not connected", to)
 	}
@@ -49,30 +79,3 @@
 			"check the state, or send the same identifier again", "no reply from instance %q to %q", to, call.Method)
 	}
 }
-
-func (t *callTable) open() (uint64, chan peer.Reply) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.next++
-	reply := make(chan peer.Reply, 1)
-	t.waiting[t.next] = reply
-	return t.next, reply
-}
-
-func (t *callTable) close(ref uint64) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	delete(t.waiting, ref)
-}
-
-// deliver hands a reply to the call that waits for it; a late or doubled one
-// is dropped.
-func (t *callTable) deliver(ref uint64, reply peer.Reply) {
-	t.mu.Lock()
-	waiting := t.waiting[ref]
-	delete(t.waiting, ref)
-	t.mu.Unlock()
-	if waiting != nil {
-		waiting <- reply
-	}
-}
--- a/instance/dispatcher.go
+++ b/instance/dispatcher.go
@@ -23,7 +23,7 @@
 type dispatcher struct {
 	ctx     context.Context
 	workers platform.Workers
-	done    func(worker structs.WorkerID, report platform.WorkerReport, err error)
+	done    func(structs.ShardID, structs.WorkerID, platform.WorkerReport, error)
 	slots   chan struct{}
 	group   conc.WaitGroup
 
@@ -32,6 +32,7 @@
 }
 
 type workerQueue struct {
+	shard  structs.ShardID
 	worker structs.Worker
 	batch  platform.WorkerBatch
 	queued bool // batch holds something to send
@@ -40,7 +41,7 @@
 func newDispatcher(
 	ctx context.Context,
 	workers platform.Workers,
-	done func(structs.WorkerID, platform.WorkerReport, error),
+	done func(structs.ShardID, structs.WorkerID, platform.WorkerReport, error),
 ) *dispatcher {
 	return &dispatcher{
 		ctx:     ctx,
@@ -52,7 +53,7 @@
 }
 
 // send queues batch for worker.
-func (d *dispatcher) send(worker structs.Worker, batch platform.WorkerBatch) {
+func (d *dispatcher) send(shard structs.ShardID, worker structs.Worker, batch platform.WorkerBatch) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	queue := d.pending[worker.ID]
@@ -62,7 +63,7 @@
 		queue.queued = true
 		return
 	}
-	queue = &workerQueue{worker: worker, batch: batch, queued: true}
+	queue = &workerQueue{shard: shard, worker: worker, batch: batch, queued: true}
 	d.pending[worker.ID] = queue
 	d.group.Go(func() { d.drain(queue) })
 }
@@ -79,7 +80,7 @@
 		report, err := d.workers.Do(ctx, worker, batch)
 		cancel()
 		<-d.slots
-		d.done(worker.ID, report, err)
+		d.done(queue.shard, worker.ID, report, err)
 	}
 }
 
--- /dev/null
+++ b/instance/effects.go
@@ -0,0 +1,139 @@
+package instance
+
+import (
+	"context"
+	"time"
+
+	"github.com/mangodrum/mangodrum/core"
+	"github.com/mangodrum/mangodrum/errs"
+	"github.com/mangodrum/mangodrum/journal"
+	"github.com/mangodrum/mangodrum/membership"
+	"github.com/mangodrum/mangodrum/ownership"
+	"github.com/mangodrum/mangodrum/peer"
+	"github.com/mangodrum/mangodrum/platform"
+	"github.com/mangodrum/mangodrum/scheduler"
+	"github.com/mangodrum/mangodrum/structs"
+)
+
+const (
+	// tableTimeout leaves time to renew a shard's lease of 6 s once more.
+	tableTimeout    = 2 * time.Second
+	loadTimeout     = time.Minute
+	snapshotTimeout = 30 * time.Second
+	// truncateRows bounds how many journal rows one snapshot deletes.
+	truncateRows = 1000
+)
+
+// perform carries out one effect. It never blocks: whatever waits runs in a
+// goroutine of its own and posts its result.
+func (i *Instance) perform(effect structs.Effect) {
+	switch e := effect.(type) {
+	case ownership.ReadRow, ownership.WriteRow:
+		i.async(tableTimeout, func(ctx context.Context) {
+			if event, ok := ownership.Execute(ctx, i.options.Table, e); ok {
+				i.post(event)
+			}
+		})
+	case core.FromJournal:
+		i.async(tableTimeout, func(ctx context.Context) {
+			event := journal.Execute(ctx, i.options.Table, e.Effect)
+			i.post(core.ToJournal{Shard: e.Shard, Epoch: e.Epoch, Event: event})
+		})
+	case core.FromShard:
+		i.performShard(e)
+	case core.LoadShard:
+		i.async(loadTimeout, func(ctx context.Context) { i.load(ctx, e) })
+	case core.SaveSnapshot:
+		i.async(snapshotTimeout, func(ctx context.Context) { i.saveSnapshot(ctx, e) })
+	case core.PeersChanged:
+		i.node.SetPeers(e.Peers)
+	case core.NotifySuccessor:
+		i.notifySuccessor(e)
+	case core.SendCredits:
+		i.sendCredits(e.Message)
+	case core.ShardChanged:
+		i.log.Info("shard changed", "shard", e.Shard, "epoch", e.Epoch, "phase", e.Phase)
+	case membership.InstanceChanged:
+		i.log.Info("instance changed", "instance", e.ID, "status", e.Status, "restarted", e.Restarted)
+	}
+}
+
+// async runs f in a goroutine with a bounded context.
+func (i *Instance) async(timeout time.Duration, f func(ctx context.Context)) {
+	i.group.Go(func() {
+		ctx, cancel := context.WithTimeout(i.ctx, timeout)
+		defer cancel()
+		f(ctx)
+	})
+}
+
+func (i *Instance) performShard(e core.FromShard) {
+	switch effect := e.Effect.(type) {
+	case scheduler.SendBatch:
+		i.sendBatch(e.Shard, effect)
+	case scheduler.Reply:
+		i.replies.deliver(uint64(effect.Call), effect)
+	case scheduler.WaitObserved:
+		i.metrics.observeWait(effect.Team, effect.Class, effect.Wait)
+	}
+}
+
+func (i *Instance) sendBatch(shard structs.ShardID, effect scheduler.SendBatch) {
+	worker, ok := i.workerByID(effect.Worker)
+	if !ok {
+		i.metrics.unknownWorkers.Inc()
+		return
+	}
+	i.dispatcher.send(shard, worker, effect.Batch)
+}
+
+// workerByID finds a worker in the directory. It runs in the reducer's loop.
+func (i *Instance) workerByID(id structs.WorkerID) (structs.Worker, bool) {
+	worker, ok := i.workers[id]
+	return worker, ok
+}
+
+// workerAnswered posts the result of a call to a worker.
+func (i *Instance) workerAnswered(
+	shard structs.ShardID, worker structs.WorkerID, report platform.WorkerReport, err error,
+) {
+	if err != nil {
+		i.metrics.workerErrors.Inc()
+		i.post(core.ToShard{Shard: shard, Event: scheduler.WorkerUnreachable{Worker: worker}})
+		return
+	}
+	i.post(core.ToShard{Shard: shard, Event: scheduler.WorkerReported{Report: report}})
+}
+
+func (i *Instance) store() journal.Store {
+	return journal.Store{Table: i.options.Table, Objects: i.options.Objects}
+}
+
+func (i *Instance) load(ctx context.Context, e core.LoadShard) {
+	loaded, err := journal.Load(ctx, i.store(), e.Shard)
+	if err != nil && ctx.Err() == nil {
+		i.log.Warn("shard cannot be loaded", "shard", e.Shard, "error", err)
+	}
+	for _, skipped := range loaded.Skipped {
+		i.log.Warn("snapshot skipped", "shard", e.Shard, "error", skipped)
+	}
+	i.post(core.ShardLoaded{Shard: e.Shard, Epoch: e.Epoch, Loaded: loaded, Err: err})
+}
+
+func (i *Instance) saveSnapshot(ctx context.Context, e core.SaveSnapshot) {
+	err := journal.SaveSnapshot(ctx, i.store(), e.Guard, e.Snapshot)
+	if err == nil {
+		_, err = journal.Truncate(ctx, i.options.Table, e.Guard, e.Snapshot.Shard, truncateRows)
+		if !errs.Is(err, errs.Conflict) {
+			err = nil // rows that stay are removed after the next snapshot
+		}
+	}
+	i.post(core.SnapshotSaved{Shard: e.Snapshot.Shard, Epoch: e.Snapshot.Epoch, Err: err})
+}
+
+func (i *Instance) notifySuccessor(e core.NotifySuccessor) {
+	body, err := peer.Encode(peer.Handover{Shard: e.Shard})
+	if err == nil {
+		i.node.Send(e.To, peer.Message{Kind: peer.KindHandover, Body: body})
+	}
+}
--- a/peer/message.go
+++ b/peer/message.go
@@ -17,10 +17,11 @@
 // Message kinds.
 const (
 	KindHeartbeat Kind = iota + 1 // Heartbeat
-	KindSettings                  // owned by package settings
+	KindSettings                  // settings.Version
 	KindCall                      // Call
 	KindReply                     // Reply
-	KindCredits                   // owned by package router/credits
+	KindCredits                   // credits.Message
+	KindHandover                  // Handover
 )
 
 // Message is the envelope of everything that instances send to each other.
@@ -43,6 +44,11 @@
 	SentAt          structs.Timestamp                 `cbor:"7,keyasint"`
 }
 
+// Handover tells the receiver that a shard was handed over to it.
+type Handover struct {
+	Shard structs.ShardID `cbor:"1,keyasint"`
+}
+
 // Call asks the receiver to carry out an operation, for example on a shard
 // that it owns.
 type Call struct {
