Add the request path: router, credit messages and gateway

Cause: instances need to admit callers' requests, route them to executors and return complete answers, and the daemon is built against this interface. Change: package router (reducer for admission, queues, executor choice, retries, claims, the holder's side of credits), package router/credits (messages), package gateway (callers' listener, executor client, group commit of claims, drain, metrics).

--- /dev/null
+++ b/gateway/attempt.go
@@ -0,0 +1,281 @@
+package gateway
+
+import (
+	"bufio"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/mangodrum/mangodrum/router"
+)
+
+// maxBuffered bounds the answers that are read completely before they are
+// passed on, and the request bodies that can be sent again.
+const maxBuffered = router.MaxStoredBody
+
+// attempt sends the request to an executor and reports whether the handler is
+// done: the answer is in the response, or a stream passes it on.
+func (c *call) attempt(send router.Send) bool {
+	sentAt := c.g.opts.Now()
+	if sentAt >= send.Deadline || c.gone.Load() {
+		return c.failed(send, router.NotSent)
+	}
+	conn, err := c.g.pools.get(send.Address).take(!c.req.Idempotent)
+	if err != nil {
+		return c.failed(send, router.NotSent)
+	}
+	c.attach(conn, send.Deadline)
+	if c.gone.Load() || c.g.opts.Now() >= send.Deadline {
+		return c.abort(conn, send, router.NotSent)
+	}
+	if err := c.body.writeRequest(conn.writer, c.ctx, send.Address, c.req); err != nil {
+		return c.abort(conn, send, router.Broken)
+	}
+	var head fasthttp.ResponseHeader
+	if err := readHead(conn, &head); err != nil {
+		return c.abort(conn, send, router.Broken)
+	}
+	if !conn.acceptIdentifier(&head, c.req.ID) {
+		return c.abort(conn, send, router.Broken)
+	}
+	return c.pass(conn, send, &head, c.g.opts.Now().Sub(sentAt))
+}
+
+// abort closes the attempt's connection and reports how the attempt ended.
+func (c *call) abort(conn *execConn, send router.Send, kind router.ResultKind) bool {
+	c.detach()
+	conn.pool.discard(conn)
+	return c.failed(send, kind)
+}
+
+// failed reports an attempt without an answer. The router's next action
+// follows unless the caller left.
+func (c *call) failed(send router.Send, kind router.ResultKind) bool {
+	gone := c.gone.Load()
+	if gone && kind != router.NotSent {
+		kind = router.Cancelled
+	}
+	c.attemptEnded(send.Attempt, router.Result{Kind: kind, Replayable: c.body.replayable()})
+	if !gone {
+		return false
+	}
+	c.ctx.SetConnectionClose()
+	c.end()
+	return true
+}
+
+var errFraming = errors.New("the executor's answer has no length")
+
+// readHead reads the head of the final answer.
+func readHead(conn *execConn, head *fasthttp.ResponseHeader) error {
+	const maxInterim = 8 // 1xx answers; more of them are a fault
+	head.SetNoDefaultContentType(true)
+	for range maxInterim {
+		if err := head.Read(conn.reader); err != nil {
+			return err
+		}
+		if status := head.StatusCode(); status >= 200 || status == fasthttp.StatusSwitchingProtocols {
+			return nil
+		}
+		head.Reset()
+		head.SetNoDefaultContentType(true)
+	}
+	return errFraming
+}
+
+// acceptIdentifier reports whether the answer may belong to the request. On
+// connections whose answers carry identifiers it must match; otherwise a late
+// or doubled answer could reach another caller. A connection whose answers
+// carry none is used for one request only.
+func (conn *execConn) acceptIdentifier(head *fasthttp.ResponseHeader, id string) bool {
+	echoed := head.Peek(HeaderRequestID)
+	if len(echoed) == 0 {
+		conn.echoes = false
+		return !conn.used
+	}
+	return string(echoed) == id
+}
+
+// pass hands the answer on: small ones when they are complete, others as a
+// stream.
+func (c *call) pass(conn *execConn, send router.Send, head *fasthttp.ResponseHeader, latency time.Duration) bool {
+	status := head.StatusCode()
+	length := head.ContentLength()
+	if status < 200 {
+		return c.abort(conn, send, router.Broken)
+	}
+	if c.ctx.IsHead() || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified {
+		copyHead(&c.ctx.Response, head)
+		return c.complete(conn, send, head, latency)
+	}
+	if length < -1 {
+		// An answer that ends with the connection cannot be told from one
+		// that was cut.
+		return c.abort(conn, send, router.Broken)
+	}
+	if length < 0 || length > maxBuffered {
+		c.stream(conn, send, head, latency)
+		return true
+	}
+	body := c.ctx.Response.SwapBody(nil)
+	body = append(body[:0], make([]byte, length)...)
+	if _, err := io.ReadFull(conn.reader, body); err != nil {
+		return c.abort(conn, send, router.Broken)
+	}
+	copyHead(&c.ctx.Response, head)
+	c.ctx.Response.SwapBody(body)
+	return c.complete(conn, send, head, latency)
+}
+
+// complete ends an attempt whose answer is in the response.
+func (c *call) complete(conn *execConn, send router.Send, head *fasthttp.ResponseHeader, latency time.Duration) bool {
+	conn.finish(c.detach(), head)
+	status := head.StatusCode()
+	result := router.Result{
+		Kind: router.Completed, Status: status,
+		Replayable: c.body.replayable(), HeadLatency: latency,
+	}
+	if !c.req.Idempotent {
+		result.Stored = router.StoredAnswer{
+			ContentType: string(head.ContentType()),
+			Body:        append([]byte(nil), c.ctx.Response.Body()...),
+		}
+	}
+	if status >= 500 && send.MayRetry {
+		result.Kind = router.Buffered
+		c.attemptEnded(send.Attempt, result)
+		return false
+	}
+	c.attemptEnded(send.Attempt, result)
+	c.setOutcome(status)
+	c.end()
+	return true
+}
+
+// finish gives the connection back after a complete answer, or closes it.
+func (conn *execConn) finish(cancelled bool, head *fasthttp.ResponseHeader) {
+	if cancelled || head.ConnectionClose() {
+		conn.pool.discard(conn)
+		return
+	}
+	conn.pool.put(conn)
+}
+
+// stream passes a long or chunked answer on while it arrives.
+func (c *call) stream(conn *execConn, send router.Send, head *fasthttp.ResponseHeader, latency time.Duration) {
+	copyHead(&c.ctx.Response, head)
+	c.setOutcome(head.StatusCode())
+	length := head.ContentLength()
+	s := &answerStream{
+		call: c, conn: conn, attempt: send.Attempt,
+		result: router.Result{
+			Kind: router.Completed, Status: head.StatusCode(), HeadLatency: latency,
+			Stored: router.StoredAnswer{ContentType: string(head.ContentType())},
+		},
+		keep:  !c.req.Idempotent,
+		close: head.ConnectionClose(),
+		body:  newBodyReader(conn.reader, length),
+	}
+	c.ctx.Response.ImmediateHeaderFlush = true
+	c.ctx.Response.SetBodyStream(s, length)
+}
+
+// answerStream passes an answer on and settles the attempt when it is closed.
+type answerStream struct {
+	call    *call
+	conn    *execConn
+	attempt int
+	result  router.Result
+	keep    bool // the start of the body, for repeats
+	close   bool // the executor closes the connection
+	body    io.Reader
+	ended   bool
+	failed  bool
+}
+
+// Read implements io.Reader.
+func (s *answerStream) Read(p []byte) (int, error) {
+	n, err := s.body.Read(p)
+	if s.keep {
+		s.remember(p[:n])
+	}
+	switch {
+	case err == io.EOF:
+		s.ended = true
+	case err != nil:
+		s.failed = true
+	}
+	return n, err
+}
+
+func (s *answerStream) remember(p []byte) {
+	stored := &s.result.Stored
+	if stored.Truncated {
+		return
+	}
+	if len(stored.Body)+len(p) > router.MaxStoredBody {
+		stored.Truncated = true
+		stored.Body = nil
+		return
+	}
+	stored.Body = append(stored.Body, p...)
+}
+
+// probe reads the end of a body whose last byte was already passed on.
+func (s *answerStream) probe() {
+	var buf [1]byte
+	if !s.ended && !s.failed {
+		if counted, ok := s.body.(*fixedReader); ok && counted.left == 0 {
+			_, _ = s.Read(buf[:])
+		}
+	}
+}
+
+// Close implements io.Closer. fasthttp calls it when the answer was passed
+// on, or when either side failed.
+func (s *answerStream) Close() error {
+	s.probe()
+	cancelled := s.call.detach()
+	switch {
+	case s.ended && !s.close:
+		s.conn.finish(cancelled, &fasthttp.ResponseHeader{})
+	default:
+		s.conn.pool.discard(s.conn)
+	}
+	switch {
+	case s.ended:
+	case s.failed && !s.call.gone.Load():
+		s.result.Kind = router.CutMidAnswer
+	default:
+		s.call.gone.Store(true)
+		s.result.Kind = router.Cancelled
+	}
+	s.call.attemptEnded(s.attempt, s.result)
+	s.call.end()
+	return nil
+}
+
+// fixedReader reads a body of known length. A connection that ends early is
+// an error, never the end of the body.
+type fixedReader struct {
+	reader *bufio.Reader
+	left   int
+}
+
+// Read implements io.Reader.
+func (r *fixedReader) Read(p []byte) (int, error) {
+	if r.left == 0 {
+		return 0, io.EOF
+	}
+	if len(p) > r.left {
+		p = p[:r.left]
+	}
+	n, err := r.reader.Read(p)
+	r.left -= n
+	if err == io.EOF {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
--- /dev/null
+++ b/gateway/call.go
@@ -0,0 +1,186 @@
+package gateway
+
+import (
+	"math"
+	"net"
+	"sync"
+	"sync/atomic"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/mangodrum/mangodrum/router"
+	"github.com/mangodrum/mangodrum/structs"
+)
+
+type actionKind int
+
+const (
+	actSend actionKind = iota + 1
+	actRefuse
+	actDeliver
+	actReplay
+	actGone
+)
+
+// action is an effect for the goroutine that serves a call.
+type action struct {
+	kind   actionKind
+	send   router.Send
+	refuse router.Refuse
+	stored router.StoredAnswer
+}
+
+// maxPendingActions covers the actions that a call can have unread: one send
+// or final action and one notice that the caller left, with a margin.
+const maxPendingActions = 8
+
+// call is a request from its admission until its answer is written.
+type call struct {
+	g       *Gateway
+	ctx     *fasthttp.RequestCtx
+	caller  net.Conn
+	ref     router.Ref
+	req     router.Request
+	body    requestBody
+	actions chan action
+	until   atomic.Int64 // deadline of the running attempt
+	gone    atomic.Bool  // the caller left
+
+	mu        sync.Mutex
+	conn      *execConn
+	cancelled bool // the running attempt
+}
+
+func (g *Gateway) newCall(ctx *fasthttp.RequestCtx, req router.Request) *call {
+	c := &call{
+		g: g, ctx: ctx, caller: ctx.Conn(), req: req,
+		ref:     router.Ref(g.nextRef.Add(1)),
+		actions: make(chan action, maxPendingActions),
+	}
+	c.until.Store(math.MaxInt64)
+	return c
+}
+
+func (c *call) deadline() structs.Timestamp { return structs.Timestamp(c.until.Load()) }
+
+// admit registers the call and lets the router decide about it.
+func (c *call) admit() {
+	g := c.g
+	g.mu.Lock()
+	g.calls[c.ref] = c
+	g.reduceLocked(&router.RequestArrived{Ref: c.ref, Request: c.req})
+	outbox := g.outbox
+	g.outbox = nil
+	g.mu.Unlock()
+	for _, message := range outbox {
+		g.opts.SendCredits(message)
+	}
+}
+
+// end forgets the call. Its answer is written or its caller is gone.
+func (c *call) end() {
+	g := c.g
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.calls, c.ref)
+	if len(g.calls) == 0 && g.idle != nil {
+		select {
+		case <-g.idle:
+		default:
+			close(g.idle)
+		}
+	}
+}
+
+// attach makes conn the connection of the running attempt.
+func (c *call) attach(conn *execConn, until structs.Timestamp) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.conn = conn
+	c.cancelled = false
+	c.until.Store(int64(until))
+}
+
+// detach ends the attempt's hold on its connection and reports whether the
+// attempt was cancelled.
+func (c *call) detach() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.conn = nil
+	c.until.Store(math.MaxInt64)
+	return c.cancelled
+}
+
+// cancel closes the connection of the running attempt.
+func (c *call) cancel() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conn == nil || c.cancelled {
+		return
+	}
+	c.cancelled = true
+	_ = c.conn.Close()
+}
+
+// callerLeft reports whether the caller closed its connection.
+func (c *call) callerLeft() bool {
+	return !c.gone.Load() && peekSocket(c.caller) == socketClosed
+}
+
+// closeCaller cuts the caller's connection.
+func (c *call) closeCaller() { _ = c.caller.Close() }
+
+// attemptEnded reports the end of an attempt to the router.
+func (c *call) attemptEnded(attempt int, result router.Result) {
+	c.g.reduce(&router.AttemptEnded{Ref: c.ref, Attempt: attempt, Result: result})
+}
+
+// serve follows the router's actions until the answer is ready or handed to
+// a stream.
+func (c *call) serve() {
+	for a := range c.actions {
+		if c.step(a) {
+			return
+		}
+	}
+}
+
+// step carries out one action and reports whether the handler is done.
+func (c *call) step(a action) bool {
+	switch a.kind {
+	case actSend:
+		return c.attempt(a.send)
+	case actRefuse:
+		c.ctx.Response.Reset()
+		c.closeIfBodyUnread()
+		writeRefusal(c.ctx, c.req.ID, a.refuse)
+	case actDeliver:
+		c.setOutcome(c.ctx.Response.StatusCode())
+	case actReplay:
+		c.ctx.Response.Reset()
+		c.closeIfBodyUnread()
+		writeStored(c.ctx, c.req.ID, a.stored)
+	case actGone:
+		c.ctx.SetConnectionClose()
+	}
+	c.end()
+	return true
+}
+
+// closeIfBodyUnread closes the caller's connection after the answer if a part
+// of the request's body is still to come.
+func (c *call) closeIfBodyUnread() {
+	if c.body.rest != nil {
+		c.ctx.SetConnectionClose()
+	}
+}
+
+func (c *call) setOutcome(status int) {
+	outcome := router.Answered
+	if status >= 500 {
+		outcome = router.RanAndFailed
+	}
+	header := &c.ctx.Response.Header
+	header.Set(HeaderOutcome, string(outcome))
+	header.Set(HeaderRequestID, c.req.ID)
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,252 @@
+package gateway
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"github.com/valyala/fasthttp"
+
+	"github.com/mangodrum/mangodrum/router"
+	"github.com/mangodrum/mangodrum/router/credits"
+	"github.com/mangodrum/mangodrum/structs"
+)
+
+// Gateway is the request path of one instance.
+type Gateway struct {
+	opts    Options
+	server  *fasthttp.Server
+	pools   *poolSet
+	claims  *claimWriter
+	metrics *meters
+
+	ready    atomic.Bool
+	draining atomic.Bool
+	nextRef  atomic.Uint64
+	open     atomic.Int64 // callers' connections
+
+	defaultClass atomic.Pointer[structs.ClassName]
+
+	mu     sync.Mutex // guards the fields below
+	state  *router.State
+	calls  map[router.Ref]*call
+	outbox []credits.Message
+	idle   chan struct{} // closed when a drain finds no calls left
+
+	stop  chan struct{}
+	once  sync.Once
+	loops conc.WaitGroup
+}
+
+// New returns a gateway with its background loops running. Close or Drain
+// ends them.
+func New(opts Options) *Gateway {
+	opts = opts.withDefaults()
+	g := &Gateway{
+		opts:    opts,
+		pools:   newPoolSet(opts.Limits),
+		metrics: newMeters(opts.Metrics),
+		calls:   map[router.Ref]*call{},
+		stop:    make(chan struct{}),
+	}
+	g.state = router.New(router.Config{
+		Instance: opts.Instance, Location: opts.Location, Seed: opts.Seed,
+		Policy: opts.Policy, Alone: opts.SendCredits == nil,
+		FirstSequence: uint64(opts.Now()),
+	})
+	g.claims = newClaimWriter(opts, g.claimEnded)
+	g.server = g.newServer()
+	g.setDefaultClass(opts.Policy)
+	g.ready.Store(true)
+	g.startLoops()
+	return g
+}
+
+func (g *Gateway) startLoops() {
+	if g.opts.TickInterval > 0 {
+		g.loops.Go(g.tickLoop)
+	}
+	g.loops.Go(func() { g.claims.run(g.stop) })
+	if g.opts.Table != nil {
+		g.loops.Go(func() { g.claims.sweepLoop(g.stop) })
+	}
+}
+
+func (g *Gateway) tickLoop() {
+	ticker := time.NewTicker(g.opts.TickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-g.stop:
+			return
+		case <-ticker.C:
+			g.Tick()
+		}
+	}
+}
+
+// Tick applies what is due: deadlines, retries, leases, callers that left.
+func (g *Gateway) Tick() {
+	now := g.opts.Now()
+	g.reduce(&router.Tick{})
+	g.claims.expire(now)
+	for _, c := range g.runningCalls() {
+		if now >= c.deadline() {
+			c.cancel()
+		}
+		if c.callerLeft() {
+			g.callerGone(c)
+		}
+	}
+}
+
+func (g *Gateway) runningCalls() []*call {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	calls := make([]*call, 0, len(g.calls))
+	for _, c := range g.calls {
+		calls = append(calls, c)
+	}
+	return calls
+}
+
+// SetExecutors replaces the list of executors. An executor that is missing
+// or not live gets no new request from now on.
+func (g *Gateway) SetExecutors(executors []structs.Executor) {
+	g.reduce(&router.ExecutorsListed{Executors: executors})
+}
+
+// SetPolicy replaces the policy; queued requests stay queued.
+func (g *Gateway) SetPolicy(policy router.Policy) {
+	g.setDefaultClass(policy)
+	g.reduce(&router.PolicyChanged{Policy: policy})
+}
+
+// setDefaultClass notes the class of requests that name none: the first one
+// of normal urgency, otherwise the least urgent one.
+func (g *Gateway) setDefaultClass(policy router.Policy) {
+	name := structs.ClassName("")
+	for _, class := range policy.Classes {
+		name = class.Name
+		if class.Urgency == structs.Normal {
+			break
+		}
+	}
+	g.defaultClass.Store(&name)
+}
+
+// DeliverCredits hands in a message from the owner of executors. Messages
+// that are not grants for this instance are ignored.
+func (g *Gateway) DeliverCredits(message credits.Message) {
+	if message.Grant != nil {
+		g.reduce(&router.CreditsDelivered{Grant: *message.Grant})
+	}
+}
+
+// Ready reports whether the instance takes new requests.
+func (g *Gateway) Ready() bool { return g.ready.Load() }
+
+// Serve accepts callers on listener until Drain or Close.
+func (g *Gateway) Serve(listener net.Listener) error {
+	return g.server.Serve(&callerListener{Listener: listener, g: g})
+}
+
+// reduce applies an event and carries out its effects.
+func (g *Gateway) reduce(ev structs.Event) {
+	g.mu.Lock()
+	g.reduceLocked(ev)
+	outbox := g.outbox
+	g.outbox = nil
+	g.mu.Unlock()
+	for _, message := range outbox {
+		g.opts.SendCredits(message)
+	}
+}
+
+func (g *Gateway) reduceLocked(ev structs.Event) {
+	for _, effect := range g.state.Reduce(g.opts.Now(), ev) {
+		g.carryOut(effect)
+	}
+}
+
+// carryOut performs one effect without blocking.
+func (g *Gateway) carryOut(effect structs.Effect) {
+	switch e := effect.(type) {
+	case router.Send:
+		g.act(e.Ref, action{kind: actSend, send: e})
+	case router.Refuse:
+		g.act(e.Ref, action{kind: actRefuse, refuse: e})
+	case router.Deliver:
+		g.act(e.Ref, action{kind: actDeliver})
+	case router.Replay:
+		g.act(e.Ref, action{kind: actReplay, stored: e.Stored})
+	case router.CancelAttempt:
+		if c := g.calls[e.Ref]; c != nil {
+			c.cancel()
+		}
+	case router.ExtendAttempt:
+		if c := g.calls[e.Ref]; c != nil {
+			c.until.Store(int64(e.Deadline))
+		}
+	case router.WriteClaim:
+		g.claims.claim(e)
+	case router.StoreOutcome:
+		g.claims.store(e)
+	case router.ReleaseClaim:
+		g.claims.release(e)
+	case router.RequestCredits:
+		request := e.Request
+		g.outbox = append(g.outbox, credits.Message{Region: e.Region, Request: &request})
+	case router.ConnectionsChanged:
+		g.pools.setLimit(e.Address, e.Connections)
+	case router.RequestObserved:
+		g.metrics.observe(e)
+	case router.ExecutorChanged:
+		g.opts.Logger.Info("executor health changed", "executor", e.Executor, "health", e.Health)
+	}
+}
+
+func (g *Gateway) act(ref router.Ref, a action) {
+	if c := g.calls[ref]; c != nil {
+		c.actions <- a // has room for every action of a call
+	}
+}
+
+func (g *Gateway) claimEnded(ev *router.ClaimEnded) { g.reduce(ev) }
+
+// callerGone ends the work of a call whose caller left.
+func (g *Gateway) callerGone(c *call) {
+	if c.gone.Swap(true) {
+		return
+	}
+	g.reduce(&router.CallerGone{Ref: c.ref})
+	select {
+	case c.actions <- action{kind: actGone}:
+	default:
+	}
+}
+
+// Stats are numbers for the operators.
+type Stats struct {
+	Requests      int // not ended
+	Connections   int // of callers
+	FirstAttempts uint64
+	Retries       uint64
+	Refused       uint64
+}
+
+// Stats returns the current numbers.
+func (g *Gateway) Stats() Stats {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	totals := g.state.Totals()
+	return Stats{
+		Requests:      g.state.Requests(),
+		Connections:   int(g.open.Load()),
+		FirstAttempts: totals.FirstAttempts,
+		Retries:       totals.Retries,
+		Refused:       totals.Refused,
+	}
+}
--- /dev/null
+++ b/gateway/handler.go
@@ -0,0 +1,222 @@
+package gateway
+
+import (
+	"bytes"
+	"crypto/rand"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/mangodrum/mangodrum/errs"
+	"github.com/mangodrum/mangodrum/router"
+	"github.com/mangodrum/mangodrum/structs"
+)
+
+// servicesPrefix starts the path of every request to a service.
+const servicesPrefix = "/v1/services/"
+
+// maxIDBytes bounds identifiers, teams and classes: they become keys.
+const maxIDBytes = 128
+
+func (g *Gateway) newServer() *fasthttp.Server {
+	limits := g.opts.Limits
+	return &fasthttp.Server{
+		Handler:                       g.handle,
+		ErrorHandler:                  badRequest,
+		Name:                          "mangodrum",
+		ReadBufferSize:                limits.MaxHeaderBytes,
+		ReadTimeout:                   limits.ReadTimeout,
+		WriteTimeout:                  limits.WriteTimeout,
+		IdleTimeout:                   limits.IdleTimeout,
+		Concurrency:                   limits.MaxConnections + 1, // callerListener limits first
+		StreamRequestBody:             true,
+		DisablePreParseMultipartForm:  true,
+		NoDefaultServerHeader:         true,
+		CloseOnShutdown:               true,
+		Logger:                        quietLogger{},
+		DisableHeaderNamesNormalizing: false,
+	}
+}
+
+// quietLogger drops the server's log lines; counters replace them.
+type quietLogger struct{}
+
+// Printf implements fasthttp.Logger.
+func (quietLogger) Printf(string, ...any) {}
+
+// badRequest answers what is no valid HTTP request or exceeds a limit of the
+// server.
+func badRequest(ctx *fasthttp.RequestCtx, err error) {
+	status := fasthttp.StatusBadRequest
+	remedy := "send a valid HTTP/1.1 request"
+	if _, ok := err.(*fasthttp.ErrSmallBuffer); ok {
+		status = fasthttp.StatusRequestHeaderFieldsTooLarge
+		remedy = "send fewer or shorter headers"
+	}
+	if timeout, ok := err.(net.Error); ok && timeout.Timeout() {
+		status = fasthttp.StatusRequestTimeout
+		remedy = "send the whole request in time"
+	}
+	writeError(ctx, "", status, router.NotRun, errs.InvalidInput, "cannot read the request: "+err.Error(), remedy)
+	ctx.SetConnectionClose()
+}
+
+// handle serves one request of a caller.
+func (g *Gateway) handle(ctx *fasthttp.RequestCtx) {
+	path := ctx.URI().PathOriginal()
+	if string(path) == "/readyz" {
+		g.readyz(ctx)
+		return
+	}
+	if g.draining.Load() {
+		ctx.SetConnectionClose()
+	}
+	req, problem := g.parse(ctx, path)
+	if problem != nil {
+		g.reject(ctx, req.ID, problem)
+		return
+	}
+	c := g.newCall(ctx, req)
+	if err := c.body.readStart(ctx, g.opts.Limits.MaxBodyBytes); err != nil {
+		g.reject(ctx, req.ID, bodyProblem(err))
+		return
+	}
+	c.admit()
+	c.serve()
+}
+
+func (g *Gateway) readyz(ctx *fasthttp.RequestCtx) {
+	ctx.SetContentType("text/plain")
+	if g.Ready() {
+		ctx.SetBodyString("ready\n")
+		return
+	}
+	ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	ctx.SetBodyString("not ready\n")
+}
+
+// problem is a request that cannot be admitted.
+type problem struct {
+	status  int
+	message string
+	remedy  string
+}
+
+func (g *Gateway) reject(ctx *fasthttp.RequestCtx, id string, p *problem) {
+	g.metrics.rejected.Inc()
+	ctx.SetConnectionClose() // the body may be unread
+	writeError(ctx, id, p.status, router.NotRun, errs.InvalidInput, p.message, p.remedy)
+}
+
+func invalid(message, remedy string) *problem {
+	return &problem{status: fasthttp.StatusBadRequest, message: message, remedy: remedy}
+}
+
+func bodyProblem(err error) *problem {
+	if err == errBodyTooLarge {
+		return &problem{fasthttp.StatusRequestEntityTooLarge, err.Error(), "send a smaller body"}
+	}
+	return invalid(err.Error(), "send the whole body")
+}
+
+// parse reads what the router needs from the head of a request.
+func (g *Gateway) parse(ctx *fasthttp.RequestCtx, path []byte) (router.Request, *problem) {
+	var req router.Request
+	service, ok := serviceOf(path)
+	if !ok {
+		return req, &problem{
+			fasthttp.StatusNotFound, "no such path", "call /v1/services/{service}/{path}",
+		}
+	}
+	header := &ctx.Request.Header
+	req.Service = string(service)
+	req.ID = string(header.Peek(HeaderRequestID))
+	req.Team = structs.TeamID(header.Peek(HeaderTeam))
+	req.Class = g.classOf(header.Peek(HeaderClass))
+	if req.Team == "" {
+		return req, invalid("the header "+HeaderTeam+" is missing", "name the team that owns the request")
+	}
+	if !isKey(req.ID) || !isKey(string(req.Team)) || !isKey(string(req.Class)) {
+		return req, invalid("identifier, team or class is too long or has characters outside ASCII",
+			"use at most 128 visible ASCII characters")
+	}
+	if p := parseIdempotent(ctx, &req); p != nil {
+		return req, p
+	}
+	return req, g.parseDeadline(header.Peek(HeaderDeadline), &req)
+}
+
+// classOf returns the named class, or the first one of normal urgency.
+func (g *Gateway) classOf(named []byte) structs.ClassName {
+	if len(named) > 0 {
+		return structs.ClassName(named)
+	}
+	return *g.defaultClass.Load()
+}
+
+func isKey(s string) bool {
+	if len(s) > maxIDBytes {
+		return false
+	}
+	for i := range len(s) {
+		if s[i] <= ' ' || s[i] > '~' {
+			return false
+		}
+	}
+	return true
+}
+
+func serviceOf(path []byte) ([]byte, bool) {
+	rest, ok := bytes.CutPrefix(path, []byte(servicesPrefix))
+	if !ok {
+		return nil, false
+	}
+	service, _, _ := bytes.Cut(rest, []byte("/"))
+	return service, len(service) > 0
+}
+
+// executorPath returns the path that the executor sees.
+func executorPath(ctx *fasthttp.RequestCtx) []byte {
+	rest := ctx.URI().PathOriginal()[len(servicesPrefix):]
+	i := bytes.IndexByte(rest, '/')
+	if i < 0 {
+		return []byte("/")
+	}
+	return rest[i:]
+}
+
+func parseIdempotent(ctx *fasthttp.RequestCtx, req *router.Request) *problem {
+	switch value := string(ctx.Request.Header.Peek(HeaderIdempotent)); value {
+	case "":
+		req.Idempotent = ctx.IsGet() || ctx.IsHead() || ctx.IsPut() || ctx.IsDelete()
+	case "true", "false":
+		req.Idempotent = value == "true"
+	default:
+		return invalid("the header "+HeaderIdempotent+" is neither true nor false", "send true or false")
+	}
+	if req.ID != "" {
+		return nil
+	}
+	if !req.Idempotent {
+		return invalid("a request that is not idempotent has no identifier",
+			"send the header "+HeaderRequestID+" with an identifier that is unique in the team, and the same one with every repeat")
+	}
+	req.ID = rand.Text()
+	return nil
+}
+
+func (g *Gateway) parseDeadline(value []byte, req *router.Request) *problem {
+	if len(value) == 0 {
+		return nil
+	}
+	const maxMillis = int64(24 * time.Hour / time.Millisecond)
+	millis, err := strconv.ParseInt(string(value), 10, 64)
+	if err != nil || millis <= 0 || millis > maxMillis {
+		return invalid("the header "+HeaderDeadline+" is no number of milliseconds between 1 and 86400000",
+			"send the time that is left for the request, in milliseconds")
+	}
+	req.Deadline = g.opts.Now().Add(time.Duration(millis) * time.Millisecond)
+	return nil
+}
--- /dev/null
+++ b/gateway/listener.go
@@ -0,0 +1,60 @@
+package gateway
+
+import (
+	"net"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// callerListener limits the open connections of callers.
+type callerListener struct {
+	net.Listener
+	g *Gateway
+}
+
+// tooManyConnections answers a connection beyond the limit.
+const tooManyConnections = "HTTP/1.1 503 Service Unavailable\r\n" +
+	"Content-Type: application/json\r\n" +
+	HeaderOutcome + ": not-run\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 120\r\n\r\n" +
+	`{"kind":"not-run","message":"too many connections","remedy":"close idle connections or try again later","request_id":""}`
+
+// Accept implements net.Listener.
+func (l *callerListener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.g.open.Add(1) <= int64(l.g.opts.Limits.MaxConnections) {
+			return &callerConn{Conn: conn, g: l.g}, nil
+		}
+		l.g.open.Add(-1)
+		l.g.metrics.rejectedConnections.Inc()
+		_ = conn.SetWriteDeadline(time.Now().Add(time.Second)) // the text fits into the socket's buffer
+		_, _ = conn.Write([]byte(tooManyConnections))
+		_ = conn.Close()
+	}
+}
+
+// callerConn counts a caller's connection until it is closed.
+type callerConn struct {
+	net.Conn
+	g    *Gateway
+	once sync.Once
+}
+
+// SyscallConn implements syscall.Conn, for looking at the socket.
+func (c *callerConn) SyscallConn() (syscall.RawConn, error) {
+	conn, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, syscall.ENOTSUP
+	}
+	return conn.SyscallConn()
+}
+
+// Close implements net.Conn.
+func (c *callerConn) Close() error {
+	c.once.Do(func() { c.g.open.Add(-1) })
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/gateway/pool.go
@@ -0,0 +1,195 @@
+package gateway
+
+import (
+	"bufio"
+	"net"
+	"sync"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+)
+
+// execConn is a connection to an executor.
+type execConn struct {
+	net.Conn
+	pool   *pool
+	reader *bufio.Reader
+	writer *bufio.Writer
+	// echoes: every answer so far carried the identifier of its request.
+	echoes bool
+	used   bool
+}
+
+// pool holds the connections to one executor. open counts idle ones and
+// those in use and never exceeds limit when a connection is added.
+type pool struct {
+	mu      sync.Mutex
+	limits  Limits
+	address string
+	limit   int
+	open    int
+	idle    []*execConn
+}
+
+type poolSet struct {
+	mu     sync.Mutex
+	limits Limits
+	pools  map[string]*pool
+}
+
+func newPoolSet(limits Limits) *poolSet {
+	return &poolSet{limits: limits, pools: map[string]*pool{}}
+}
+
+func (s *poolSet) get(address string) *pool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.pools[address]
+	if p == nil {
+		p = &pool{address: address, limits: s.limits}
+		s.pools[address] = p
+	}
+	return p
+}
+
+// setLimit changes the number of connections and closes idle ones beyond it.
+func (s *poolSet) setLimit(address string, limit int) {
+	p := s.get(address)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limit = limit
+	for p.open > p.limit && len(p.idle) > 0 {
+		p.closeIdleLocked()
+	}
+	if limit > 0 || p.open > 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.pools, address)
+}
+
+func (s *poolSet) close() {
+	s.mu.Lock()
+	pools := make([]*pool, 0, len(s.pools))
+	for _, p := range s.pools {
+		pools = append(pools, p)
+	}
+	s.mu.Unlock()
+	for _, p := range pools {
+		s.setLimit(p.address, 0)
+	}
+}
+
+func (p *pool) closeIdleLocked() {
+	conn := p.idle[0]
+	p.idle = append(p.idle[:0], p.idle[1:]...)
+	p.open--
+	_ = conn.Close()
+}
+
+var errNoConnection = errors.New("all connections held for the executor are in use")
+
+// take returns an idle connection, or a new one. fresh asks for a new one: an
+// idle connection may be closed by the executor at any time, which leaves
+// open whether it ran the request.
+func (p *pool) take(fresh bool) (*execConn, error) {
+	p.mu.Lock()
+	for len(p.idle) > 0 && !fresh {
+		conn := p.idle[len(p.idle)-1]
+		p.idle = p.idle[:len(p.idle)-1]
+		if conn.isQuiet() {
+			p.mu.Unlock()
+			return conn, nil
+		}
+		p.open--
+		_ = conn.Close()
+	}
+	if p.open >= p.limit && len(p.idle) > 0 {
+		p.closeIdleLocked()
+	}
+	if p.open >= p.limit {
+		p.mu.Unlock()
+		return nil, errNoConnection
+	}
+	p.open++
+	p.mu.Unlock()
+	return p.dial()
+}
+
+func (p *pool) dial() (*execConn, error) {
+	conn, err := net.DialTimeout("tcp", p.address, p.limits.DialTimeout)
+	if err != nil {
+		p.mu.Lock()
+		p.open--
+		p.mu.Unlock()
+		return nil, err
+	}
+	return &execConn{
+		Conn: conn, pool: p, echoes: true,
+		reader: bufio.NewReaderSize(conn, p.limits.MaxHeaderBytes),
+		writer: bufio.NewWriterSize(conn, 4<<10),
+	}, nil
+}
+
+// put gives a connection back after a complete answer.
+func (p *pool) put(conn *execConn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !conn.echoes || conn.reader.Buffered() > 0 || p.open > p.limit {
+		p.open--
+		_ = conn.Close()
+		return
+	}
+	conn.used = true
+	p.idle = append(p.idle, conn)
+}
+
+// discard closes a connection that must not be used again.
+func (p *pool) discard(conn *execConn) {
+	_ = conn.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open--
+}
+
+// isQuiet reports whether an idle connection is open and has no bytes that
+// nobody asked for.
+func (c *execConn) isQuiet() bool {
+	return c.reader.Buffered() == 0 && peekSocket(c.Conn) == socketQuiet
+}
+
+type socketState int
+
+const (
+	socketQuiet  socketState = iota // open, nothing to read
+	socketData                      // bytes to read
+	socketClosed                    // the peer closed it, or it failed
+)
+
+// peekSocket looks at a connection without reading from it or blocking.
+func peekSocket(conn net.Conn) socketState {
+	raw, ok := conn.(syscall.Conn)
+	if !ok {
+		return socketQuiet
+	}
+	rc, err := raw.SyscallConn()
+	if err != nil {
+		return socketQuiet // not a socket
+	}
+	state := socketClosed
+	err = rc.Control(func(fd uintptr) {
+		var buf [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		switch {
+		case err == syscall.EAGAIN || err == syscall.EINTR:
+			state = socketQuiet
+		case err == nil && n > 0:
+			state = socketData
+		}
+	})
+	if err != nil {
+		return socketClosed
+	}
+	return state
+}
--- /dev/null
+++ b/gateway/sweep.go
@@ -0,0 +1,71 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/mangodrum/mangodrum/platform"
+	"github.com/mangodrum/mangodrum/structs"
+)
+
+// The sweep removes claims after their retention: one page every interval,
+// which is one read and at most one write.
+const (
+	sweepInterval = 5 * time.Second
+	sweepPage     = 256
+)
+
+func (w *claimWriter) sweepLoop(stop <-chan struct{}) {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-stop:
+			return
+		case <-ticker.C:
+			w.sweep(w.opts.Now())
+		}
+	}
+}
+
+// sweep removes the expired claims of the next page and returns their number.
+// A failed removal is left to a later round.
+func (w *claimWriter) sweep(now structs.Timestamp) int {
+	ctx, cancel := context.WithTimeout(context.Background(), commitTimeout)
+	defer cancel()
+	rows, err := w.table.Scan(ctx, claimsPrefix, w.cursor, sweepPage)
+	if err != nil {
+		return 0
+	}
+	w.cursor = ""
+	if len(rows) == sweepPage {
+		w.cursor = rows[len(rows)-1].Key
+	}
+	txn := expiredClaims(rows, now)
+	if len(txn.Deletes) == 0 {
+		return 0
+	}
+	if _, err := w.table.Commit(ctx, txn); err != nil {
+		return 0
+	}
+	return len(txn.Deletes)
+}
+
+// expiredClaims returns the removal of all rows whose retention ended by more
+// than the clock bound.
+func expiredClaims(rows []platform.Row, now structs.Timestamp) platform.Txn {
+	var txn platform.Txn
+	for _, row := range rows {
+		var claim claimRow
+		if err := json.Unmarshal(row.Value, &claim); err != nil {
+			continue
+		}
+		if now.Sub(claim.Expires) <= platform.ClockBound {
+			continue
+		}
+		txn.Conditions = append(txn.Conditions, platform.Condition{Key: row.Key, Version: row.Version})
+		txn.Deletes = append(txn.Deletes, row.Key)
+	}
+	return txn
+}
--- /dev/null
+++ b/router/types.go
@@ -0,0 +1,185 @@
+package router
+
+import (
+	"time"
+
+	"github.com/mangodrum/mangodrum/structs"
+)
+
+// Ref identifies a request inside one instance.
+type Ref uint64
+
+// Outcome is what a caller may conclude about its request.
+type Outcome string
+
+// Outcomes. They are never mixed: NotRun is used only when it is certain that
+// no byte of the request was handed to an executor that could run it.
+const (
+	Answered       Outcome = "answered"
+	NotRun         Outcome = "not-run"
+	OutcomeUnknown Outcome = "outcome-unknown"
+	RanAndFailed   Outcome = "ran-and-failed"
+)
+
+// Request is one caller's request as the router sees it.
+type Request struct {
+	ID         string
+	Team       structs.TeamID
+	Class      structs.ClassName
+	Service    string
+	Deadline   structs.Timestamp
+	Idempotent bool
+}
+
+// ClassPolicy is the policy of one class of requests.
+type ClassPolicy struct {
+	Name    structs.ClassName
+	Urgency structs.Urgency
+	// Weight is the share of starts relative to other classes with queued
+	// requests. Values below 1 count as 1.
+	Weight int
+	// FloorPercent is the share of starts that the class gets whatever the
+	// weights are. While any class is below its floor, less urgent classes
+	// also leave that share of the slots free for it.
+	FloorPercent int
+	// QueueLimit bounds the queued requests of the class, TeamQueueLimit
+	// those of one team in it.
+	QueueLimit     int
+	TeamQueueLimit int
+	// RetryPercent is the number of retries per hundred first attempts.
+	RetryPercent int
+	// DefaultDeadline applies to requests that name none; MaxDeadline bounds
+	// every request.
+	DefaultDeadline time.Duration
+	MaxDeadline     time.Duration
+}
+
+// Policy is the part of the settings that the router applies.
+type Policy struct {
+	Classes []ClassPolicy // in order of urgency, the most urgent first
+	// TeamWeights divides a class among teams; a team without an entry has
+	// weight 1.
+	TeamWeights map[structs.TeamID]int
+	// CrossRegionCost is the expected wait that must be exceeded before a
+	// request is sent to another region.
+	CrossRegionCost time.Duration
+	// MaxAttempts bounds the attempts of one request.
+	MaxAttempts int
+	// RetryBackoff is the mean wait before the first retry; it doubles with
+	// each further one.
+	RetryBackoff time.Duration
+}
+
+// Defaults of a policy.
+const (
+	DefaultQueueLimit      = 1024
+	DefaultTeamQueueLimit  = 256
+	DefaultRetryPercent    = 10
+	DefaultRequestDeadline = 10 * time.Second
+	DefaultMaxDeadline     = 5 * time.Minute
+	DefaultMaxAttempts     = 3
+	DefaultRetryBackoff    = 10 * time.Millisecond
+	DefaultCrossRegionCost = 60 * time.Millisecond
+)
+
+// DefaultPolicy has the classes urgent, normal and deferrable.
+func DefaultPolicy() Policy {
+	return Policy{
+		Classes: []ClassPolicy{
+			{Name: "urgent", Urgency: structs.Urgent, Weight: 8, FloorPercent: 20},
+			{Name: "normal", Urgency: structs.Normal, Weight: 4, FloorPercent: 10},
+			{Name: "deferrable", Urgency: structs.Deferrable, Weight: 1, FloorPercent: 5},
+		},
+		CrossRegionCost: DefaultCrossRegionCost,
+		MaxAttempts:     DefaultMaxAttempts,
+		RetryBackoff:    DefaultRetryBackoff,
+	}
+}
+
+// withDefaults fills unset fields. CrossRegionCost 0 is a valid setting.
+func (p Policy) withDefaults() Policy {
+	classes := make([]ClassPolicy, len(p.Classes))
+	for i, c := range p.Classes {
+		c.Weight = max(c.Weight, 1)
+		c.QueueLimit = orDefault(c.QueueLimit, DefaultQueueLimit)
+		c.TeamQueueLimit = orDefault(c.TeamQueueLimit, DefaultTeamQueueLimit)
+		c.RetryPercent = orDefault(c.RetryPercent, DefaultRetryPercent)
+		c.DefaultDeadline = orDefault(c.DefaultDeadline, DefaultRequestDeadline)
+		c.MaxDeadline = orDefault(c.MaxDeadline, DefaultMaxDeadline)
+		classes[i] = c
+	}
+	p.Classes = classes
+	p.MaxAttempts = orDefault(p.MaxAttempts, DefaultMaxAttempts)
+	p.RetryBackoff = orDefault(p.RetryBackoff, DefaultRetryBackoff)
+	return p
+}
+
+func orDefault[T int | time.Duration](value, fallback T) T {
+	if value <= 0 {
+		return fallback
+	}
+	return value
+}
+
+// ResultKind tells how an attempt ended.
+type ResultKind int
+
+// Results of an attempt.
+const (
+	// Completed: the answer was passed on completely.
+	Completed ResultKind = iota + 1
+	// Buffered: a 5xx answer was read completely and not passed on yet.
+	Buffered
+	// NotSent: no byte of the request reached the executor.
+	NotSent
+	// Broken: the request was sent and no answer was passed on.
+	Broken
+	// CutMidAnswer: the answer was cut after its head was passed on.
+	CutMidAnswer
+	// Cancelled: the caller left.
+	Cancelled
+)
+
+// Result is the end of an attempt.
+type Result struct {
+	Kind   ResultKind
+	Status int // of the answer, for Completed and Buffered
+	// Replayable: the whole request can be sent again.
+	Replayable bool
+	// HeadLatency is the time from sending to the head of the answer.
+	HeadLatency time.Duration
+	// Stored is the answer for a repeat of a non-idempotent request.
+	Stored StoredAnswer
+}
+
+// StoredAnswer is the answer to a non-idempotent request, kept for repeats.
+type StoredAnswer struct {
+	Outcome     Outcome `json:"outcome"`
+	Status      int     `json:"status,omitempty"`
+	ContentType string  `json:"content_type,omitempty"`
+	Body        []byte  `json:"body,omitempty"`
+	Truncated   bool    `json:"truncated,omitempty"` // the body exceeded MaxStoredBody
+}
+
+// MaxStoredBody bounds the answer body that is kept for repeats.
+const MaxStoredBody = 64 << 10
+
+// Reason tells why a request was refused.
+type Reason string
+
+// Reasons.
+const (
+	ReasonQueueFull       Reason = "queue-full"
+	ReasonTeamQueueFull   Reason = "team-queue-full"
+	ReasonDeadlinePassed  Reason = "deadline-passed"
+	ReasonCannotMeet      Reason = "deadline-cannot-be-met"
+	ReasonUnknownClass    Reason = "unknown-class"
+	ReasonUnknownService  Reason = "unknown-service"
+	ReasonDraining        Reason = "draining"
+	ReasonNoExecutor      Reason = "executors-unreachable"
+	ReasonAttemptFailed   Reason = "attempt-failed"
+	ReasonTableDown       Reason = "table-unavailable"
+	ReasonClaimUnknown    Reason = "claim-unknown"
+	ReasonRepeatOfUnknown Reason = "repeat-of-unfinished-request"
+	ReasonCut             Reason = "cut-by-drain"
+)
