--- /dev/null
+++ b/router/balance_test.go
@@ -0,0 +1,251 @@
+package router_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/mangodrum/mangodrum/router"
+	"github.com/mangodrum/mangodrum/structs"
+)
+
+// balancer is one way to share the executors among the instances.
+type balancer interface {
+	// arrive takes one request at an instance.
+	arrive(instance int)
+	clock() *clockwork
+	// result returns the waits of requests that arrived after reset, and the
+	// most requests sent to one executor at once.
+	reset()
+	result() (waits []time.Duration, maximum int)
+}
+
+// creditBalancer is the router with slot credits.
+type creditBalancer struct{ sim *routerSim }
+
+func newCreditBalancer(seed uint64) balancer {
+	return &creditBalancer{newRouterSim(seed, openPolicy(), 1, false)}
+}
+
+// openPolicy has one class without limits that would drop requests.
+func openPolicy() router.Policy {
+	return router.Policy{Classes: []router.ClassPolicy{{
+		Name: "normal", Urgency: structs.Normal, QueueLimit: 1 << 20, TeamQueueLimit: 1 << 20,
+		DefaultDeadline: 10 * time.Second,
+	}}}
+}
+
+func (b *creditBalancer) arrive(i int)      { b.sim.instances[i].arrive("normal", true, 0) }
+func (b *creditBalancer) clock() *clockwork { return b.sim.clockwork }
+func (b *creditBalancer) reset()            { clear(b.sim.waits) }
+func (b *creditBalancer) result() ([]time.Duration, int) {
+	return b.sim.waits["normal"], b.sim.maximum()
+}
+
+// queueBalancer sends every request at once to an executor, which queues what
+// exceeds its slots.
+type queueBalancer struct {
+	*clockwork
+	executors []*simExecutor
+	sent      []int // per executor, not ended
+	view      []int // sent, as it was at the last refresh
+	maximum   int
+	waits     []time.Duration
+	choose    func(b *queueBalancer, instance int) int
+	turns     [simInstances]int
+}
+
+// viewInterval is the age that the view of the load may reach.
+const viewInterval = 100 * time.Millisecond
+
+func newQueueBalancer(seed uint64, choose func(*queueBalancer, int) int) balancer {
+	b := &queueBalancer{clockwork: newClockwork(seed), executors: simExecutorList(1), choose: choose}
+	b.sent = make([]int, simExecutors)
+	b.refresh()
+	return b
+}
+
+func (b *queueBalancer) refresh() {
+	b.view = append(b.view[:0], b.sent...)
+	b.after(viewInterval, b.refresh)
+}
+
+func (b *queueBalancer) arrive(instance int) {
+	i := b.choose(b, instance)
+	x := b.executors[i]
+	arrived := b.now
+	b.sent[i]++
+	b.maximum = max(b.maximum, b.sent[i])
+	start := func() {
+		b.waits = append(b.waits, b.now.Sub(arrived))
+		x.begin()
+		b.after(b.exponential(meanRun), func() { b.done(i) })
+	}
+	if x.running < simSlots {
+		start()
+		return
+	}
+	x.waiting = append(x.waiting, start)
+}
+
+func (b *queueBalancer) done(i int) {
+	x := b.executors[i]
+	x.running--
+	b.sent[i]--
+	if len(x.waiting) > 0 {
+		next := x.waiting[0]
+		x.waiting = x.waiting[1:]
+		next()
+	}
+}
+
+func (b *queueBalancer) clock() *clockwork              { return b.clockwork }
+func (b *queueBalancer) reset()                         { b.waits = nil }
+func (b *queueBalancer) result() ([]time.Duration, int) { return b.waits, b.maximum }
+func chooseRandom(b *queueBalancer, _ int) int          { return b.rng.IntN(simExecutors) }
+func chooseRoundRobin(b *queueBalancer, instance int) int {
+	b.turns[instance]++
+	return b.turns[instance] % simExecutors
+}
+func chooseTwo(b *queueBalancer, _ int) int {
+	i, j := b.rng.IntN(simExecutors), b.rng.IntN(simExecutors)
+	if b.view[j] < b.view[i] {
+		return j
+	}
+	return i
+}
+
+// partitionBalancer gives every instance a fixed part of the slots and a
+// queue of its own. With stealing, an instance without work serves the
+// longest queue.
+type partitionBalancer struct {
+	*clockwork
+	free   [simInstances]int
+	queues [simInstances][]structs.Timestamp
+	waits  []time.Duration
+	steal  bool
+}
+
+func newPartitionBalancer(seed uint64, steal bool) balancer {
+	b := &partitionBalancer{clockwork: newClockwork(seed), steal: steal}
+	for i := range b.free {
+		b.free[i] = simExecutors * simSlots / simInstances
+	}
+	return b
+}
+
+func (b *partitionBalancer) arrive(i int) {
+	b.queues[i] = append(b.queues[i], b.now)
+	b.next(i)
+	for j := range b.free {
+		if b.steal && b.free[j] > 0 && len(b.queues[i]) > 0 {
+			b.next(j)
+		}
+	}
+}
+
+// next lets instance i start a request if it has a free slot.
+func (b *partitionBalancer) next(i int) {
+	from := i
+	for j := range b.queues {
+		if b.steal && len(b.queues[i]) == 0 && len(b.queues[j]) > len(b.queues[from]) {
+			from = j
+		}
+	}
+	if b.free[i] == 0 || len(b.queues[from]) == 0 {
+		return
+	}
+	arrived := b.queues[from][0]
+	b.queues[from] = b.queues[from][1:]
+	b.free[i]--
+	forward := time.Duration(0)
+	if from != i {
+		forward = 500 * time.Microsecond // to the instance that owns the slot
+	}
+	b.waits = append(b.waits, b.now.Sub(arrived)+forward)
+	b.after(forward+b.exponential(meanRun), func() { b.free[i]++; b.next(i) })
+}
+
+func (b *partitionBalancer) clock() *clockwork              { return b.clockwork }
+func (b *partitionBalancer) reset()                         { b.waits = nil }
+func (b *partitionBalancer) result() ([]time.Duration, int) { return b.waits, simSlots }
+
+var balancers = []struct {
+	name string
+	make func(seed uint64) balancer
+}{
+	{"credits", newCreditBalancer},
+	{"partitions", func(seed uint64) balancer { return newPartitionBalancer(seed, false) }},
+	{"partitions+stealing", func(seed uint64) balancer { return newPartitionBalancer(seed, true) }},
+	{"two choices, stale", func(seed uint64) balancer { return newQueueBalancer(seed, chooseTwo) }},
+	{"round robin", func(seed uint64) balancer { return newQueueBalancer(seed, chooseRoundRobin) }},
+	{"random", func(seed uint64) balancer { return newQueueBalancer(seed, chooseRandom) }},
+}
+
+var (
+	evenArrival   = []float64{1, 1, 1, 1, 1, 1, 1, 1}
+	unevenArrival = []float64{4, 2, 1, 1, 1, 1, 1, 1}
+)
+
+// measure runs a balancer at a load for a second of warm-up and two more.
+func measure(b balancer, load float64, weights []float64) (waits []time.Duration, maximum int) {
+	const warmUp, length = time.Second, 2 * time.Second
+	c := b.clock()
+	total := 0.0
+	for _, w := range weights {
+		total += w
+	}
+	rate := load * simExecutors * simSlots / meanRun.Seconds()
+	start := c.now
+	for i, w := range weights {
+		gap := time.Duration(float64(time.Second) / (rate * w / total))
+		var next func()
+		next = func() {
+			b.arrive(i)
+			if c.now.Sub(start) < warmUp+length {
+				c.after(c.exponential(gap), next)
+			}
+		}
+		c.after(50*time.Millisecond+c.exponential(gap), next)
+	}
+	c.runUntil(start.Add(warmUp))
+	b.reset()
+	c.runUntil(start.Add(warmUp + length))
+	return b.result()
+}
+
+// BenchmarkBalancers reports waits in virtual time; ns/op has no meaning.
+func BenchmarkBalancers(b *testing.B) {
+	for _, arrival := range []struct {
+		name    string
+		weights []float64
+	}{{"even", evenArrival}, {"uneven", unevenArrival}} {
+		for _, load := range []float64{0.5, 0.8, 0.95} {
+			for _, kind := range balancers {
+				b.Run(fmt.Sprintf("%s/%.2f/%s", arrival.name, load, kind.name), func(b *testing.B) {
+					for range b.N {
+						waits, maximum := measure(kind.make(1), load, arrival.weights)
+						b.ReportMetric(percentile(waits, 0.5).Seconds()*1000, "p50-ms")
+						b.ReportMetric(percentile(waits, 0.99).Seconds()*1000, "p99-ms")
+						b.ReportMetric(float64(maximum), "max-at-executor")
+						b.ReportMetric(float64(len(waits)), "started")
+					}
+				})
+			}
+		}
+	}
+}
+
+// Guards against credits that exceed the slots of an executor, or that
+// strand slots when arrivals are uneven: they must not wait longer than the
+// best alternative that keeps to the slots without forwarding.
+func TestCreditsKeepToSlotsAndBeatPartitions(t *testing.T) {
+	credits, maximum := measure(newCreditBalancer(1), 0.8, unevenArrival)
+	partitions, _ := measure(newPartitionBalancer(1, false), 0.8, unevenArrival)
+	if maximum > simSlots {
+		t.Errorf("an executor ran %d requests at once, it has %d slots", maximum, simSlots)
+	}
+	if got, limit := percentile(credits, 0.99), percentile(partitions, 0.99); got > limit {
+		t.Errorf("p99 wait %v, partitions have %v", got, limit)
+	}
+}
--- /dev/null
+++ b/router/sim_test.go
@@ -0,0 +1,424 @@
+package router_test
+
+import (
+	"container/heap"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/mangodrum/mangodrum/router"
+	"github.com/mangodrum/mangodrum/router/credits"
+	"github.com/mangodrum/mangodrum/structs"
+)
+
+// The simulation runs instances, executors and messages between them in
+// virtual time. Every number comes from the seed.
+
+const (
+	simExecutors = 50
+	simSlots     = 8
+	simInstances = 8
+	simService   = "svc"
+	meanRun      = 20 * time.Millisecond
+)
+
+type simEvent struct {
+	at    structs.Timestamp
+	order int
+	run   func()
+}
+
+type simQueue []simEvent
+
+func (q simQueue) Len() int { return len(q) }
+func (q simQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].order < q[j].order
+}
+func (q simQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *simQueue) Push(x any)   { *q = append(*q, x.(simEvent)) }
+func (q *simQueue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+// clockwork is a queue of things to happen in virtual time.
+type clockwork struct {
+	now   structs.Timestamp
+	queue simQueue
+	order int
+	rng   *rand.Rand
+}
+
+func newClockwork(seed uint64) *clockwork {
+	return &clockwork{now: structs.Timestamp(time.Hour), rng: rand.New(rand.NewPCG(seed, 7))}
+}
+
+func (c *clockwork) after(d time.Duration, run func()) {
+	c.order++
+	heap.Push(&c.queue, simEvent{c.now.Add(d), c.order, run})
+}
+
+func (c *clockwork) runUntil(end structs.Timestamp) {
+	for len(c.queue) > 0 && c.queue[0].at <= end {
+		ev := heap.Pop(&c.queue).(simEvent)
+		c.now = ev.at
+		ev.run()
+	}
+	c.now = end
+}
+
+func (c *clockwork) exponential(mean time.Duration) time.Duration {
+	return time.Duration(-math.Log(1-c.rng.Float64()) * float64(mean))
+}
+
+// simExecutor counts what runs on it.
+type simExecutor struct {
+	info    structs.Executor
+	running int
+	maximum int
+	served  int
+	waiting []func()                              // where the policy does not keep to slots
+	behave  func() (time.Duration, router.Result) // nil: exponential run time, 200
+}
+
+func simExecutorList(regions int) []*simExecutor {
+	var all []*simExecutor
+	for i := range simExecutors {
+		region := structs.Region([]string{"r0", "r1", "r2"}[i%regions])
+		domain := structs.FailureDomain(string(region) + []string{"a", "b", "c"}[i/regions%3])
+		all = append(all, &simExecutor{info: structs.Executor{
+			ID: structs.ExecutorID([]byte{'e', byte('0' + i/10), byte('0' + i%10)}), Service: simService,
+			Location: structs.Location{Region: region, FailureDomain: domain},
+			Slots:    simSlots, Connections: 64, State: structs.Live,
+		}})
+	}
+	return all
+}
+
+func (x *simExecutor) begin() { x.running++; x.maximum = max(x.maximum, x.running); x.served++ }
+
+// simInstance drives one router.State.
+type simInstance struct {
+	sim       *routerSim
+	id        structs.InstanceID
+	location  structs.Location
+	state     *router.State
+	dead      bool
+	paused    []func() // what arrived during a pause; nil when running
+	isPaused  bool
+	skew      time.Duration
+	running   map[router.Ref]*simAttempt
+	nextRef   router.Ref
+	requested map[router.Ref]router.Request
+}
+
+type simAttempt struct {
+	executor *simExecutor
+	send     router.Send
+	ended    bool
+}
+
+// routerSim connects instances, owners and executors.
+type routerSim struct {
+	*clockwork
+	executors []*simExecutor
+	instances []*simInstance
+	owners    map[structs.Region]*simOwner
+	waits     map[structs.ClassName][]time.Duration
+	totals    map[router.Outcome]int
+	perClass  map[structs.ClassName]map[router.Outcome]int
+	refused   map[router.Reason]int
+	attempts  int
+	recording bool
+}
+
+type simOwner struct {
+	sim     *routerSim
+	region  structs.Region
+	ledger  *credits.Ledger
+	epoch   structs.Epoch
+	paused  bool
+	cut     bool // from the table: its ownership is not renewed
+	backlog []*credits.Request
+	horizon structs.Timestamp
+}
+
+func newRouterSim(seed uint64, policy router.Policy, regions int, alone bool) *routerSim {
+	s := &routerSim{
+		clockwork: newClockwork(seed), executors: simExecutorList(regions),
+		owners: map[structs.Region]*simOwner{}, waits: map[structs.ClassName][]time.Duration{},
+		totals: map[router.Outcome]int{}, perClass: map[structs.ClassName]map[router.Outcome]int{},
+		refused: map[router.Reason]int{}, recording: true,
+	}
+	for _, r := range []structs.Region{"r0", "r1", "r2"}[:regions] {
+		s.owners[r] = &simOwner{sim: s, region: r}
+		s.owners[r].takeOver(nil)
+		s.after(0, s.owners[r].renew)
+	}
+	count := simInstances
+	if alone {
+		count = 1
+	}
+	for i := range count {
+		region := structs.Region([]string{"r0", "r1", "r2"}[i%regions])
+		in := &simInstance{
+			sim: s, id: structs.InstanceID([]byte{'i', byte('0' + i)}),
+			location: structs.Location{Region: region, FailureDomain: structs.FailureDomain(string(region) + []string{"a", "b", "c"}[i/regions%3])},
+			running:  map[router.Ref]*simAttempt{}, requested: map[router.Ref]router.Request{},
+		}
+		in.state = router.New(router.Config{
+			Instance: in.id, Location: in.location, Seed: seed + uint64(i), Policy: policy, Alone: alone,
+			FirstSequence: uint64(s.now),
+		})
+		s.instances = append(s.instances, in)
+		s.after(time.Duration(i)*time.Millisecond, func() { in.list(); in.tick() })
+	}
+	return s
+}
+
+func (s *routerSim) infos() []structs.Executor {
+	var infos []structs.Executor
+	for _, x := range s.executors {
+		infos = append(infos, x.info)
+	}
+	return infos
+}
+
+// takeOver starts a new ledger, as a new owner of the region does.
+func (o *simOwner) takeOver(unconfirmed []structs.InstanceID) {
+	o.epoch++
+	previous := o.horizon
+	o.horizon = max(o.horizon, o.sim.now.Add(time.Minute))
+	o.ledger = credits.New(credits.Config{
+		Region: o.region, Epoch: o.epoch, Unconfirmed: unconfirmed, PreviousHorizon: previous,
+		Expiry: o.sim.now.Add(6 * time.Second), Horizon: o.horizon,
+	})
+	o.ledger.Reduce(o.sim.now, &credits.ExecutorsListed{Executors: o.sim.infos()})
+}
+
+// renew keeps the ownership while the owner runs.
+func (o *simOwner) renew() {
+	if !o.paused && !o.cut {
+		o.horizon = max(o.horizon, o.sim.now.Add(time.Minute))
+		o.reduce(&credits.OwnershipRenewed{Expiry: o.sim.now.Add(6 * time.Second), Horizon: o.horizon})
+	}
+	o.sim.after(2*time.Second, o.renew)
+}
+
+func (o *simOwner) reduce(ev structs.Event) { o.send(o.ledger.Reduce(o.sim.now, ev)) }
+
+func (o *simOwner) send(effects []structs.Effect) {
+	for _, effect := range effects {
+		grant := effect.(credits.SendGrant).Grant
+		for _, in := range o.sim.instances {
+			if in.id == grant.To {
+				o.sim.after(o.sim.delay(o.region, in.location.Region), func() {
+					in.deliver(func() { in.reduce(&router.CreditsDelivered{Grant: grant}) })
+				})
+			}
+		}
+	}
+}
+
+func (o *simOwner) receive(r *credits.Request) {
+	if o.paused {
+		o.backlog = append(o.backlog, r)
+		return
+	}
+	o.reduce(&credits.RequestReceived{Request: *r})
+}
+
+func (o *simOwner) resume() {
+	o.paused = false
+	for _, r := range o.backlog {
+		o.reduce(&credits.RequestReceived{Request: *r})
+	}
+	o.backlog = nil
+}
+
+// delay is the time for one message, with jitter so that messages overtake
+// each other.
+func (s *routerSim) delay(a, b structs.Region) time.Duration {
+	base := 250 * time.Microsecond
+	if a != b {
+		base = 15 * time.Millisecond
+	}
+	return base + time.Duration(s.rng.Int64N(int64(base)))
+}
+
+func (in *simInstance) now() structs.Timestamp { return in.sim.now.Add(in.skew) }
+
+// deliver runs fn now, or after a pause.
+func (in *simInstance) deliver(fn func()) {
+	switch {
+	case in.dead:
+	case in.isPaused:
+		in.paused = append(in.paused, fn)
+	default:
+		fn()
+	}
+}
+
+func (in *simInstance) resume() {
+	in.isPaused = false
+	for _, fn := range in.paused {
+		fn()
+	}
+	in.paused = nil
+}
+
+func (in *simInstance) list() { in.reduce(&router.ExecutorsListed{Executors: in.sim.infos()}) }
+
+func (in *simInstance) tick() {
+	if in.dead {
+		return
+	}
+	in.deliver(func() {
+		for _, a := range in.sortedAttempts() {
+			if in.now() >= a.send.Deadline {
+				in.end(a, router.Result{Kind: router.Broken, Replayable: true})
+			}
+		}
+		in.reduce(&router.Tick{})
+	})
+	in.sim.after(5*time.Millisecond, in.tick)
+}
+
+func (in *simInstance) sortedAttempts() []*simAttempt {
+	var all []*simAttempt
+	for _, a := range in.running {
+		all = append(all, a)
+	}
+	slices.SortFunc(all, func(a, b *simAttempt) int { return int(a.send.Ref) - int(b.send.Ref) })
+	return all
+}
+
+// arrive sends one request to the instance.
+func (in *simInstance) arrive(class structs.ClassName, idempotent bool, deadline time.Duration) {
+	in.deliver(func() {
+		in.nextRef++
+		req := router.Request{ID: "x", Team: "/t", Class: class, Service: simService, Idempotent: idempotent}
+		if deadline > 0 {
+			req.Deadline = in.now().Add(deadline)
+		}
+		in.reduce(&router.RequestArrived{Ref: in.nextRef, Request: req})
+	})
+}
+
+func (in *simInstance) reduce(ev structs.Event) {
+	effects := slices.Clone(in.state.Reduce(in.now(), ev))
+	for _, effect := range effects {
+		switch e := effect.(type) {
+		case router.Send:
+			in.send(e)
+		case router.RequestCredits:
+			owner := in.sim.owners[e.Region]
+			request := e.Request
+			in.sim.after(in.sim.delay(in.location.Region, e.Region), func() { owner.receive(&request) })
+		case router.ExtendAttempt:
+			if a := in.running[e.Ref]; a != nil {
+				a.send.Deadline = e.Deadline
+			}
+		case router.Refuse:
+			if in.sim.recording {
+				in.sim.refused[e.Reason]++
+			}
+		case router.RequestObserved:
+			in.sim.observe(e)
+		}
+	}
+}
+
+func (s *routerSim) observe(e router.RequestObserved) {
+	if !s.recording {
+		return
+	}
+	s.totals[e.Outcome]++
+	if s.perClass[e.Class] == nil {
+		s.perClass[e.Class] = map[router.Outcome]int{}
+	}
+	s.perClass[e.Class][e.Outcome]++
+	if e.Outcome == router.Answered {
+		s.waits[e.Class] = append(s.waits[e.Class], e.Wait)
+	}
+}
+
+func (in *simInstance) send(e router.Send) {
+	x := in.sim.byID(e.Executor)
+	x.begin()
+	in.sim.attempts++
+	a := &simAttempt{executor: x, send: e}
+	in.running[e.Ref] = a
+	run, result := in.sim.exponential(meanRun), router.Result{Kind: router.Completed, Status: 200}
+	if x.behave != nil {
+		run, result = x.behave()
+	}
+	result.HeadLatency = run
+	result.Replayable = true
+	in.sim.after(run, func() {
+		if a.ended {
+			return
+		}
+		// The executor is done even if its instance is paused.
+		a.ended = true
+		x.running--
+		in.deliver(func() { in.forget(a); in.reduce(&router.AttemptEnded{Ref: e.Ref, Attempt: e.Attempt, Result: result}) })
+	})
+}
+
+func (in *simInstance) forget(a *simAttempt) {
+	if in.running[a.send.Ref] == a {
+		delete(in.running, a.send.Ref)
+	}
+}
+
+// end closes the connection of an attempt.
+func (in *simInstance) end(a *simAttempt, result router.Result) {
+	if a.ended {
+		return
+	}
+	a.ended = true
+	a.executor.running--
+	in.forget(a)
+	in.reduce(&router.AttemptEnded{Ref: a.send.Ref, Attempt: a.send.Attempt, Result: result})
+}
+
+// die closes all connections of the instance.
+func (in *simInstance) die() {
+	in.dead = true
+	for _, a := range in.sortedAttempts() {
+		if !a.ended {
+			a.ended = true
+			a.executor.running--
+		}
+	}
+}
+
+func (s *routerSim) byID(id structs.ExecutorID) *simExecutor {
+	for _, x := range s.executors {
+		if x.info.ID == id {
+			return x
+		}
+	}
+	return nil
+}
+
+// maximum returns the most requests that ever ran on one executor.
+func (s *routerSim) maximum() int {
+	most := 0
+	for _, x := range s.executors {
+		most = max(most, x.maximum)
+	}
+	return most
+}
+
+func percentile(waits []time.Duration, p float64) time.Duration {
+	if len(waits) == 0 {
+		return 0
+	}
+	sorted := slices.Clone(waits)
+	slices.Sort(sorted)
+	return sorted[min(len(sorted)-1, int(p*float64(len(sorted))))]
+}
