Share slots by need instead of by inflated peaks

Cause: every instance asked for its peak of the last second plus a quarter and four, so the sum exceeded the slots and max-min sharing starved the busiest instance; a pending report was also forgotten when its gap had not passed. Change: demand is the smoothed use plus the queue; shares are proportional to it when slots are short, the rest goes by its square root; the report flag is kept per owner.

--- a/router/credits/balance.go
+++ b/router/credits/balance.go
@@ -1,6 +1,10 @@
 package credits
 
-import "github.com/mangodrum/mangodrum/structs"
+import (
+	"math"
+
+	"github.com/mangodrum/mangodrum/structs"
+)
 
 // rebalance gives free slots to holders below their share and, if that does
 // not meet their demands, takes slots from holders above theirs.
@@ -92,46 +96,53 @@
 	l.hand(service, claimants, free)
 }
 
-// computeShares divides total by max-min fairness over the demands; what
-// nobody asked for is spread evenly over the holders of the region, so that
-// their next requests need not wait.
+// computeShares divides total. If the demands exceed it, every claimant gets
+// a part in proportion to its demand, so that requests wait equally long
+// wherever they arrived. What is left otherwise goes to the claimants of the
+// region by the square root of their demand, which is how much the demand of
+// independent arrivals varies.
 func (l *Ledger) computeShares(claimants []claimant, total int) {
-	left := fill(claimants, total, func(c *claimant) int { return c.demand })
-	fill(claimants, left, func(c *claimant) int {
+	demands := 0
+	for i := range claimants {
+		demands += claimants[i].demand
+	}
+	if demands >= total {
+		divide(claimants, total, func(c *claimant) float64 { return float64(c.demand) })
+		return
+	}
+	for i := range claimants {
+		claimants[i].share = claimants[i].demand
+	}
+	divide(claimants, total-demands, func(c *claimant) float64 {
 		if c.holder.location.Region != l.cfg.Region {
-			return c.share
+			return 0
 		}
-		return total
+		return math.Sqrt(float64(c.demand + 1))
 	})
 }
 
-// fill raises the shares one slot at a time, up to the limit of each
-// claimant, and returns what is left.
-func fill(claimants []claimant, left int, limit func(*claimant) int) int {
-	for progress := true; progress && left > 0; {
-		progress = false
-		lowest := lowestShare(claimants, limit)
-		for i := range claimants {
-			c := &claimants[i]
-			if left == 0 || c.share > lowest || c.share >= limit(c) {
-				continue
-			}
-			c.share++
-			left--
-			progress = true
-		}
+// divide adds total to the shares in proportion to weight. Rounding down
+// leaves a remainder, which goes out one by one.
+func divide(claimants []claimant, total int, weight func(*claimant) float64) {
+	sum := 0.0
+	for i := range claimants {
+		sum += weight(&claimants[i])
 	}
-	return left
-}
-
-func lowestShare(claimants []claimant, limit func(*claimant) int) int {
-	lowest := int(^uint(0) >> 1)
+	if sum == 0 {
+		return
+	}
+	left := total
 	for i := range claimants {
-		if c := &claimants[i]; c.share < limit(c) {
-			lowest = min(lowest, c.share)
+		part := int(float64(total) * weight(&claimants[i]) / sum)
+		claimants[i].share += part
+		left -= part
+	}
+	for i := range claimants {
+		if left > 0 && weight(&claimants[i]) > 0 {
+			claimants[i].share++
+			left--
 		}
 	}
-	return lowest
 }
 
 // takeBack lowers the targets of holders above their share until wanted slots
--- a/router/credits/messages.go
+++ b/router/credits/messages.go
@@ -11,10 +11,12 @@
 const Lease = 15 * time.Second
 
 // RequestInterval is how often a holder reports and renews, RequestMinGap how
-// soon it may report again when its demand changed.
+// soon it may report again when its demand changed, and ReturnMinGap when it
+// returns slots that others wait for.
 const (
 	RequestInterval = 2 * time.Second
 	RequestMinGap   = 50 * time.Millisecond
+	ReturnMinGap    = 5 * time.Millisecond
 )
 
 // Holding is a credit for one executor.
@@ -25,7 +27,8 @@
 	Until       structs.Timestamp  `cbor:"4,keyasint"`
 }
 
-// Demand is the number of slots of a service that an instance can use.
+// Demand is the number of slots of a service that an instance can use now:
+// those in use and its queued requests.
 type Demand struct {
 	Service string `cbor:"1,keyasint"`
 	Slots   int    `cbor:"2,keyasint"`
--- a/router/executor.go
+++ b/router/executor.go
@@ -173,7 +173,7 @@
 	s.rebuildServices()
 	s.applyAlone()
 	s.recountHeld()
-	s.credit.changed = true
+	s.holdingsChanged()
 	s.dispatchAll()
 	s.requestCredits()
 }
--- a/router/holdings.go
+++ b/router/holdings.go
@@ -4,7 +4,6 @@
 	"maps"
 	"math"
 	"slices"
-	"time"
 
 	"github.com/mangodrum/mangodrum/router/credits"
 	"github.com/mangodrum/mangodrum/structs"
@@ -20,7 +19,6 @@
 type creditState struct {
 	sequence uint64
 	regions  map[structs.Region]*regionCredit
-	changed  bool // demand or holdings changed since the last request
 }
 
 // regionCredit is the state towards the owner of one region's executors.
@@ -29,6 +27,7 @@
 	sequence    uint64 // of the last request
 	requestedAt structs.Timestamp
 	sent        map[string]int // demands in the last request
+	changed     bool           // holdings changed since the last request
 }
 
 func (c *creditState) init(cfg Config) {
@@ -36,21 +35,25 @@
 	c.regions = map[structs.Region]*regionCredit{}
 }
 
-// demand remembers the recent peak of the slots that a service can use.
+// demand follows the slots that a service can use: those in use plus the
+// queued requests.
 type demand struct {
-	peak   int
-	peakAt structs.Timestamp
+	average int64 // smoothed, in thousandths
 }
 
-// demandMemory is how long a peak of demand keeps credits here.
-const demandMemory = time.Second
+// demandSmoothing is the weight of the past in the average, in ticks; it
+// bridges the gaps between the requests of a steady load.
+const demandSmoothing = 16
 
-// noteDemand updates the peak of the service's demand.
-func (svc *service) noteDemand(s *State) {
-	want := svc.inflight + svc.queuedTotal()
-	if want >= svc.demand.peak || s.now.Sub(svc.demand.peakAt) > demandMemory {
-		svc.demand = demand{want, s.now}
-	}
+// noteDemand updates the average once per tick.
+func (svc *service) noteDemand() {
+	current := int64(svc.inflight+svc.queuedTotal()) * 1000
+	svc.demand.average += (current - svc.demand.average) / demandSmoothing
+}
+
+// need returns the slots that the service can use now.
+func (svc *service) need() int {
+	return max(int(svc.demand.average+999)/1000, svc.inflight+svc.queuedTotal())
 }
 
 // applyAlone gives this instance the full slots when it asks nobody.
@@ -99,7 +102,7 @@
 	}
 	if g.Epoch > region.epoch {
 		region.epoch = g.Epoch
-		s.credit.changed = true
+		region.changed = true
 	}
 	granted := make(map[structs.ExecutorID]credits.Holding, len(g.Holdings))
 	for _, h := range g.Holdings {
@@ -114,7 +117,7 @@
 			h.Until = e.until // what runs keeps the end that it was started with
 		}
 		if h.Slots < e.held {
-			s.credit.changed = true
+			region.changed = true
 		}
 		s.setHolding(e, h.Slots, h.Until)
 	}
@@ -138,6 +141,13 @@
 	}
 }
 
+// holdingsChanged makes the next request to every owner due soon.
+func (s *State) holdingsChanged() {
+	for _, rc := range s.credit.regions {
+		rc.changed = true
+	}
+}
+
 // expireCredits drops credits whose end has passed.
 func (s *State) expireCredits() {
 	dropped := false
@@ -148,7 +158,7 @@
 		}
 	}
 	if dropped {
-		s.credit.changed = true
+		s.holdingsChanged()
 		s.recountHeld()
 	}
 }
@@ -170,33 +180,37 @@
 			s.sendCreditRequest(region, rc, demands)
 		}
 	}
-	s.credit.changed = false
 }
 
 func (s *State) requestDue(rc *regionCredit, demands []credits.Demand) bool {
 	age := s.now.Sub(rc.requestedAt)
-	if rc.sequence == 0 || age >= credits.RequestInterval {
+	switch {
+	case rc.sequence == 0 || age >= credits.RequestInterval:
 		return true
-	}
-	if age < credits.RequestMinGap {
-		return false
-	}
-	if s.credit.changed {
+	case rc.changed && age >= credits.ReturnMinGap:
 		return true
+	case age < credits.RequestMinGap:
+		return false
 	}
 	for _, d := range demands {
 		was := rc.sent[d.Service]
-		if d.Slots > was || d.Slots < was/2 {
+		margin := max(demandMargin, was/demandMargin)
+		if d.Slots > was+margin || d.Slots < was-margin {
 			return true
 		}
 	}
 	return false
 }
 
+// demandMargin is the change of demand, in slots and as a fraction, that is
+// reported before the next regular request.
+const demandMargin = 4
+
 func (s *State) sendCreditRequest(region structs.Region, rc *regionCredit, demands []credits.Demand) {
 	s.credit.sequence++
 	rc.sequence = s.credit.sequence
 	rc.requestedAt = s.now
+	rc.changed = false
 	rc.sent = make(map[string]int, len(demands))
 	for _, d := range demands {
 		rc.sent[d.Service] = d.Slots
@@ -232,10 +246,6 @@
 	return regions
 }
 
-// headroom is the number of slots asked for beyond the peak in use, so that
-// the next requests need not wait for a grant.
-func headroom(peak int) int { return 4 + peak/4 }
-
 // demandsFor returns what this instance can use of a region's executors. It
 // asks other regions only when the wait here exceeds the cost of leaving.
 func (s *State) demandsFor(region structs.Region) []credits.Demand {
@@ -258,7 +268,7 @@
 		}
 	}
 	if region == s.cfg.Location.Region {
-		return svc.demand.peak + headroom(svc.demand.peak)
+		return svc.need()
 	}
 	queued := svc.queuedTotal()
 	home := svc.hasRegion(s.cfg.Location.Region)
@@ -267,7 +277,7 @@
 		return running + queued
 	}
 	if !home {
-		return running + headroom(running)
+		return svc.need()
 	}
 	return running
 }
--- a/router/queue.go
+++ b/router/queue.go
@@ -140,7 +140,6 @@
 		}
 	}
 	s.enqueue(r)
-	svc.noteDemand(s)
 }
 
 // dispatchAll starts what can start in every service.
@@ -154,7 +153,6 @@
 // head cannot start is set aside for this pass, so it blocks nobody else.
 func (s *State) dispatch(svc *service) {
 	svc.round++
-	svc.noteDemand(s)
 	for svc.queuedTotal() > 0 && svc.inflight < svc.held {
 		queue, team := s.nextQueued(svc)
 		if team == nil {
--- a/router/service.go
+++ b/router/service.go
@@ -131,7 +131,6 @@
 		Deadline: s.attemptDeadline(r, e),
 		MayRetry: r.req.Idempotent && r.attempt < s.policy.MaxAttempts,
 	})
-	svc.noteDemand(s)
 }
 
 // attemptDeadline leaves an idempotent request time for another attempt if
--- a/router/state.go
+++ b/router/state.go
@@ -189,6 +189,9 @@
 // tick handles what is due.
 func (s *State) tick() {
 	s.expireCredits()
+	for _, svc := range s.services {
+		svc.noteDemand()
+	}
 	for {
 		due, ok := s.timers.popDue(s.now)
 		if !ok {
