Add the settings tree, input files and examples

Cause: the daemon needs settings, instance and job files and two example cells. Change: package internal/strictyaml decodes files and reports every error with file, line, field and remedy; package settings decodes, resolves, compares and applies trees; package config decodes instance, job, request and cell files; examples/ holds both users' files.

--- /dev/null
+++ b/settings/diff.go
@@ -0,0 +1,226 @@
+package settings
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"slices"
+	"strings"
+
+	"github.com/mangodrum/mangodrum/errs"
+	"github.com/mangodrum/mangodrum/internal/strictyaml"
+	"github.com/mangodrum/mangodrum/structs"
+)
+
+// Change is the change of one field. Path is "cell", "classes/NAME" or the
+// path of a branch. An empty Field stands for the class or branch itself,
+// with the value Present or "". An empty value means that the field is unset.
+type Change struct {
+	Path  string `json:"path" yaml:"path" cbor:"1,keyasint"`
+	Field string `json:"field,omitempty" yaml:"field" cbor:"2,keyasint,omitempty"`
+	Old   string `json:"old,omitempty" yaml:"old" cbor:"3,keyasint,omitempty"`
+	New   string `json:"new,omitempty" yaml:"new" cbor:"4,keyasint,omitempty"`
+}
+
+// Present is the value of a class or branch that exists.
+const Present = "present"
+
+const (
+	cellPath    = "cell"
+	classPrefix = "classes/"
+)
+
+// Hash returns the SHA-256 of the canonical encoding in hexadecimal digits.
+func (t *Tree) Hash() string {
+	sum := sha256.Sum256(t.Encode())
+	return hex.EncodeToString(sum[:])
+}
+
+// node is one object of the tree with its fields in their notation.
+type node struct {
+	path    string
+	entries []strictyaml.Entry
+}
+
+func (t *Tree) nodes() []node {
+	list := []node{{cellPath, strictyaml.Flatten(t.Cell)}}
+	for _, class := range t.Classes {
+		list = append(list, node{classPrefix + string(class.Name), strictyaml.Flatten(class)[1:]})
+	}
+	for _, branch := range t.Branches {
+		list = append(list, node{string(branch.Path), strictyaml.Flatten(branch.Set)})
+	}
+	return list
+}
+
+// Diff returns the changes that lead from old to new, sorted by path. A nil
+// tree is empty.
+func Diff(old, new *Tree) []Change {
+	before, after := nodeMap(old), nodeMap(new)
+	var changes []Change
+	for path := range before {
+		changes = append(changes, diffNode(path, before, after)...)
+	}
+	for path := range after {
+		if _, ok := before[path]; !ok {
+			changes = append(changes, diffNode(path, before, after)...)
+		}
+	}
+	slices.SortFunc(changes, func(a, b Change) int {
+		if order := strings.Compare(a.Path, b.Path); order != 0 {
+			return order
+		}
+		return strings.Compare(a.Field, b.Field)
+	})
+	return changes
+}
+
+func nodeMap(t *Tree) map[string][]strictyaml.Entry {
+	nodes := map[string][]strictyaml.Entry{cellPath: nil}
+	if t == nil {
+		return nodes
+	}
+	for _, n := range t.nodes() {
+		nodes[n.path] = n.entries
+	}
+	return nodes
+}
+
+func diffNode(path string, before, after map[string][]strictyaml.Entry) []Change {
+	var changes []Change
+	oldEntries, existed := before[path]
+	newEntries, exists := after[path]
+	if existed != exists {
+		changes = append(changes, Change{Path: path, Old: presence(existed), New: presence(exists)})
+	}
+	newValues := make(map[string]string, len(newEntries))
+	for _, entry := range newEntries {
+		newValues[entry.Field] = entry.Text
+	}
+	for _, entry := range oldEntries {
+		if value := newValues[entry.Field]; value != entry.Text {
+			changes = append(changes, Change{Path: path, Field: entry.Field, Old: entry.Text, New: value})
+		}
+		delete(newValues, entry.Field)
+	}
+	for field, value := range newValues {
+		changes = append(changes, Change{Path: path, Field: field, New: value})
+	}
+	return changes
+}
+
+func presence(exists bool) string {
+	if exists {
+		return Present
+	}
+	return ""
+}
+
+// Apply returns the tree with the changes. It fails with errs.Conflict if a
+// field does not have its old value, and with errs.InvalidInput if the result
+// is not valid; tree itself is never modified. A nil tree is empty.
+func Apply(tree *Tree, changes []Change) (*Tree, error) {
+	next, err := applyUnchecked(tree, changes)
+	if err != nil {
+		return nil, err
+	}
+	return next, next.Validate()
+}
+
+// applyUnchecked applies the changes without validating the result.
+func applyUnchecked(tree *Tree, changes []Change) (*Tree, error) {
+	next := &Tree{}
+	if tree != nil {
+		next = &Tree{Cell: tree.Cell, Classes: slices.Clone(tree.Classes), Branches: slices.Clone(tree.Branches)}
+	}
+	current := nodeMap(tree)
+	for _, change := range changes {
+		if err := checkOld(current, change); err != nil {
+			return nil, err
+		}
+		if err := next.applyChange(change); err != nil {
+			return nil, err
+		}
+	}
+	next.normalize()
+	return next, nil
+}
+
+// Validate checks a tree that was not decoded from a file. Lines in its errors
+// are those of the canonical encoding.
+func (t *Tree) Validate() error {
+	_, err := Decode("settings", t.Encode())
+	return err
+}
+
+func checkOld(current map[string][]strictyaml.Entry, change Change) error {
+	entries, exists := current[change.Path]
+	value := presence(exists)
+	if change.Field != "" {
+		value = ""
+		for _, entry := range entries {
+			if entry.Field == change.Field {
+				value = entry.Text
+			}
+		}
+	}
+	if value == change.Old {
+		return nil
+	}
+	return errs.New(errs.Conflict, "compare with the version in force and repeat the change",
+		"%s %s is %q, not %q", change.Path, change.Field, value, change.Old)
+}
+
+func (t *Tree) applyChange(change Change) error {
+	switch {
+	case change.Path == cellPath:
+		return setField(&t.Cell, change)
+	case strings.HasPrefix(change.Path, classPrefix):
+		return t.applyToClass(structs.ClassName(strings.TrimPrefix(change.Path, classPrefix)), change)
+	}
+	return t.applyToBranch(structs.TeamID(change.Path), change)
+}
+
+func (t *Tree) applyToClass(name structs.ClassName, change Change) error {
+	i := slices.IndexFunc(t.Classes, func(c Class) bool { return c.Name == name })
+	switch {
+	case change.Field == "" && change.New == "":
+		if i >= 0 {
+			t.Classes = slices.Delete(t.Classes, i, i+1)
+		}
+		return nil
+	case change.Field == "":
+		t.Classes = append(t.Classes, Class{Name: name})
+		return nil
+	case i < 0 && change.New == "":
+		return nil // the class was removed by an earlier change
+	case i < 0:
+		return errs.New(errs.InvalidInput, "add the class first", "class %q does not exist", name)
+	}
+	return setField(&t.Classes[i], change)
+}
+
+func (t *Tree) applyToBranch(path structs.TeamID, change Change) error {
+	i := slices.IndexFunc(t.Branches, func(b Branch) bool { return b.Path == path })
+	switch {
+	case change.Field == "" && change.New == "":
+		if i >= 0 {
+			t.Branches = slices.Delete(t.Branches, i, i+1)
+		}
+		return nil
+	case change.Field == "":
+		t.Branches = append(t.Branches, Branch{Path: path})
+		return nil
+	case i < 0 && change.New == "":
+		return nil // the branch was removed by an earlier change
+	case i < 0:
+		return errs.New(errs.InvalidInput, "add the branch first", "branch %q does not exist", path)
+	}
+	return setField(&t.Branches[i].Set, change)
+}
+
+func setField(target any, change Change) error {
+	if err := strictyaml.SetField(target, change.Field, change.New); err != nil {
+		return errs.Wrap(err, errs.InvalidInput, "correct the value", "change of %s", change.Path)
+	}
+	return nil
+}
