--- /dev/null
+++ b/operatorapi/client.go
@@ -0,0 +1,251 @@
+package operatorapi
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/mangodrum/mangodrum/errs"
+	"github.com/mangodrum/mangodrum/structs"
+)
+
+const (
+	defaultTimeout  = 20 * time.Second // above the server's call timeout of 15 s, so that its answer arrives
+	dialTimeout     = 3 * time.Second
+	maxResponseSize = 64 << 20 // bytes; a list of 18,000 tasks takes about 6 MiB
+)
+
+// Client calls the operators' API of one instance. It implements Backend.
+type Client struct {
+	address string
+	secret  string
+	http    *fasthttp.Client
+}
+
+var _ Backend = (*Client)(nil)
+
+// NewClient returns a client of the instance with the given operators'
+// address (IP:port). The secret may be empty.
+func NewClient(address, secret string) *Client {
+	return &Client{address: address, secret: secret, http: &fasthttp.Client{
+		Name:                      "mangodrum",
+		MaxResponseBodySize:       maxResponseSize,
+		MaxIdemponentCallAttempts: 1, // the caller decides on repeats
+		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		Dial: func(address string) (net.Conn, error) {
+			return fasthttp.DialTimeout(address, dialTimeout)
+		},
+	}}
+}
+
+// Close closes idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// do carries out one call. The deadline of ctx bounds it; a cancelled ctx is
+// noticed before the call only.
+func (c *Client) do(ctx context.Context, method, path string, query url.Values, body, result any) error {
+	if err := ctx.Err(); err != nil {
+		return errs.Wrap(err, errs.NotRun, "repeat the command", "%s %s", method, path)
+	}
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.Header.SetMethod(method)
+	request.SetRequestURI("http://" + c.address + path)
+	request.URI().SetQueryString(query.Encode())
+	if c.secret != "" {
+		request.Header.Set(SecretHeader, c.secret)
+	}
+	if body != nil {
+		data, err := json.Marshal(body)
+		if err != nil {
+			return errs.Wrap(err, errs.InvalidInput, "correct the input", "encode the body")
+		}
+		request.Header.SetContentType("application/json")
+		request.SetBody(data)
+	}
+	if err := c.http.DoDeadline(request, response, deadlineOf(ctx)); err != nil {
+		return c.transportError(err, method, path)
+	}
+	if response.StatusCode() != fasthttp.StatusOK {
+		return errorOf(response.StatusCode(), response.Body())
+	}
+	if err := json.Unmarshal(response.Body(), result); err != nil {
+		return errs.Wrap(err, unknownFor(method), "check that server and command have the same version", "decode the response to %s %s", method, path)
+	}
+	return nil
+}
+
+func deadlineOf(ctx context.Context) time.Time {
+	limit := time.Now().Add(defaultTimeout)
+	if deadline, ok := ctx.Deadline(); ok && deadline.Before(limit) {
+		return deadline
+	}
+	return limit
+}
+
+// unknownFor returns the kind of an error after which the outcome of a call
+// cannot be known. A GET changes nothing.
+func unknownFor(method string) errs.Kind {
+	if method == fasthttp.MethodGet {
+		return errs.Unreachable
+	}
+	return errs.OutcomeUnknown
+}
+
+func (c *Client) transportError(err error, method, path string) error {
+	var dial *net.OpError
+	notSent := errors.Is(err, fasthttp.ErrDialTimeout) || errors.Is(err, fasthttp.ErrNoFreeConns) ||
+		errors.As(err, &dial) && dial.Op == "dial"
+	if notSent {
+		return errs.Wrap(err, errs.Unreachable, "start the daemon or name another instance with --server",
+			"connect to %s", c.address)
+	}
+	remedy := "try again or name another instance with --server"
+	if method != fasthttp.MethodGet {
+		remedy = "look at the current state, then repeat the same command; repeats have no second effect"
+	}
+	return errs.Wrap(err, unknownFor(method), remedy, "%s %s at %s", method, path, c.address)
+}
+
+func get[T any](ctx context.Context, c *Client, path string, query url.Values) (T, error) {
+	var result T
+	err := c.do(ctx, fasthttp.MethodGet, path, query, nil, &result)
+	return result, err
+}
+
+func post[T any](ctx context.Context, c *Client, path string, body any) (T, error) {
+	var result T
+	err := c.do(ctx, fasthttp.MethodPost, path, nil, body, &result)
+	return result, err
+}
+
+// onPath returns the path of an object, or an error if its identifier cannot
+// stand in a path.
+func onPath(collection, what, id, action string) (string, error) {
+	if err := CheckID(what, id); err != nil {
+		return "", err
+	}
+	path := "/v1/" + collection + "/" + id
+	if action != "" {
+		path += "/" + action
+	}
+	return path, nil
+}
+
+func getObject[T any](ctx context.Context, c *Client, collection, what, id, action string) (T, error) {
+	path, err := onPath(collection, what, id, action)
+	if err != nil {
+		var zero T
+		return zero, err
+	}
+	return get[T](ctx, c, path, nil)
+}
+
+func postObject[T any](ctx context.Context, c *Client, collection, what, id, action string) (T, error) {
+	path, err := onPath(collection, what, id, action)
+	if err != nil {
+		var zero T
+		return zero, err
+	}
+	return post[T](ctx, c, path, struct{}{})
+}
+
+// queryOf returns the non-empty pairs as a query.
+func queryOf(pairs ...string) url.Values {
+	query := url.Values{}
+	for i := 0; i < len(pairs); i += 2 {
+		if value := pairs[i+1]; value != "" && value != "0" {
+			query.Set(pairs[i], value)
+		}
+	}
+	return query
+}
+
+// Version implements Backend.
+func (c *Client) Version(ctx context.Context) (VersionInfo, error) {
+	return get[VersionInfo](ctx, c, "/v1/version", nil)
+}
+
+// Settings implements Backend.
+func (c *Client) Settings(ctx context.Context, query SettingsQuery) (SettingsReply, error) {
+	values := queryOf("version", strconv.FormatUint(query.Version, 10), "path", string(query.Path))
+	return get[SettingsReply](ctx, c, "/v1/settings", values)
+}
+
+// ApplySettings implements Backend.
+func (c *Client) ApplySettings(ctx context.Context, request ApplyRequest) (ApplyReply, error) {
+	return post[ApplyReply](ctx, c, "/v1/settings", request)
+}
+
+// SettingsHistory implements Backend.
+func (c *Client) SettingsHistory(ctx context.Context, query HistoryQuery) (HistoryReply, error) {
+	values := queryOf("before", strconv.FormatUint(query.Before, 10), "limit", strconv.Itoa(query.Limit))
+	return get[HistoryReply](ctx, c, "/v1/settings/history", values)
+}
+
+// SettingsStatus implements Backend.
+func (c *Client) SettingsStatus(ctx context.Context) (SettingsStatus, error) {
+	return get[SettingsStatus](ctx, c, "/v1/settings/status", nil)
+}
+
+// SubmitJob implements Backend.
+func (c *Client) SubmitJob(ctx context.Context, job structs.Job) (JobStatus, error) {
+	return post[JobStatus](ctx, c, "/v1/jobs", job)
+}
+
+// Jobs implements Backend.
+func (c *Client) Jobs(ctx context.Context, query JobQuery) (JobList, error) {
+	values := queryOf("team", string(query.Team), "class", string(query.Class),
+		"after", string(query.After), "limit", strconv.Itoa(query.Limit))
+	if query.Active {
+		values.Set("active", "true")
+	}
+	return get[JobList](ctx, c, "/v1/jobs", values)
+}
+
+// Job implements Backend.
+func (c *Client) Job(ctx context.Context, id structs.JobID) (JobDetail, error) {
+	return getObject[JobDetail](ctx, c, "jobs", "job", string(id), "")
+}
+
+// CancelJob implements Backend.
+func (c *Client) CancelJob(ctx context.Context, id structs.JobID) (JobStatus, error) {
+	return postObject[JobStatus](ctx, c, "jobs", "job", string(id), "cancel")
+}
+
+// ExplainJob implements Backend.
+func (c *Client) ExplainJob(ctx context.Context, id structs.JobID) (JobExplanation, error) {
+	return getObject[JobExplanation](ctx, c, "jobs", "job", string(id), "explain")
+}
+
+// Workers implements Backend.
+func (c *Client) Workers(ctx context.Context) (WorkerList, error) {
+	return get[WorkerList](ctx, c, "/v1/workers", nil)
+}
+
+// ActOnWorker implements Backend.
+func (c *Client) ActOnWorker(ctx context.Context, id structs.WorkerID, action WorkerAction) (WorkerStatus, error) {
+	return postObject[WorkerStatus](ctx, c, "workers", "worker", string(id), string(action))
+}
+
+// Instances implements Backend.
+func (c *Client) Instances(ctx context.Context) (InstanceList, error) {
+	return get[InstanceList](ctx, c, "/v1/instances", nil)
+}
+
+// DrainInstance implements Backend.
+func (c *Client) DrainInstance(ctx context.Context, id structs.InstanceID) (InstanceStatus, error) {
+	return postObject[InstanceStatus](ctx, c, "instances", "instance", string(id), "drain")
+}
+
+// Queues implements Backend.
+func (c *Client) Queues(ctx context.Context) (QueueList, error) {
+	return get[QueueList](ctx, c, "/v1/queues", nil)
+}
--- /dev/null
+++ b/operatorapi/types.go
@@ -0,0 +1,245 @@
+package operatorapi
+
+import (
+	"time"
+
+	"github.com/mangodrum/mangodrum/settings"
+	"github.com/mangodrum/mangodrum/structs"
+)
+
+// SecretHeader carries the operators' shared secret.
+const SecretHeader = "Mangodrum-Secret"
+
+// VersionInfo answers GET /v1/version.
+type VersionInfo struct {
+	Version         string             `json:"version"`
+	Revision        string             `json:"revision,omitempty"`
+	Go              string             `json:"go"`
+	Instance        structs.InstanceID `json:"instance"`
+	SettingsVersion uint64             `json:"settings_version"`
+}
+
+// SettingsQuery selects what GET /v1/settings returns.
+type SettingsQuery struct {
+	Version uint64         // 0: the version in force at the instance
+	Path    structs.TeamID // "": the whole tree
+}
+
+// SettingsReply answers GET /v1/settings. With a path, Fields holds the
+// branch's effective settings and YAML is empty.
+type SettingsReply struct {
+	Version settings.Version         `json:"version"`
+	YAML    string                   `json:"yaml,omitempty"`
+	Path    structs.TeamID           `json:"path,omitempty"`
+	Fields  []settings.ResolvedField `json:"fields,omitempty"`
+}
+
+// ApplyRequest is the body of POST /v1/settings.
+type ApplyRequest struct {
+	Base       uint64 `json:"base"` // version that the change is based on
+	Author     string `json:"author"`
+	Reason     string `json:"reason"`
+	ChangeID   string `json:"change_id"` // unique per change; the same one when it is repeated
+	YAML       string `json:"yaml,omitempty"`
+	RollbackTo uint64 `json:"rollback_to,omitempty"` // instead of YAML: restore this version
+	DryRun     bool   `json:"dry_run,omitempty"`
+}
+
+// ApplyReply answers POST /v1/settings. With DryRun, Version.Number is the
+// number that the change would get.
+type ApplyReply struct {
+	Version settings.Version `json:"version"`
+	Impact  settings.Impact  `json:"impact"`
+	DryRun  bool             `json:"dry_run,omitempty"`
+}
+
+// HistoryQuery pages through GET /v1/settings/history, newest first.
+type HistoryQuery struct {
+	Before uint64 // only versions below; 0: from the newest
+	Limit  int
+}
+
+// HistoryReply answers GET /v1/settings/history.
+type HistoryReply struct {
+	Versions []settings.Version `json:"versions"`
+}
+
+// InstanceSettings is the settings version in force at an instance.
+type InstanceSettings struct {
+	Instance structs.InstanceID `json:"instance"`
+	Version  uint64             `json:"version"`
+	Status   InstanceHealth     `json:"status"`
+	At       structs.Timestamp  `json:"at"` // when the version was reported
+}
+
+// SettingsStatus answers GET /v1/settings/status.
+type SettingsStatus struct {
+	Head      uint64             `json:"head"` // highest version known to the answering instance
+	Instances []InstanceSettings `json:"instances"`
+}
+
+// InstanceHealth is the state of an instance as its peers see it.
+type InstanceHealth string
+
+// Instance health.
+const (
+	InstanceLive    InstanceHealth = "live"
+	InstanceSuspect InstanceHealth = "suspect"
+	InstanceDead    InstanceHealth = "dead"
+	InstanceLeaving InstanceHealth = "leaving"
+)
+
+// JobQuery filters GET /v1/jobs. Empty fields match everything.
+type JobQuery struct {
+	Team   structs.TeamID // matches the branches below as well
+	Class  structs.ClassName
+	Active bool // only jobs with tasks that have not ended
+	After  structs.JobID
+	Limit  int
+}
+
+// TaskCounts counts the tasks of a job by state.
+type TaskCounts struct {
+	Pending   int `json:"pending"`
+	Running   int `json:"running"` // starting, running or stopping
+	Unknown   int `json:"unknown"`
+	Succeeded int `json:"succeeded"`
+	Failed    int `json:"failed"`
+	Cancelled int `json:"cancelled"`
+}
+
+// Count adds a task in the given state.
+func (c *TaskCounts) Count(state structs.TaskState) {
+	switch state {
+	case structs.TaskPending:
+		c.Pending++
+	case structs.TaskStarting, structs.TaskRunning, structs.TaskStopping:
+		c.Running++
+	case structs.TaskUnknown:
+		c.Unknown++
+	case structs.TaskSucceeded:
+		c.Succeeded++
+	case structs.TaskFailed:
+		c.Failed++
+	case structs.TaskCancelled:
+		c.Cancelled++
+	}
+}
+
+// JobStatus is a job with the shard that owns it and its progress.
+type JobStatus struct {
+	Job       structs.Job     `json:"job"`
+	Shard     structs.ShardID `json:"shard"`
+	Tasks     TaskCounts      `json:"tasks"`
+	Cancelled bool            `json:"cancelled,omitempty"`
+}
+
+// JobList answers GET /v1/jobs, sorted by identifier.
+type JobList struct {
+	Jobs []JobStatus   `json:"jobs"`
+	Next structs.JobID `json:"next,omitempty"` // After of the next page; "" at the end
+}
+
+// JobDetail answers GET /v1/jobs/{id}.
+type JobDetail struct {
+	JobStatus
+	TaskList []structs.Task `json:"task_list"`
+}
+
+// ReasonCount counts the workers that a pending task cannot use for a reason.
+type ReasonCount struct {
+	Reason  string `json:"reason"`
+	Workers int    `json:"workers"`
+}
+
+// JobExplanation answers GET /v1/jobs/{id}/explain.
+type JobExplanation struct {
+	Job         structs.JobID     `json:"job"`
+	State       string            `json:"state"`   // what the job waits for, or that it does not wait
+	Summary     string            `json:"summary"` // one sentence
+	Remedy      string            `json:"remedy,omitempty"`
+	Task        structs.TaskID    `json:"task,omitempty"` // the task that the reasons are about
+	Reasons     []ReasonCount     `json:"reasons,omitempty"`
+	LargestFree structs.Resources `json:"largest_free"`
+	Queue       *QueueStatus      `json:"queue,omitempty"`
+}
+
+// WorkerStatus is a worker as its shard's owner sees it.
+type WorkerStatus struct {
+	Worker      structs.Worker    `json:"worker"`
+	Shard       structs.ShardID   `json:"shard"`
+	Reserved    structs.Resources `json:"reserved"`
+	Used        structs.Resources `json:"used"` // as reported; lags
+	Tasks       int               `json:"tasks"`
+	Unconfirmed int               `json:"unconfirmed"` // tasks that may run and are not confirmed
+	Draining    bool              `json:"draining,omitempty"`
+	Quarantined bool              `json:"quarantined,omitempty"`
+	Unreachable bool              `json:"unreachable,omitempty"`
+	ReportedAt  structs.Timestamp `json:"reported_at"`
+}
+
+// WorkerList answers GET /v1/workers, sorted by identifier.
+type WorkerList struct {
+	Workers []WorkerStatus `json:"workers"`
+}
+
+// InstanceStatus is an instance as the answering instance sees it.
+type InstanceStatus struct {
+	Info            structs.InstanceInfo `json:"info"`
+	Health          InstanceHealth       `json:"health"`
+	Incarnation     uint64               `json:"incarnation"`
+	SettingsVersion uint64               `json:"settings_version"`
+	Shards          []structs.ShardID    `json:"shards,omitempty"` // owned
+	InFlight        int                  `json:"in_flight"`        // requests
+	Self            bool                 `json:"self,omitempty"`
+	Draining        bool                 `json:"draining,omitempty"`
+}
+
+// InstanceList answers GET /v1/instances, sorted by identifier.
+type InstanceList struct {
+	Instances []InstanceStatus `json:"instances"`
+}
+
+// QueueStatus is the queue of one team and class at a shard.
+type QueueStatus struct {
+	Shard     structs.ShardID   `json:"shard"`
+	Team      structs.TeamID    `json:"team"`
+	Class     structs.ClassName `json:"class"`
+	Depth     int               `json:"depth"`
+	OldestAge time.Duration     `json:"oldest_age_ns"`
+	Share     float64           `json:"share"`
+	Floor     float64           `json:"floor"`
+}
+
+// ClassWait is the waiting time of a class from acceptance to start.
+type ClassWait struct {
+	Class structs.ClassName `json:"class"`
+	P50   time.Duration     `json:"p50_ns"`
+	P99   time.Duration     `json:"p99_ns"`
+	Count uint64            `json:"count"`
+}
+
+// StoreHealth is the state of the platform's store as an instance sees it.
+type StoreHealth struct {
+	Reachable bool              `json:"reachable"`
+	LastError string            `json:"last_error,omitempty"`
+	Since     structs.Timestamp `json:"since"` // start of this state
+	Pending   int               `json:"pending"`
+}
+
+// QueueList answers GET /v1/queues.
+type QueueList struct {
+	Queues  []QueueStatus `json:"queues"`
+	Classes []ClassWait   `json:"classes"`
+	Store   StoreHealth   `json:"store"`
+}
+
+// WorkerAction is an operation on a worker; it is part of the path.
+type WorkerAction string
+
+// Worker actions.
+const (
+	WorkerDrain          WorkerAction = "drain"           // start nothing more and move tasks away gracefully
+	WorkerUndrain        WorkerAction = "undrain"         // use the worker again
+	WorkerConfirmStopped WorkerAction = "confirm-stopped" // the operator states that the worker runs nothing
+)
