Add the instance shell and the daemon's commands (not connected yet)

Cause: the reducers need a process around them. Change: package instance (listeners, timers, platform calls, operators' backend) and internal/daemon with dev, run and standin.

--- a/cmd/mangodrumd/main.go
+++ b/cmd/mangodrumd/main.go
@@ -1,4 +1,10 @@
 // Command mangodrumd is the daemon of mangodrum.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"github.com/mangodrum/mangodrum/internal/daemon"
+)
+
+func main() { os.Exit(daemon.Main(os.Args, os.Stdout, os.Stderr)) }
--- a/core/events.go
+++ b/core/events.go
@@ -4,7 +4,6 @@
 	"github.com/mangodrum/mangodrum/journal"
 	"github.com/mangodrum/mangodrum/platform"
 	"github.com/mangodrum/mangodrum/router/credits"
-	"github.com/mangodrum/mangodrum/settings"
 	"github.com/mangodrum/mangodrum/structs"
 )
 
@@ -15,9 +14,6 @@
 	Executors []structs.Executor
 }
 
-// SettingsChanged carries the settings tree that is in force from now on.
-type SettingsChanged struct{ Tree *settings.Tree }
-
 // ShardLoaded answers LoadShard.
 type ShardLoaded struct {
 	Shard  structs.ShardID
@@ -47,7 +43,8 @@
 	Err   error
 }
 
-// CreditsReceived carries a request for slot credits to the owner of a shard.
+// CreditsReceived carries a message about slot credits: a request of this
+// instance's gateway or of another instance, or a grant.
 type CreditsReceived struct{ Message credits.Message }
 
 // Drain begins the planned stop of this instance.
@@ -59,9 +56,6 @@
 // Kind implements structs.Event.
 func (DirectoryRead) Kind() string { return "directory_read" }
 
-// Kind implements structs.Event.
-func (SettingsChanged) Kind() string { return "settings_changed" }
-
 // Kind implements structs.Event.
 func (ShardLoaded) Kind() string { return "shard_loaded" }
 
@@ -120,8 +114,12 @@
 	Phase Phase
 }
 
-// SendCredits asks to deliver a grant to its instance.
-type SendCredits struct{ Message credits.Message }
+// SendCredits asks to deliver a message about slot credits. To may be this
+// instance itself.
+type SendCredits struct {
+	To      structs.InstanceID
+	Message credits.Message
+}
 
 // NotifySuccessor tells an instance that a shard was handed over to it.
 type NotifySuccessor struct {
--- a/core/home.go
+++ b/core/home.go
@@ -79,8 +79,9 @@
 	return ids
 }
 
-// WithDefaults fills the fields that a job leaves to the settings of its team.
-func (s *State) WithDefaults(now structs.Timestamp, job structs.Job) (structs.Job, error) {
+// prepare fills the fields that a job leaves to the settings of its team. A
+// repeated submission keeps the start time that the first one was given.
+func (s *State) prepare(now structs.Timestamp, x *shard, job structs.Job) (structs.Job, error) {
 	if s.tree == nil {
 		return job, errs.New(errs.NotRun, "try again in a few seconds", "no settings are in force yet")
 	}
@@ -88,6 +89,9 @@
 	if err != nil {
 		return job, errs.Wrap(err, errs.InvalidInput, "name a team of the settings", "job %q", job.ID)
 	}
+	if known, ok := x.scheduler.Job(job.ID); ok && job.NotBefore == 0 {
+		job.NotBefore = known.Job.NotBefore
+	}
 	return withDefaults(now, job, effective), nil
 }
 
--- a/core/policy.go
+++ b/core/policy.go
@@ -13,17 +13,6 @@
 
 const partsPerMillion = 1_000_000
 
-// settingsChanged puts a settings tree in force in all owned shards.
-func (s *State) settingsChanged(now structs.Timestamp, e SettingsChanged) []structs.Effect {
-	s.tree = e.Tree
-	var effects []structs.Effect
-	for _, id := range s.ownedShards() {
-		x := s.shards[id]
-		effects = append(effects, s.schedule(now, x, scheduler.PolicyChanged{Policy: s.policyOf(x)})...)
-	}
-	return effects
-}
-
 // policyOf returns the shard's policy under the settings in force.
 func (s *State) policyOf(x *shard) scheduler.Policy {
 	if s.tree == nil {
--- /dev/null
+++ b/core/settings.go
@@ -0,0 +1,45 @@
+package core
+
+import (
+	"github.com/mangodrum/mangodrum/membership"
+	"github.com/mangodrum/mangodrum/scheduler"
+	"github.com/mangodrum/mangodrum/settings"
+	"github.com/mangodrum/mangodrum/structs"
+)
+
+// follow passes an event to the settings follower. A version that comes into
+// force changes the policy of all owned shards in the same step.
+func (s *State) follow(now structs.Timestamp, ev structs.Event) []structs.Effect {
+	effects := s.follower.Reduce(now, ev)
+	for _, effect := range effects {
+		if e, ok := effect.(settings.InForce); ok {
+			s.tree = e.Tree
+			effects = append(effects, s.policyChanged(now)...)
+		}
+	}
+	return effects
+}
+
+func (s *State) policyChanged(now structs.Timestamp) []structs.Effect {
+	var effects []structs.Effect
+	for _, id := range s.ownedShards() {
+		x := s.shards[id]
+		effects = append(effects, s.schedule(now, x, scheduler.PolicyChanged{Policy: s.policyOf(x)})...)
+	}
+	return effects
+}
+
+// Settings returns the settings follower.
+func (s *State) Settings() *settings.Follower { return s.follower }
+
+// reachablePeers lists the instances that were heard lately.
+func (s *State) reachablePeers() []structs.InstanceID {
+	var ids []structs.InstanceID
+	for _, p := range s.members.Peers() {
+		switch s.members.Status(p.ID) {
+		case membership.Live, membership.Leaving, membership.Drained:
+			ids = append(ids, p.ID)
+		}
+	}
+	return ids
+}
--- a/core/shard.go
+++ b/core/shard.go
@@ -6,6 +6,7 @@
 	"github.com/mangodrum/mangodrum/errs"
 	"github.com/mangodrum/mangodrum/journal"
 	"github.com/mangodrum/mangodrum/ownership"
+	"github.com/mangodrum/mangodrum/router/credits"
 	"github.com/mangodrum/mangodrum/scheduler"
 	"github.com/mangodrum/mangodrum/structs"
 )
@@ -37,6 +38,7 @@
 
 	scheduler *scheduler.State
 	journal   *journal.State
+	ledger    *credits.Ledger
 
 	lastSnapshotRow uint64
 	snapshot        *journal.Snapshot // taken, waits for its records to be committed
@@ -113,7 +115,8 @@
 	x.phase = PhaseRunning
 	x.lastSnapshotRow = e.Loaded.NextRow
 	effects := []structs.Effect{ShardChanged{Shard: x.id, Epoch: x.epoch, Phase: PhaseRunning}}
-	return append(effects, s.listWorkers(now, x)...)
+	effects = append(effects, s.listWorkers(now, x)...)
+	return append(effects, s.startLedger(now, x)...)
 }
 
 func (s *State) restore(x *shard, e ShardLoaded) (*scheduler.State, error) {
@@ -162,6 +165,13 @@
 		return refuse(x.id, x.epoch, call, errs.New(errs.NotRun, "try again when the platform's table is back",
 			"the owner of shard %q cannot renew its lease, so nothing can be recorded", x.id))
 	}
+	if submit, ok := e.Event.(scheduler.SubmitJob); ok {
+		job, err := s.prepare(now, x, submit.Job)
+		if err != nil {
+			return refuse(x.id, x.epoch, call, err)
+		}
+		e.Event = scheduler.SubmitJob{Call: call, Job: job}
+	}
 	return s.schedule(now, x, e.Event)
 }
 
@@ -243,7 +253,8 @@
 		}
 	}
 	effects := s.schedule(now, x, scheduler.Tick{})
-	return append(effects, s.journal(now, x, journal.FlushDue{})...)
+	effects = append(effects, s.journal(now, x, journal.FlushDue{})...)
+	return append(effects, s.tickLedger(now, x)...)
 }
 
 // handOver gives the shard to its successor once its journal is flushed.
--- a/core/state.go
+++ b/core/state.go
@@ -6,6 +6,7 @@
 	"github.com/mangodrum/mangodrum/errs"
 	"github.com/mangodrum/mangodrum/membership"
 	"github.com/mangodrum/mangodrum/ownership"
+	"github.com/mangodrum/mangodrum/scheduler"
 	"github.com/mangodrum/mangodrum/settings"
 	"github.com/mangodrum/mangodrum/structs"
 )
@@ -27,16 +28,19 @@
 	live      []structs.InstanceInfo     // last told to ownership
 	peers     []structs.InstanceInfo     // last told to the shell
 	directory DirectoryRead
-	tree      *settings.Tree
+	workers   map[structs.WorkerID]structs.Worker
+	follower  *settings.Follower
+	tree      *settings.Tree // in force
 	draining  bool
 }
 
 // New returns the state of an instance that knows nothing yet.
 func New(cfg Config) *State {
 	return &State{
-		cfg:     cfg,
-		members: membership.New(membership.Config{Self: cfg.Self, Incarnation: cfg.Incarnation}),
-		shards:  map[structs.ShardID]*shard{},
+		cfg:      cfg,
+		members:  membership.New(membership.Config{Self: cfg.Self, Incarnation: cfg.Incarnation}),
+		shards:   map[structs.ShardID]*shard{},
+		follower: settings.NewFollower(),
 	}
 }
 
@@ -45,8 +49,6 @@
 	switch e := ev.(type) {
 	case DirectoryRead:
 		return s.directoryRead(now, e)
-	case SettingsChanged:
-		return s.settingsChanged(now, e)
 	case ShardLoaded:
 		return s.onEpoch(e.Shard, e.Epoch, func(x *shard) []structs.Effect { return s.loaded(now, x, e) })
 	case ToShard:
@@ -63,8 +65,10 @@
 		return s.tick(now)
 	case ownership.RowRead, ownership.WriteEnded, ownership.HandOverReceived:
 		return s.ownership(now, ev)
+	case membership.HeartbeatReceived, membership.DirectoryListed, membership.SelfPhase:
+		return s.membership(now, ev)
 	}
-	return s.membership(now, ev)
+	return s.follow(now, ev)
 }
 
 // Members returns this instance's view of the others.
@@ -82,11 +86,39 @@
 	return owner
 }
 
+// OwnedEpochs returns the owned shards and their epochs.
+func (s *State) OwnedEpochs() map[structs.ShardID]structs.Epoch {
+	epochs := make(map[structs.ShardID]structs.Epoch, len(s.shards))
+	for id, x := range s.shards {
+		epochs[id] = x.epoch
+	}
+	return epochs
+}
+
+// Scheduler returns the scheduler of an owned shard that is running.
+func (s *State) Scheduler(id structs.ShardID) (*scheduler.State, error) {
+	x := s.shards[id]
+	if x == nil || x.phase != PhaseRunning {
+		return nil, errNotOwner(id)
+	}
+	return x.scheduler, nil
+}
+
+// Worker returns a worker of the directory.
+func (s *State) Worker(id structs.WorkerID) (structs.Worker, bool) {
+	worker, ok := s.workers[id]
+	return worker, ok
+}
+
 // Directory returns the newest lists of the platform.
 func (s *State) Directory() DirectoryRead { return s.directory }
 
 func (s *State) membership(now structs.Timestamp, ev structs.Event) []structs.Effect {
 	effects := s.members.Reduce(now, ev)
+	if len(effects) > 0 {
+		effects = append(effects, s.instancesGone(now, effects)...)
+		effects = append(effects, s.follow(now, settings.PeersChanged{Reachable: s.reachablePeers()})...)
+	}
 	return append(effects, s.membersChanged(now)...)
 }
 
@@ -106,6 +138,10 @@
 
 func (s *State) directoryRead(now structs.Timestamp, e DirectoryRead) []structs.Effect {
 	s.directory = e
+	s.workers = make(map[structs.WorkerID]structs.Worker, len(e.Workers))
+	for _, worker := range e.Workers {
+		s.workers[worker.ID] = worker
+	}
 	effects := s.membership(now, membership.DirectoryListed{Instances: e.Instances})
 	if s.owners == nil && len(e.Workers) > 0 {
 		s.shardSet = shardsOf(e.Workers)
@@ -116,6 +152,7 @@
 	}
 	for _, id := range s.ownedShards() {
 		effects = append(effects, s.listWorkers(now, s.shards[id])...)
+		effects = append(effects, s.listExecutors(now, s.shards[id])...)
 	}
 	return effects
 }
@@ -143,6 +180,7 @@
 func (s *State) tick(now structs.Timestamp) []structs.Effect {
 	effects := s.membership(now, membership.Tick{})
 	effects = append(effects, s.ownership(now, ownership.Tick{})...)
+	effects = append(effects, s.follow(now, settings.Tick{})...)
 	for _, id := range s.ownedShards() {
 		effects = append(effects, s.tickShard(now, s.shards[id])...)
 	}
@@ -180,3 +218,19 @@
 func errNotOwner(id structs.ShardID) error {
 	return errs.New(errs.NotRun, "try again in a few seconds", "this instance does not own shard %q", id)
 }
+
+// Serving reports whether every shard has an owner in this instance's view,
+// and whether the shards that it owns are loaded.
+func (s *State) Serving() bool {
+	for _, listed := range s.shardSet {
+		if s.Owner(listed.ID) == "" {
+			return false
+		}
+	}
+	for _, x := range s.shards {
+		if x.phase != PhaseRunning {
+			return false
+		}
+	}
+	return len(s.shardSet) > 0
+}
--- /dev/null
+++ b/instance/backend.go
@@ -0,0 +1,229 @@
+package instance
+
+import (
+	"cmp"
+	"context"
+	"runtime"
+	"slices"
+	"strings"
+
+	"github.com/mangodrum/mangodrum/core"
+	"github.com/mangodrum/mangodrum/errs"
+	"github.com/mangodrum/mangodrum/membership"
+	"github.com/mangodrum/mangodrum/operatorapi"
+	"github.com/mangodrum/mangodrum/structs"
+)
+
+const defaultPage = 500
+
+// backend implements the operators' API on an instance. Calls that concern a
+// shard are carried out by its owner.
+type backend struct{ *Instance }
+
+var _ operatorapi.Backend = (*backend)(nil)
+
+// Version implements operatorapi.Backend.
+func (b *backend) Version(context.Context) (operatorapi.VersionInfo, error) {
+	info := operatorapi.VersionInfo{Version: BuildVersion(), Revision: buildRevision(), Go: runtime.Version(), Instance: b.options.Info.ID}
+	b.query(func(_ structs.Timestamp, state *core.State) { info.SettingsVersion, _ = state.Settings().Current() })
+	return info, nil
+}
+
+// SubmitJob implements operatorapi.Backend.
+func (b *backend) SubmitJob(ctx context.Context, job structs.Job) (operatorapi.JobStatus, error) {
+	if err := operatorapi.CheckJob(job); err != nil {
+		return operatorapi.JobStatus{}, err
+	}
+	var home structs.ShardID
+	err := errStopped(b.options.Info.ID)
+	b.query(func(now structs.Timestamp, state *core.State) {
+		job.Accepted = now
+		home, err = state.HomeShard(&job)
+	})
+	if err != nil {
+		return operatorapi.JobStatus{}, err
+	}
+	return onShard[operatorapi.JobStatus](ctx, b.Instance, home, methodSubmit, job)
+}
+
+func errStopped(id structs.InstanceID) error {
+	return errs.New(errs.NotRun, "use another instance", "instance %s has stopped", id)
+}
+
+// Jobs implements operatorapi.Backend.
+func (b *backend) Jobs(ctx context.Context, query operatorapi.JobQuery) (operatorapi.JobList, error) {
+	all, err := fromAllShards[operatorapi.JobStatus](ctx, b.Instance, methodJobs)
+	if err != nil {
+		return operatorapi.JobList{}, err
+	}
+	all = slices.DeleteFunc(all, func(s operatorapi.JobStatus) bool { return !matches(query, s) })
+	slices.SortFunc(all, func(a, b operatorapi.JobStatus) int { return cmp.Compare(a.Job.ID, b.Job.ID) })
+	limit := query.Limit
+	if limit <= 0 {
+		limit = defaultPage
+	}
+	if len(all) <= limit {
+		return operatorapi.JobList{Jobs: all}, nil
+	}
+	return operatorapi.JobList{Jobs: all[:limit], Next: all[limit-1].Job.ID}, nil
+}
+
+func matches(query operatorapi.JobQuery, s operatorapi.JobStatus) bool {
+	switch {
+	case s.Job.ID <= query.After && query.After != "":
+		return false
+	case query.Class != "" && s.Job.Class != query.Class:
+		return false
+	case query.Active && s.Tasks.Pending+s.Tasks.Running+s.Tasks.Unknown == 0:
+		return false
+	}
+	return query.Team == "" || s.Job.Team == query.Team ||
+		strings.HasPrefix(string(s.Job.Team), strings.TrimSuffix(string(query.Team), "/")+"/")
+}
+
+// fromAllShards collects the lists of all shards' owners.
+func fromAllShards[T any](ctx context.Context, i *Instance, method string) ([]T, error) {
+	var all []T
+	for _, shard := range i.shards() {
+		list, err := onShard[[]T](ctx, i, shard, method, nil)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, list...)
+	}
+	return all, nil
+}
+
+// onJob carries out a method at the shard that knows the job.
+func onJob[T any](ctx context.Context, b *backend, id structs.JobID, method string) (T, error) {
+	var zero T
+	err := errNoJob(id)
+	for _, shard := range b.shards() {
+		result, shardErr := onShard[T](ctx, b.Instance, shard, method, id)
+		if shardErr == nil {
+			return result, nil
+		}
+		if !errs.Is(shardErr, errs.NotFound) {
+			err = shardErr // the job may be in the shard that did not answer
+		}
+	}
+	return zero, err
+}
+
+// Job implements operatorapi.Backend.
+func (b *backend) Job(ctx context.Context, id structs.JobID) (operatorapi.JobDetail, error) {
+	return onJob[operatorapi.JobDetail](ctx, b, id, methodJob)
+}
+
+// CancelJob implements operatorapi.Backend.
+func (b *backend) CancelJob(ctx context.Context, id structs.JobID) (operatorapi.JobStatus, error) {
+	return onJob[operatorapi.JobStatus](ctx, b, id, methodCancel)
+}
+
+// ExplainJob implements operatorapi.Backend.
+func (b *backend) ExplainJob(ctx context.Context, id structs.JobID) (operatorapi.JobExplanation, error) {
+	return onJob[operatorapi.JobExplanation](ctx, b, id, methodExplain)
+}
+
+// Workers implements operatorapi.Backend.
+func (b *backend) Workers(ctx context.Context) (operatorapi.WorkerList, error) {
+	all, err := fromAllShards[operatorapi.WorkerStatus](ctx, b.Instance, methodWorkers)
+	slices.SortFunc(all, func(a, b operatorapi.WorkerStatus) int { return cmp.Compare(a.Worker.ID, b.Worker.ID) })
+	return operatorapi.WorkerList{Workers: all}, err
+}
+
+// ActOnWorker implements operatorapi.Backend.
+func (b *backend) ActOnWorker(
+	ctx context.Context, id structs.WorkerID, action operatorapi.WorkerAction,
+) (operatorapi.WorkerStatus, error) {
+	var worker structs.Worker
+	found := false
+	b.query(func(_ structs.Timestamp, state *core.State) { worker, found = state.Worker(id) })
+	if !found {
+		return operatorapi.WorkerStatus{}, errNoWorker(id)
+	}
+	shard := structs.ShardID(worker.Location.Region)
+	return onShard[operatorapi.WorkerStatus](ctx, b.Instance, shard, methodAct, workerAct{Worker: id, Action: action})
+}
+
+// Queues implements operatorapi.Backend.
+func (b *backend) Queues(ctx context.Context) (operatorapi.QueueList, error) {
+	all, err := fromAllShards[operatorapi.QueueStatus](ctx, b.Instance, methodQueues)
+	down, since, lastErr := b.storeHealth.read()
+	return operatorapi.QueueList{
+		Queues: all,
+		Store:  operatorapi.StoreHealth{Reachable: !down, LastError: lastErr, Since: structs.TimestampOf(since)},
+	}, err
+}
+
+// Instances implements operatorapi.Backend.
+func (b *backend) Instances(context.Context) (operatorapi.InstanceList, error) {
+	var list operatorapi.InstanceList
+	b.query(func(_ structs.Timestamp, state *core.State) {
+		list.Instances = append(list.Instances, b.selfStatus(state))
+		for _, info := range state.Members().Peers() {
+			list.Instances = append(list.Instances, b.peerStatus(state, info))
+		}
+	})
+	slices.SortFunc(list.Instances, func(a, b operatorapi.InstanceStatus) int { return cmp.Compare(a.Info.ID, b.Info.ID) })
+	return list, nil
+}
+
+func (b *backend) selfStatus(state *core.State) operatorapi.InstanceStatus {
+	version, _ := state.Settings().Current()
+	status := operatorapi.InstanceStatus{
+		Info: b.options.Info, Health: operatorapi.InstanceLive, Incarnation: b.incarnation,
+		SettingsVersion: version, InFlight: b.gateway.Stats().Requests, Self: true, Draining: b.draining.Load(),
+	}
+	if status.Draining {
+		status.Health = operatorapi.InstanceLeaving
+	}
+	for id := range state.OwnedEpochs() {
+		status.Shards = append(status.Shards, id)
+	}
+	slices.Sort(status.Shards)
+	return status
+}
+
+func (b *backend) peerStatus(state *core.State, info structs.InstanceInfo) operatorapi.InstanceStatus {
+	beat := b.peerView.get(info.ID)
+	status := operatorapi.InstanceStatus{
+		Info: info, Health: healthOf(state.Members().Status(info.ID)), Incarnation: beat.Incarnation,
+		SettingsVersion: beat.SettingsVersion, InFlight: int(beat.InFlight),
+	}
+	status.Draining = status.Health == operatorapi.InstanceLeaving
+	for id := range beat.Shards {
+		status.Shards = append(status.Shards, id)
+	}
+	slices.Sort(status.Shards)
+	return status
+}
+
+func healthOf(status membership.Status) operatorapi.InstanceHealth {
+	switch status {
+	case membership.Live:
+		return operatorapi.InstanceLive
+	case membership.Leaving, membership.Drained:
+		return operatorapi.InstanceLeaving
+	case membership.Dead, membership.Gone:
+		return operatorapi.InstanceDead
+	}
+	return operatorapi.InstanceSuspect
+}
+
+// DrainInstance implements operatorapi.Backend.
+func (b *backend) DrainInstance(ctx context.Context, id structs.InstanceID) (operatorapi.InstanceStatus, error) {
+	if id == b.options.Info.ID {
+		return b.drainSelf()
+	}
+	return remote[operatorapi.InstanceStatus](ctx, b.Instance, id, methodDrain, "", nil)
+}
+
+// drainSelf begins the planned stop of this instance.
+func (i *Instance) drainSelf() (operatorapi.InstanceStatus, error) {
+	i.requestStop()
+	var status operatorapi.InstanceStatus
+	i.query(func(_ structs.Timestamp, state *core.State) { status = (&backend{i}).selfStatus(state) })
+	status.Draining, status.Health = true, operatorapi.InstanceLeaving
+	return status, nil
+}
--- /dev/null
+++ b/instance/backendsettings.go
@@ -0,0 +1,127 @@
+package instance
+
+import (
+	"context"
+	"slices"
+
+	"github.com/mangodrum/mangodrum/core"
+	"github.com/mangodrum/mangodrum/errs"
+	"github.com/mangodrum/mangodrum/operatorapi"
+	"github.com/mangodrum/mangodrum/settings"
+	"github.com/mangodrum/mangodrum/structs"
+)
+
+// Settings implements operatorapi.Backend.
+func (b *backend) Settings(ctx context.Context, query operatorapi.SettingsQuery) (operatorapi.SettingsReply, error) {
+	number, tree := b.current()
+	if query.Version != 0 && query.Version != number {
+		loaded, err := b.store.Load(ctx, query.Version)
+		if err != nil {
+			return operatorapi.SettingsReply{}, err
+		}
+		number, tree = query.Version, loaded
+	}
+	if tree == nil {
+		return operatorapi.SettingsReply{}, errs.New(errs.NotRun, "try again in a few seconds", "no settings are in force yet")
+	}
+	reply := operatorapi.SettingsReply{Version: b.describeVersion(ctx, number, tree)}
+	if query.Path == "" {
+		reply.YAML = string(tree.Encode())
+		return reply, nil
+	}
+	reply.Path, reply.Fields = query.Path, tree.ResolveFields(query.Path)
+	if reply.Fields == nil {
+		return reply, errs.New(errs.NotFound, "see mangodrum settings get", "no branch %q in the settings", query.Path)
+	}
+	return reply, nil
+}
+
+// describeVersion adds author and reason where the store can tell them.
+func (b *backend) describeVersion(ctx context.Context, number uint64, tree *settings.Tree) settings.Version {
+	version, err := b.store.Version(ctx, number)
+	if err != nil {
+		return settings.Version{Number: number, Hash: tree.Hash()}
+	}
+	version.Diff = nil
+	return version
+}
+
+func (i *Instance) current() (uint64, *settings.Tree) {
+	var number uint64
+	var tree *settings.Tree
+	i.query(func(_ structs.Timestamp, state *core.State) { number, tree = state.Settings().Current() })
+	return number, tree
+}
+
+// ApplySettings implements operatorapi.Backend.
+func (b *backend) ApplySettings(ctx context.Context, request operatorapi.ApplyRequest) (operatorapi.ApplyReply, error) {
+	tree, err := b.requestedTree(ctx, request)
+	if err != nil {
+		return operatorapi.ApplyReply{}, err
+	}
+	number, current := b.current()
+	reply := operatorapi.ApplyReply{DryRun: request.DryRun, Impact: b.impact(ctx, current, tree)}
+	if request.DryRun {
+		reply.Version = settings.Version{Number: number + 1, Base: number, Hash: tree.Hash()}
+		return reply, nil
+	}
+	reply.Version, err = b.store.Commit(ctx, settings.Commit{
+		Base: request.Base, Author: request.Author, Reason: request.Reason, ChangeID: request.ChangeID, Tree: tree,
+	})
+	if err == nil {
+		b.announce(reply.Version)
+	}
+	return reply, err
+}
+
+func (b *backend) requestedTree(ctx context.Context, request operatorapi.ApplyRequest) (*settings.Tree, error) {
+	if request.RollbackTo != 0 {
+		return b.store.Load(ctx, request.RollbackTo)
+	}
+	return settings.Decode("settings", []byte(request.YAML))
+}
+
+// impact names the workloads that a change concerns. A shard that does not
+// answer leaves its jobs out of the preview.
+func (b *backend) impact(ctx context.Context, old, next *settings.Tree) settings.Impact {
+	var jobs []structs.Job
+	if all, err := fromAllShards[operatorapi.JobStatus](ctx, b.Instance, methodJobs); err == nil {
+		for _, status := range all {
+			jobs = append(jobs, status.Job)
+		}
+	}
+	return settings.ImpactOf(old, next, jobs)
+}
+
+// SettingsHistory implements operatorapi.Backend.
+func (b *backend) SettingsHistory(ctx context.Context, query operatorapi.HistoryQuery) (operatorapi.HistoryReply, error) {
+	limit := query.Limit
+	if limit <= 0 {
+		limit = defaultPage
+	}
+	versions, err := b.store.History(ctx, query.Before, limit)
+	return operatorapi.HistoryReply{Versions: versions}, err
+}
+
+// SettingsStatus implements operatorapi.Backend.
+func (b *backend) SettingsStatus(ctx context.Context) (operatorapi.SettingsStatus, error) {
+	var status operatorapi.SettingsStatus
+	b.query(func(_ structs.Timestamp, state *core.State) { status.Head = state.Settings().Target() })
+	list, err := b.Instances(ctx)
+	if err != nil {
+		return status, err
+	}
+	for _, instance := range list.Instances {
+		status.Head = max(status.Head, instance.SettingsVersion)
+		status.Instances = append(status.Instances, operatorapi.InstanceSettings{
+			Instance: instance.Info.ID, Version: instance.SettingsVersion, Status: instance.Health, At: b.now(),
+		})
+	}
+	slices.SortFunc(status.Instances, func(a, b operatorapi.InstanceSettings) int {
+		if a.Instance < b.Instance {
+			return -1
+		}
+		return 1
+	})
+	return status, nil
+}
--- /dev/null
+++ b/instance/background.go
@@ -0,0 +1,107 @@
+package instance
+
+import (
+	"context"
+	"time"
+
+	"github.com/mangodrum/mangodrum/core"
+	"github.com/mangodrum/mangodrum/membership"
+	"github.com/mangodrum/mangodrum/peer"
+	"github.com/mangodrum/mangodrum/structs"
+)
+
+const (
+	// directoryInterval is a third of the 3 s within which a leaving
+	// upstream gets no more work.
+	directoryInterval = time.Second
+	heartbeatInterval = time.Second
+	directoryTimeout  = 2 * time.Second
+)
+
+// every calls f at once and then at each interval until ctx ends.
+func every(ctx context.Context, interval time.Duration, f func()) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		f()
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// readDirectory registers this instance and keeps reading the platform's lists.
+func (i *Instance) readDirectory(ctx context.Context) {
+	registered := false
+	every(ctx, directoryInterval, func() {
+		if !registered {
+			registered = i.register(ctx, structs.Live)
+		}
+		i.readLists(ctx)
+	})
+}
+
+func (i *Instance) register(ctx context.Context, state structs.Lifecycle) bool {
+	ctx, cancel := context.WithTimeout(ctx, directoryTimeout)
+	defer cancel()
+	self := i.options.Info
+	self.State = state
+	return i.options.Directory.Register(ctx, self) == nil
+}
+
+// readLists reads all lists. If one fails, the older lists stay in use.
+func (i *Instance) readLists(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, directoryTimeout)
+	defer cancel()
+	instances, err := i.options.Directory.Instances(ctx)
+	if err != nil {
+		i.metrics.directoryErrors.Inc()
+		return
+	}
+	workers, err := i.options.Directory.Workers(ctx)
+	if err != nil {
+		i.metrics.directoryErrors.Inc()
+		return
+	}
+	executors, err := i.options.Directory.Executors(ctx)
+	if err != nil {
+		i.metrics.directoryErrors.Inc()
+		return
+	}
+	i.gateway.SetExecutors(executors)
+	i.post(core.DirectoryRead{Instances: instances, Workers: workers, Executors: executors})
+}
+
+// sendHeartbeats tells all peers what this instance holds.
+func (i *Instance) sendHeartbeats(ctx context.Context) {
+	every(ctx, heartbeatInterval, func() {
+		beat, peers := i.heartbeat()
+		body, err := peer.Encode(beat)
+		if err != nil {
+			return
+		}
+		for _, p := range peers {
+			i.node.Send(p.ID, peer.Message{Kind: peer.KindHeartbeat, Body: body})
+		}
+	})
+}
+
+func (i *Instance) heartbeat() (peer.Heartbeat, []structs.InstanceInfo) {
+	beat := peer.Heartbeat{
+		Info: i.options.Info, Incarnation: i.incarnation, Phase: string(membership.Live),
+		Ready: i.Ready(), StoreHealthy: i.storeHealth.isHealthy(), SentAt: i.now(),
+		InFlight: uint32(i.gateway.Stats().Requests),
+	}
+	if i.draining.Load() {
+		beat.Phase = string(membership.Leaving)
+	}
+	var peers []structs.InstanceInfo
+	i.query(func(_ structs.Timestamp, state *core.State) {
+		beat.SettingsVersion, _ = state.Settings().Current()
+		beat.Shards = state.OwnedEpochs()
+		peers = state.Members().Peers()
+	})
+	return beat, peers
+}
--- a/instance/effects.go
+++ b/instance/effects.go
@@ -50,17 +50,21 @@
 	case core.NotifySuccessor:
 		i.notifySuccessor(e)
 	case core.SendCredits:
-		i.sendCredits(e.Message)
+		i.sendCredits(e)
 	case core.ShardChanged:
 		i.log.Info("shard changed", "shard", e.Shard, "epoch", e.Epoch, "phase", e.Phase)
 	case membership.InstanceChanged:
 		i.log.Info("instance changed", "instance", e.ID, "status", e.Status, "restarted", e.Restarted)
+	default:
+		i.performSettings(effect)
 	}
 }
 
 // async runs f in a goroutine with a bounded context.
 func (i *Instance) async(timeout time.Duration, f func(ctx context.Context)) {
+	i.metrics.calls.Add(1)
 	i.group.Go(func() {
+		defer i.metrics.calls.Add(-1)
 		ctx, cancel := context.WithTimeout(i.ctx, timeout)
 		defer cancel()
 		f(ctx)
@@ -79,7 +83,7 @@
 }
 
 func (i *Instance) sendBatch(shard structs.ShardID, effect scheduler.SendBatch) {
-	worker, ok := i.workerByID(effect.Worker)
+	worker, ok := i.state.Worker(effect.Worker)
 	if !ok {
 		i.metrics.unknownWorkers.Inc()
 		return
@@ -87,12 +91,6 @@
 	i.dispatcher.send(shard, worker, effect.Batch)
 }
 
-// workerByID finds a worker in the directory. It runs in the reducer's loop.
-func (i *Instance) workerByID(id structs.WorkerID) (structs.Worker, bool) {
-	worker, ok := i.workers[id]
-	return worker, ok
-}
-
 // workerAnswered posts the result of a call to a worker.
 func (i *Instance) workerAnswered(
 	shard structs.ShardID, worker structs.WorkerID, report platform.WorkerReport, err error,
@@ -105,12 +103,12 @@
 	i.post(core.ToShard{Shard: shard, Event: scheduler.WorkerReported{Report: report}})
 }
 
-func (i *Instance) store() journal.Store {
+func (i *Instance) journalStore() journal.Store {
 	return journal.Store{Table: i.options.Table, Objects: i.options.Objects}
 }
 
 func (i *Instance) load(ctx context.Context, e core.LoadShard) {
-	loaded, err := journal.Load(ctx, i.store(), e.Shard)
+	loaded, err := journal.Load(ctx, i.journalStore(), e.Shard)
 	if err != nil && ctx.Err() == nil {
 		i.log.Warn("shard cannot be loaded", "shard", e.Shard, "error", err)
 	}
@@ -121,7 +119,7 @@
 }
 
 func (i *Instance) saveSnapshot(ctx context.Context, e core.SaveSnapshot) {
-	err := journal.SaveSnapshot(ctx, i.store(), e.Guard, e.Snapshot)
+	err := journal.SaveSnapshot(ctx, i.journalStore(), e.Guard, e.Snapshot)
 	if err == nil {
 		_, err = journal.Truncate(ctx, i.options.Table, e.Guard, e.Snapshot.Shard, truncateRows)
 		if !errs.Is(err, errs.Conflict) {
--- /dev/null
+++ b/instance/receive.go
@@ -0,0 +1,114 @@
+package instance
+
+import (
+	"context"
+	"sync"
+
+	"github.com/mangodrum/mangodrum/core"
+	"github.com/mangodrum/mangodrum/membership"
+	"github.com/mangodrum/mangodrum/ownership"
+	"github.com/mangodrum/mangodrum/peer"
+	"github.com/mangodrum/mangodrum/router/credits"
+	"github.com/mangodrum/mangodrum/settings"
+	"github.com/mangodrum/mangodrum/structs"
+)
+
+// peerView keeps the newest heartbeat of every peer for operators.
+type peerView struct {
+	mu    sync.Mutex
+	beats map[structs.InstanceID]peer.Heartbeat
+}
+
+func (v *peerView) put(from structs.InstanceID, beat peer.Heartbeat) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.beats == nil {
+		v.beats = map[structs.InstanceID]peer.Heartbeat{}
+	}
+	v.beats[from] = beat
+}
+
+func (v *peerView) get(id structs.InstanceID) peer.Heartbeat {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.beats[id]
+}
+
+// receive handles one message of a peer. Malformed ones are counted and
+// dropped.
+func (i *Instance) receive(m peer.Message) {
+	i.metrics.peerBytes.Add(len(m.Body))
+	var err error
+	switch m.Kind {
+	case peer.KindHeartbeat:
+		err = i.receiveHeartbeat(m)
+	case peer.KindCredits:
+		var message credits.Message
+		if err = peer.Decode(m.Body, &message); err == nil {
+			i.post(core.CreditsReceived{Message: message})
+		}
+	case peer.KindHandover:
+		var handover peer.Handover
+		if err = peer.Decode(m.Body, &handover); err == nil {
+			i.post(ownership.HandOverReceived{Shard: handover.Shard})
+		}
+	case peer.KindSettings:
+		var version settings.Version
+		if err = peer.Decode(m.Body, &version); err == nil {
+			i.post(settings.VersionsReceived{From: m.From, Versions: []settings.Version{version}})
+		}
+	case peer.KindCall:
+		var call peer.Call
+		if err = peer.Decode(m.Body, &call); err == nil {
+			i.async(callTimeout, func(ctx context.Context) { i.answer(ctx, m.From, m.Ref, call) })
+		}
+	case peer.KindReply:
+		var reply peer.Reply
+		if err = peer.Decode(m.Body, &reply); err == nil {
+			i.calls.table.deliver(m.Ref, reply)
+		}
+	}
+	if err != nil {
+		i.metrics.malformed.Inc()
+	}
+}
+
+func (i *Instance) receiveHeartbeat(m peer.Message) error {
+	var beat peer.Heartbeat
+	if err := peer.Decode(m.Body, &beat); err != nil {
+		return err
+	}
+	i.peerView.put(m.From, beat)
+	i.post(membership.HeartbeatReceived{
+		From: m.From, Incarnation: beat.Incarnation, At: beat.SentAt, Info: &beat.Info,
+		Phase: membership.Status(beat.Phase),
+	})
+	i.post(settings.VersionAnnounced{From: m.From, Number: beat.SettingsVersion})
+	return nil
+}
+
+// answer carries out a call of a peer and sends the reply.
+func (i *Instance) answer(ctx context.Context, to structs.InstanceID, ref uint64, call peer.Call) {
+	result, err := i.execute(ctx, call)
+	body, encodeErr := peer.Encode(peer.ReplyTo(result, err))
+	if encodeErr == nil {
+		i.node.Send(to, peer.Message{Kind: peer.KindReply, Ref: ref, Body: body})
+	}
+}
+
+// requestCredits takes a message of the gateway to the owner of the executors.
+func (i *Instance) requestCredits(message credits.Message) {
+	i.post(core.CreditsReceived{Message: message})
+}
+
+// sendCredits delivers a message about credits; To may be this instance.
+func (i *Instance) sendCredits(e core.SendCredits) {
+	if e.To == i.options.Info.ID {
+		i.gateway.DeliverCredits(e.Message)
+		return
+	}
+	body, err := peer.Encode(e.Message)
+	if err == nil {
+		i.node.Send(e.To, peer.Message{Kind: peer.KindCredits, Body: body})
+	}
+}
--- /dev/null
+++ b/internal/daemon/dev.go
@@ -0,0 +1,229 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
+	"github.com/urfave/cli/v3"
+
+	"github.com/mangodrum/mangodrum/errs"
+	"github.com/mangodrum/mangodrum/examples"
+	"github.com/mangodrum/mangodrum/instance"
+	"github.com/mangodrum/mangodrum/platform/httpapi"
+	"github.com/mangodrum/mangodrum/platform/standin"
+	"github.com/mangodrum/mangodrum/settings"
+	"github.com/mangodrum/mangodrum/structs"
+	"github.com/mangodrum/mangodrum/telemetry"
+)
+
+const (
+	defaultPortBase = 7070
+	portStep        = 10
+	// maxPortTries bounds the search for free ports of later instances.
+	maxPortTries = 50
+	readyTimeout = 30 * time.Second
+	readyPoll    = 10 * time.Millisecond
+)
+
+func exampleFlag() *cli.StringFlag {
+	return &cli.StringFlag{Name: "example", Usage: "`NAME` of the cell: bureau or sierra-alta", Value: "bureau"}
+}
+
+func devCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "dev",
+		Usage:     "run three instances, a stand-in platform, workers and executors in one process",
+		UsageText: "mangodrumd dev --example sierra-alta --port-base 8070",
+		Flags: []cli.Flag{
+			exampleFlag(),
+			&cli.IntFlag{Name: "port-base", Usage: "first port `N` of the first instance", Value: defaultPortBase},
+			&cli.StringFlag{Name: "log-level", Usage: "debug, info, warn or error", Value: "warn"},
+			&cli.BoolFlag{Name: "log-json", Usage: "write log lines as JSON"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			return runDev(ctx, devOptions{
+				example: c.String("example"), portBase: c.Int("port-base"),
+				logLevel: c.String("log-level"), logJSON: c.Bool("log-json"),
+				out: c.Root().Writer, logOut: c.Root().ErrWriter,
+			})
+		},
+	}
+}
+
+type devOptions struct {
+	example  string
+	portBase int
+	logLevel string
+	logJSON  bool
+	out      io.Writer
+	logOut   io.Writer
+}
+
+// startPlatform starts the stand-in with the example's machines and stores
+// the example's settings as version 1.
+func startPlatform(ctx context.Context, example, address string) (*standin.Platform, error) {
+	workers, executors, _, err := examples.Cell(example)
+	if err != nil {
+		return nil, err
+	}
+	tree, err := examples.Settings(example)
+	if err != nil {
+		return nil, err
+	}
+	p, err := standin.Start(address, workers, executors)
+	if err != nil {
+		return nil, err
+	}
+	store := settings.NewStore(p.Store, p.Store.Objects(), now, nil)
+	_, err = store.Commit(ctx, settings.Commit{
+		Author: "mangodrumd", Reason: "first settings of the example", ChangeID: "example-" + example, Tree: tree,
+	})
+	if err != nil {
+		return nil, errors.CombineErrors(err, p.Close())
+	}
+	return p, nil
+}
+
+func now() structs.Timestamp { return structs.TimestampOf(time.Now()) }
+
+func runDev(ctx context.Context, options devOptions) error {
+	started := time.Now()
+	_, _, infos, err := examples.Cell(options.example)
+	if err != nil {
+		return err
+	}
+	if options.portBase < 1 || options.portBase > 65000 {
+		return errs.New(errs.InvalidInput, "use a port from 1 to 65000", "--port-base %d is out of range", options.portBase)
+	}
+	log, err := telemetry.NewLogger(options.logOut, "mangodrumd", options.logLevel, options.logJSON)
+	if err != nil {
+		return err
+	}
+	listeners, err := devListeners(infos, options.portBase)
+	if err != nil {
+		return err
+	}
+	p, err := startPlatform(ctx, options.example, "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	cell := &devCell{}
+	for n, info := range infos {
+		client := httpapi.New(p.Address, platformTimeout)
+		cell.start(instance.New(instance.Options{
+			Info: info, Table: client, Objects: client.Objects(), Directory: client, Workers: client,
+			Callers: listeners[n][0], Operators: listeners[n][1], Peers: listeners[n][2],
+			Logger: log.Named(string(info.ID)),
+		}))
+	}
+	if cell.waitReady(ctx) {
+		printReady(options.out, options.example, infos, p.Address, time.Since(started))
+	}
+	<-ctx.Done()
+	return errors.CombineErrors(cell.stop(), p.Close())
+}
+
+func printReady(out io.Writer, example string, infos []structs.InstanceInfo, platform string, took time.Duration) {
+	var callers, operators []string
+	for _, info := range infos {
+		callers = append(callers, info.CallerAddress)
+		operators = append(operators, info.OperatorAddress)
+	}
+	_, _ = fmt.Fprintf(out, "ready example=%s callers=%s operators=%s platform=%s after=%dms\n",
+		example, strings.Join(callers, ","), strings.Join(operators, ","), platform, took.Milliseconds())
+}
+
+// devListeners opens the listeners of all instances and writes their
+// addresses into infos. The first instance takes exactly base, the others the
+// next free tens.
+func devListeners(infos []structs.InstanceInfo, base int) ([][3]net.Listener, error) {
+	var all [][3]net.Listener
+	port := base
+	for n := range infos {
+		listeners, err := listenAt(&infos[n], port)
+		for tries := 1; err != nil && n > 0 && tries < maxPortTries; tries++ {
+			port += portStep
+			listeners, err = listenAt(&infos[n], port)
+		}
+		if err != nil {
+			closeAll(all)
+			return nil, err
+		}
+		all = append(all, listeners)
+		port += portStep
+	}
+	return all, nil
+}
+
+func listenAt(info *structs.InstanceInfo, port int) ([3]net.Listener, error) {
+	info.CallerAddress = fmt.Sprintf("127.0.0.1:%d", port)
+	info.OperatorAddress = fmt.Sprintf("127.0.0.1:%d", port+1)
+	info.PeerAddress = fmt.Sprintf("127.0.0.1:%d", port+2)
+	return listenAll(*info)
+}
+
+func closeAll(all [][3]net.Listener) {
+	for _, listeners := range all {
+		for _, listener := range listeners {
+			_ = listener.Close()
+		}
+	}
+}
+
+// devCell is the set of instances of a development cell.
+type devCell struct {
+	members []*devMember
+	group   conc.WaitGroup
+}
+
+type devMember struct {
+	instance *instance.Instance
+	cancel   context.CancelFunc
+	done     chan error
+}
+
+func (c *devCell) start(i *instance.Instance) {
+	ctx, cancel := context.WithCancel(context.Background())
+	m := &devMember{instance: i, cancel: cancel, done: make(chan error, 1)}
+	c.members = append(c.members, m)
+	c.group.Go(func() { m.done <- i.Run(ctx) })
+}
+
+// waitReady returns true once every instance takes work.
+func (c *devCell) waitReady(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	ticker := time.NewTicker(readyPoll)
+	defer ticker.Stop()
+	for {
+		ready := true
+		for _, m := range c.members {
+			ready = ready && m.instance.Serving()
+		}
+		if ready {
+			return true
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// stop drains the instances one after another, as a rolling stop does.
+func (c *devCell) stop() error {
+	var err error
+	for _, m := range c.members {
+		m.cancel()
+		err = errors.CombineErrors(err, <-m.done)
+	}
+	c.group.Wait()
+	return err
+}
--- /dev/null
+++ b/internal/daemon/run.go
@@ -0,0 +1,99 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/mangodrum/mangodrum/config"
+	"github.com/mangodrum/mangodrum/errs"
+	"github.com/mangodrum/mangodrum/gateway"
+	"github.com/mangodrum/mangodrum/instance"
+	"github.com/mangodrum/mangodrum/platform/httpapi"
+	"github.com/mangodrum/mangodrum/structs"
+	"github.com/mangodrum/mangodrum/telemetry"
+)
+
+func runCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "run",
+		Usage:     "run one instance",
+		UsageText: "mangodrumd run --config instance.yaml",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "config", Usage: "instance `FILE`", Required: true},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			file, err := config.LoadInstance(c.String("config"))
+			if err != nil {
+				return err
+			}
+			return runInstance(ctx, file, c.Root().ErrWriter)
+		},
+	}
+}
+
+func runInstance(ctx context.Context, file *config.Instance, logOut io.Writer) error {
+	limitMemory(int64(file.Limits.Memory))
+	log, err := telemetry.NewLogger(logOut, string(file.ID), file.Log.Level, file.Log.Format == "json")
+	if err != nil {
+		return err
+	}
+	listeners, err := listenAll(file.Info())
+	if err != nil {
+		return err
+	}
+	client := httpapi.New(file.Platform, platformTimeout)
+	return instance.New(instance.Options{
+		Info: file.Info(), PeerSecret: file.Secrets.Peers, OperatorSecret: file.Secrets.Operators,
+		Table: client, Objects: client.Objects(), Directory: client, Workers: client,
+		Callers: listeners[0], Operators: listeners[1], Peers: listeners[2],
+		Limits: limitsOf(file.Limits), Logger: log,
+	}).Run(ctx)
+}
+
+func limitsOf(l config.Limits) gateway.Limits {
+	return gateway.Limits{
+		MaxBodyBytes: int64(l.MaxBody), MaxHeaderBytes: int(l.MaxHeader), MaxConnections: l.MaxConnections,
+	}
+}
+
+// listenAll opens the three listeners of an instance, or none.
+func listenAll(info structs.InstanceInfo) ([3]net.Listener, error) {
+	var listeners [3]net.Listener
+	for n, address := range []string{info.CallerAddress, info.OperatorAddress, info.PeerAddress} {
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			for _, opened := range listeners[:n] {
+				_ = opened.Close()
+			}
+			return listeners, errs.Wrap(err, errs.Failed,
+				"stop the program that uses the port, or choose another address", "listen on %s", address)
+		}
+		listeners[n] = listener
+	}
+	return listeners, nil
+}
+
+func standinCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "standin",
+		Usage:     "run the stand-in of the platform, with workers and executors, for development",
+		UsageText: "mangodrumd standin --example bureau --listen 127.0.0.1:7069",
+		Flags: []cli.Flag{
+			exampleFlag(),
+			&cli.StringFlag{Name: "listen", Usage: "`ADDRESS` of the platform's API", Value: "127.0.0.1:7069"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			p, err := startPlatform(ctx, c.String("example"), c.String("listen"))
+			if err != nil {
+				return err
+			}
+			_, _ = fmt.Fprintf(c.Root().Writer, "ready platform=%s example=%s\n", p.Address, c.String("example"))
+			<-ctx.Done()
+			return p.Close()
+		},
+	}
+}
--- a/peer/message.go
+++ b/peer/message.go
@@ -38,10 +38,12 @@
 	Incarnation     uint64                            `cbor:"1,keyasint"`
 	SettingsVersion uint64                            `cbor:"2,keyasint"`
 	Shards          map[structs.ShardID]structs.Epoch `cbor:"3,keyasint,omitempty"` // owned shards and their epochs
-	Draining        bool                              `cbor:"4,keyasint,omitempty"`
+	Phase           string                            `cbor:"4,keyasint"`           // a membership.Status
 	Ready           bool                              `cbor:"5,keyasint,omitempty"`
 	StoreHealthy    bool                              `cbor:"6,keyasint,omitempty"`
 	SentAt          structs.Timestamp                 `cbor:"7,keyasint"`
+	Info            structs.InstanceInfo              `cbor:"8,keyasint"`
+	InFlight        uint32                            `cbor:"9,keyasint,omitempty"` // requests
 }
 
 // Handover tells the receiver that a shard was handed over to it.
