Add versions of the settings and the reducer that follows them

Cause: an accepted change must be in effect everywhere within 9 s, never revert, and survive a lost reply of the store. Change: settings.Store commits a version by a compare-and-set on the head row, with one row per version and per change identifier in the same transaction; after a lost reply it looks for the change identifier. Full copies every 100 versions go to the object store and are repaired by later loads. settings.Follower applies differences in order, checks hashes, fetches the whole tree after a gap and decides on readiness.

--- a/settings/diff.go
+++ b/settings/diff.go
@@ -132,9 +132,8 @@
 	if tree != nil {
 		next = &Tree{Cell: tree.Cell, Classes: slices.Clone(tree.Classes), Branches: slices.Clone(tree.Branches)}
 	}
-	current := nodeMap(tree)
 	for _, change := range changes {
-		if err := checkOld(current, change); err != nil {
+		if err := checkOld(tree, change); err != nil {
 			return nil, err
 		}
 		if err := next.applyChange(change); err != nil {
@@ -152,13 +151,32 @@
 	return err
 }
 
-func checkOld(current map[string][]strictyaml.Entry, change Change) error {
-	entries, exists := current[change.Path]
+// entries returns the fields of one object of the tree; a nil tree has only
+// the cell, without fields.
+func (t *Tree) entries(path string) ([]strictyaml.Entry, bool) {
+	switch {
+	case t == nil:
+		return nil, path == cellPath
+	case path == cellPath:
+		return strictyaml.Flatten(t.Cell), true
+	case strings.HasPrefix(path, classPrefix):
+		class, ok := t.Class(structs.ClassName(strings.TrimPrefix(path, classPrefix)))
+		return strictyaml.Flatten(class)[1:], ok
+	}
+	i, ok := t.find(structs.TeamID(path))
+	if !ok {
+		return nil, false
+	}
+	return strictyaml.Flatten(t.Branches[i].Set), true
+}
+
+func checkOld(tree *Tree, change Change) error {
+	entries, exists := tree.entries(change.Path)
 	value := presence(exists)
 	if change.Field != "" {
 		value = ""
 		for _, entry := range entries {
-			if entry.Field == change.Field {
+			if exists && entry.Field == change.Field {
 				value = entry.Text
 			}
 		}
--- /dev/null
+++ b/settings/follower.go
@@ -0,0 +1,193 @@
+package settings
+
+import (
+	"time"
+
+	"github.com/mangodrum/mangodrum/structs"
+)
+
+const (
+	// PollInterval is the time between two reads of the head. It is the
+	// fallback when no peer sends changes; with the transfer it stays well
+	// below the 9 s within which a version is in force.
+	PollInterval = 3 * time.Second
+	// fetchTimeout is the time after which a fetch is repeated elsewhere.
+	fetchTimeout = 2 * time.Second
+	// maxGap is the number of versions fetched as differences; above it the
+	// whole tree is smaller.
+	maxGap = 50
+)
+
+// Events of Follower.
+type (
+	// VersionAnnounced tells the version in force at a peer; it comes with
+	// every heartbeat.
+	VersionAnnounced struct {
+		From   structs.InstanceID
+		Number uint64
+	}
+	// VersionsReceived brings versions from a peer or, with From "", from
+	// the store.
+	VersionsReceived struct {
+		From     structs.InstanceID
+		Versions []Version
+	}
+	// TreeReceived brings the whole tree of a version.
+	TreeReceived struct {
+		From   structs.InstanceID
+		Number uint64
+		Hash   string
+		Tree   *Tree
+	}
+	// FetchFailed reports that a fetch from a peer or the store failed.
+	FetchFailed struct{ From structs.InstanceID }
+	// HeadRead brings the head of the store.
+	HeadRead struct{ Head Head }
+	// HeadReadFailed reports that the store did not answer.
+	HeadReadFailed struct{}
+	// PeersChanged lists the peers that this instance can reach.
+	PeersChanged struct{ Reachable []structs.InstanceID }
+	// Tick lets time pass.
+	Tick struct{}
+)
+
+// Effects of Follower.
+type (
+	// ReadHead asks for the store's head; answered by HeadRead or
+	// HeadReadFailed.
+	ReadHead struct{}
+	// FetchVersions asks a peer or, with From "", the store for the
+	// versions above After; answered by VersionsReceived or FetchFailed.
+	FetchVersions struct {
+		From  structs.InstanceID
+		After uint64
+	}
+	// FetchTree asks a peer or, with From "", the store for the whole tree
+	// of at least version Number; answered by TreeReceived or FetchFailed.
+	FetchTree struct {
+		From   structs.InstanceID
+		Number uint64
+	}
+	// InForce announces that a version is in force at this instance.
+	InForce struct {
+		Number  uint64
+		Tree    *Tree
+		Changes []Change // since the version that was in force before
+	}
+	// BecameReady announces, once, that this instance may serve.
+	BecameReady struct{ Number uint64 }
+)
+
+// Kind implements structs.Event.
+func (VersionAnnounced) Kind() string { return "settings_version_announced" }
+
+// Kind implements structs.Event.
+func (VersionsReceived) Kind() string { return "settings_versions_received" }
+
+// Kind implements structs.Event.
+func (TreeReceived) Kind() string { return "settings_tree_received" }
+
+// Kind implements structs.Event.
+func (FetchFailed) Kind() string { return "settings_fetch_failed" }
+
+// Kind implements structs.Event.
+func (HeadRead) Kind() string { return "settings_head_read" }
+
+// Kind implements structs.Event.
+func (HeadReadFailed) Kind() string { return "settings_head_read_failed" }
+
+// Kind implements structs.Event.
+func (PeersChanged) Kind() string { return "settings_peers_changed" }
+
+// Kind implements structs.Event.
+func (Tick) Kind() string { return "settings_tick" }
+
+// Kind implements structs.Effect.
+func (ReadHead) Kind() string { return "settings_read_head" }
+
+// Kind implements structs.Effect.
+func (FetchVersions) Kind() string { return "settings_fetch_versions" }
+
+// Kind implements structs.Effect.
+func (FetchTree) Kind() string { return "settings_fetch_tree" }
+
+// Kind implements structs.Effect.
+func (InForce) Kind() string { return "settings_in_force" }
+
+// Kind implements structs.Effect.
+func (BecameReady) Kind() string { return "settings_became_ready" }
+
+// Follower is the reducer by which an instance follows the settings.
+//
+// Invariants: the version in force never falls; every tree in force has the
+// hash of its version; the follower becomes ready only when it has the
+// store's version or, while the store does not answer, the highest version of
+// all peers that it can reach.
+type Follower struct {
+	number uint64
+	hash   string
+	tree   *Tree
+	ready  bool
+
+	head       Head // newest head read
+	storeRead  bool // the last read of the head succeeded
+	storeDown  bool // the last read of the head failed
+	lastPoll   structs.Timestamp
+	polled     bool
+	announced  map[structs.InstanceID]uint64
+	reachable  []structs.InstanceID
+	target     uint64 // highest version known to exist
+	fetching   bool
+	fetchSince structs.Timestamp
+	failed     map[structs.InstanceID]bool // sources that failed for the current target
+	needTree   bool                        // differences did not lead to the hash
+}
+
+// NewFollower returns a follower without settings.
+func NewFollower() *Follower {
+	return &Follower{announced: map[structs.InstanceID]uint64{}, failed: map[structs.InstanceID]bool{}}
+}
+
+// Current returns the version in force and its tree, which is nil before the
+// first one.
+func (f *Follower) Current() (uint64, *Tree) { return f.number, f.tree }
+
+// Hash returns the hash of the version in force.
+func (f *Follower) Hash() string { return f.hash }
+
+// Ready reports whether the instance may serve.
+func (f *Follower) Ready() bool { return f.ready }
+
+// Target returns the highest version known to exist.
+func (f *Follower) Target() uint64 { return f.target }
+
+// Reduce applies an event.
+func (f *Follower) Reduce(now structs.Timestamp, event structs.Event) []structs.Effect {
+	var effects []structs.Effect
+	switch e := event.(type) {
+	case VersionAnnounced:
+		f.announced[e.From] = e.Number // lower than before when the peer restarted
+		f.raiseTarget(e.Number)
+	case VersionsReceived:
+		effects = f.receiveVersions(e)
+	case TreeReceived:
+		effects = f.receiveTree(e)
+	case FetchFailed:
+		f.fetching = false
+		f.failed[e.From] = true
+	case HeadRead:
+		f.storeRead, f.storeDown = true, false
+		if e.Head.Number >= f.head.Number {
+			f.head = e.Head
+		}
+		f.raiseTarget(e.Head.Number)
+	case HeadReadFailed:
+		f.storeRead, f.storeDown = false, true
+	case PeersChanged:
+		f.reachable = append(f.reachable[:0], e.Reachable...)
+	case Tick:
+		effects = f.poll(now)
+	}
+	effects = append(effects, f.fetch(now)...)
+	return append(effects, f.checkReady()...)
+}
--- /dev/null
+++ b/settings/store.go
@@ -0,0 +1,279 @@
+package settings
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/mangodrum/mangodrum/errs"
+	"github.com/mangodrum/mangodrum/platform"
+	"github.com/mangodrum/mangodrum/structs"
+)
+
+const (
+	// copyInterval is the number of versions between two full copies; a new
+	// instance replays at most this many differences.
+	copyInterval = 100
+	// commitAttempts bounds the repeats of a commit whose reply was lost.
+	commitAttempts = 4
+	// retryDelay is the delay before the first repeat; it doubles.
+	retryDelay = 50 * time.Millisecond
+	// scanPage is the number of rows read by one scan.
+	scanPage = 500
+)
+
+// Store keeps the versions of the settings in the platform's table and full
+// copies in its object store. It is safe for concurrent use.
+type Store struct {
+	table   platform.Table
+	objects platform.Objects
+	now     func() structs.Timestamp
+	wait    func(ctx context.Context, d time.Duration) error
+
+	mu     sync.Mutex
+	number uint64 // newest version loaded or committed
+	tree   *Tree
+}
+
+// NewStore returns a store. now is the clock of new versions; wait delays
+// repeats and returns early when the context ends, nil means a timer.
+func NewStore(table platform.Table, objects platform.Objects, now func() structs.Timestamp,
+	wait func(ctx context.Context, d time.Duration) error) *Store {
+	if wait == nil {
+		wait = waitTimer
+	}
+	return &Store{table: table, objects: objects, now: now, wait: wait}
+}
+
+func waitTimer(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Head returns the newest version's number and hash; the number is 0 if there
+// are no settings yet.
+func (s *Store) Head(ctx context.Context) (Head, error) {
+	head, _, err := s.readHead(ctx)
+	return head, err
+}
+
+func (s *Store) readHead(ctx context.Context) (Head, uint64, error) {
+	row, err := s.table.Get(ctx, HeadKey)
+	if errs.Is(err, errs.NotFound) {
+		return Head{}, 0, nil
+	}
+	if err != nil {
+		return Head{}, 0, readError(err, "read the head of the settings")
+	}
+	head, err := decodeRow[Head](HeadKey, row.Value)
+	return head, row.Version, err
+}
+
+// readError makes an error of a read certain: a read that failed changed
+// nothing, whatever became of its reply.
+func readError(err error, what string) error {
+	return errs.Wrap(err, errs.NotRun, "try again when the platform's store answers", "%s", what)
+}
+
+// Version returns one version.
+func (s *Store) Version(ctx context.Context, number uint64) (Version, error) {
+	key := VersionKey(number)
+	row, err := s.table.Get(ctx, key)
+	if errs.Is(err, errs.NotFound) {
+		return Version{}, errs.New(errs.NotFound, "list the versions with: mangodrum settings history",
+			"settings version %d does not exist", number)
+	}
+	if err != nil {
+		return Version{}, readError(err, "read a version of the settings")
+	}
+	return decodeRow[Version](key, row.Value)
+}
+
+// Versions returns up to limit versions above after, in order.
+func (s *Store) Versions(ctx context.Context, after uint64, limit int) ([]Version, error) {
+	var versions []Version
+	for len(versions) < limit {
+		page := min(scanPage, limit-len(versions))
+		rows, err := s.table.Scan(ctx, versionPrefix, VersionKey(after), page)
+		if err != nil {
+			return nil, readError(err, "read versions of the settings")
+		}
+		for _, row := range rows {
+			version, err := decodeRow[Version](row.Key, row.Value)
+			if err != nil {
+				return nil, err
+			}
+			versions = append(versions, version)
+			after = version.Number
+		}
+		if len(rows) < page {
+			break
+		}
+	}
+	return versions, nil
+}
+
+// History returns up to limit versions below before, newest first; before 0
+// starts at the newest.
+func (s *Store) History(ctx context.Context, before uint64, limit int) ([]Version, error) {
+	if before == 0 {
+		head, err := s.Head(ctx)
+		if err != nil {
+			return nil, err
+		}
+		before = head.Number + 1
+	}
+	first := uint64(1)
+	if before > uint64(limit) {
+		first = before - uint64(limit)
+	}
+	versions, err := s.Versions(ctx, first-1, int(before-first))
+	slices.Reverse(versions)
+	return versions, err
+}
+
+// Commit makes the change the next version, or fails with errs.Conflict if
+// another change came first. A repeat with the same ChangeID returns the
+// version that the first one made. A change without differences returns the
+// version in force. After errs.OutcomeUnknown, the caller repeats the commit
+// with the same ChangeID.
+func (s *Store) Commit(ctx context.Context, c Commit) (Version, error) {
+	if err := c.check(); err != nil {
+		return Version{}, err
+	}
+	if version, found, err := s.findChange(ctx, c); found || err != nil {
+		return version, err
+	}
+	head, headRow, err := s.readHead(ctx)
+	if err != nil {
+		return Version{}, err
+	}
+	if head.Number != c.Base {
+		return Version{}, s.conflictSince(ctx, c.Base, head)
+	}
+	base, err := s.load(ctx, head)
+	if err != nil {
+		return Version{}, err
+	}
+	if head.Number > 0 && head.Hash == c.Tree.Hash() {
+		return s.Version(ctx, head.Number)
+	}
+	txn, version := plan(head, headRow, base, c, s.now())
+	committed, err := s.write(ctx, txn, version, c)
+	if err != nil {
+		return Version{}, err
+	}
+	s.remember(committed.Number, c.Tree)
+	if committed.Number%copyInterval == 0 {
+		s.saveCopy(ctx, committed.Number, c.Tree)
+	}
+	return committed, nil
+}
+
+// findChange returns the version that the change has made already.
+func (s *Store) findChange(ctx context.Context, c Commit) (Version, bool, error) {
+	key := changePrefix + c.ChangeID
+	row, err := s.table.Get(ctx, key)
+	if errs.Is(err, errs.NotFound) {
+		return Version{}, false, nil
+	}
+	if err != nil {
+		return Version{}, false, readError(err, "look for the change identifier")
+	}
+	number, err := decodeRow[uint64](key, row.Value)
+	if err != nil {
+		return Version{}, false, err
+	}
+	version, err := s.Version(ctx, number)
+	if err != nil {
+		return Version{}, false, err
+	}
+	if version.Hash != c.Tree.Hash() {
+		return Version{}, true, errs.New(errs.Conflict, "use a new change identifier for a new change",
+			"change identifier %q belongs to version %d, which has another content", c.ChangeID, number)
+	}
+	return version, true, nil
+}
+
+// conflictSince returns the error of a change that lost a race.
+func (s *Store) conflictSince(ctx context.Context, base uint64, head Head) error {
+	if base > head.Number {
+		return errs.New(errs.InvalidInput, "use a version of: mangodrum settings history",
+			"base version %d does not exist; the newest is %d", base, head.Number)
+	}
+	since, err := s.Versions(ctx, base, int(head.Number-base))
+	if err != nil {
+		return err
+	}
+	return conflictError(base, since)
+}
+
+// write commits the transaction. When a reply is lost it looks for the change
+// identifier; while that is absent it repeats the transaction, which cannot
+// take effect twice because of its conditions.
+func (s *Store) write(ctx context.Context, txn platform.Txn, version Version, c Commit) (Version, error) {
+	unknown := false
+	for attempt := range commitAttempts {
+		if attempt > 0 && s.wait(ctx, retryDelay<<(attempt-1)) != nil {
+			break
+		}
+		_, err := s.table.Commit(ctx, txn)
+		if err == nil {
+			return version, nil
+		}
+		if errs.Is(err, errs.NotRun) && !unknown {
+			return Version{}, errs.Wrap(err, errs.NotRun, "repeat the change when the platform's store answers",
+				"commit settings version %d", version.Number)
+		}
+		conflict := errs.Is(err, errs.Conflict)
+		unknown = unknown || !conflict
+		found, done, err := s.findChange(ctx, c)
+		switch {
+		case done:
+			return found, err
+		case err == nil && conflict:
+			return Version{}, s.lostRace(ctx, c)
+		}
+	}
+	return Version{}, errs.New(errs.OutcomeUnknown,
+		"repeat the change with change identifier "+c.ChangeID+"; it takes effect at most once",
+		"the store's reply to settings version %d was lost", version.Number)
+}
+
+// lostRace returns the conflict of a transaction whose conditions failed
+// without its own doing. Details that cannot be read are left out.
+func (s *Store) lostRace(ctx context.Context, c Commit) error {
+	head, err := s.Head(ctx)
+	if err != nil {
+		return conflictError(c.Base, nil)
+	}
+	if err := s.conflictSince(ctx, c.Base, head); errs.Is(err, errs.Conflict) {
+		return err
+	}
+	return conflictError(c.Base, nil)
+}
+
+// Rollback commits the tree of version to as a new version.
+func (s *Store) Rollback(ctx context.Context, to uint64, c Commit) (Version, error) {
+	tree, err := s.Load(ctx, to)
+	if err != nil {
+		return Version{}, err
+	}
+	c.Tree = tree
+	return s.Commit(ctx, c)
+}
+
+func (s *Store) remember(number uint64, tree *Tree) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if number > s.number {
+		s.number, s.tree = number, tree
+	}
+}
--- a/settings/version.go
+++ b/settings/version.go
@@ -31,6 +31,7 @@
 const (
 	HeadKey       = "settings/head"
 	versionPrefix = "settings/versions/"
+	changePrefix  = "settings/changes/" // one row per change identifier, with the version's number
 	copyPrefix    = "settings/copies/"
 )
 
