--- a/core/shard.go
+++ b/core/shard.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"time"
+
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/mangodrum/mangodrum/errs"
@@ -15,6 +17,15 @@
 // replay of that many rows takes well under a second.
 const snapshotRows = 500
 
+// moveDelay is how long another instance must be the better owner before the
+// shard moves to it. It exceeds the time in which a dead instance is noticed,
+// so that an instance that restarts again and again gets no shards.
+const moveDelay = 10 * time.Second
+
+// flushPatience is how long a hand-over waits for the journal. It is well
+// below the task lease.
+const flushPatience = 5 * time.Second
+
 // Phase is what an instance does with a shard.
 type Phase string
 
@@ -40,6 +51,12 @@
 	journal   *journal.State
 	ledger    *credits.Ledger
 
+	// preferred is the other instance that should own the shard, and since
+	// when; empty if that is this instance.
+	preferred      structs.InstanceID
+	preferredSince structs.Timestamp
+	leavingSince   structs.Timestamp // start of a hand-over; 0 if there is none
+
 	lastSnapshotRow uint64
 	snapshot        *journal.Snapshot // taken, waits for its records to be committed
 	saving          bool
@@ -158,9 +175,9 @@
 		return refuse(e.Shard, 0, call, errNotOwner(e.Shard))
 	case x == nil:
 		return nil
-	case isCall && (x.phase != PhaseRunning || s.draining):
+	case isCall && (x.phase != PhaseRunning || x.leavingSince != 0 || s.draining):
 		return refuse(x.id, x.epoch, call, errs.New(errs.NotRun, "try again in a few seconds",
-			"shard %q is %s at this instance", x.id, x.phase))
+			"shard %q is %s or on its way to another instance", x.id, x.phase))
 	case isCall && s.owners.Standing(now, x.id) != ownership.Owner:
 		return refuse(x.id, x.epoch, call, errs.New(errs.NotRun, "try again when the platform's table is back",
 			"the owner of shard %q cannot renew its lease, so nothing can be recorded", x.id))
@@ -199,6 +216,9 @@
 	if x.phase != PhaseRunning || s.owners.Standing(now, x.id) == ownership.NotOwner {
 		return nil
 	}
+	if _, committed := ev.(scheduler.Committed); x.leavingSince != 0 && !committed {
+		return nil
+	}
 	var effects []structs.Effect
 	for _, effect := range x.scheduler.Reduce(now, ev) {
 		appended, ok := effect.(scheduler.Append)
@@ -247,24 +267,46 @@
 		x.reload = false
 		return []structs.Effect{LoadShard{Shard: x.id, Epoch: x.epoch}}
 	}
-	if s.draining {
-		if effects, done := s.handOver(now, x); done {
-			return effects
-		}
+	if s.draining || s.shouldMove(now, x) {
+		return s.handOver(now, x)
 	}
+	x.leavingSince = 0
 	effects := s.schedule(now, x, scheduler.Tick{})
 	effects = append(effects, s.journal(now, x, journal.FlushDue{})...)
 	return append(effects, s.tickLedger(now, x)...)
 }
 
-// handOver gives the shard to its successor once its journal is flushed.
-func (s *State) handOver(now structs.Timestamp, x *shard) ([]structs.Effect, bool) {
+// shouldMove reports whether another instance has been the better owner for
+// long enough, for example one in the shard's own region that came back.
+func (s *State) shouldMove(now structs.Timestamp, x *shard) bool {
+	to := s.owners.Preferred(x.id)
+	if x.phase != PhaseRunning || to == "" || to == s.cfg.Self.ID {
+		x.preferred = ""
+		return false
+	}
+	if to != x.preferred {
+		x.preferred, x.preferredSince = to, now
+	}
+	return now.Sub(x.preferredSince) >= moveDelay
+}
+
+// handOver gives the shard to its successor once its journal is flushed. Until
+// then the scheduler takes no events but commits. If the store does not take
+// the rest in time, the shard stays: without its scheduler the leases of its
+// tasks would lapse.
+func (s *State) handOver(now structs.Timestamp, x *shard) []structs.Effect {
+	if x.leavingSince == 0 {
+		x.leavingSince = now
+	}
 	if x.phase == PhaseRunning {
 		if pending, _ := x.journal.Backlog(); pending > 0 {
-			return nil, false
+			if now.Sub(x.leavingSince) > flushPatience {
+				x.leavingSince, x.preferredSince = 0, now
+			}
+			return s.journal(now, x, journal.FlushDue{})
 		}
 	}
 	to := s.owners.Preferred(x.id)
 	effects := s.ownership(now, ownership.HandOver{Shard: x.id, To: to})
-	return append(effects, NotifySuccessor{Shard: x.id, To: to}), true
+	return append(effects, NotifySuccessor{Shard: x.id, To: to})
 }
