--- a/config/request.go
+++ b/config/request.go
@@ -1,6 +1,8 @@
 package config
 
 import (
+	"maps"
+	"slices"
 	"strings"
 
 	"github.com/mangodrum/mangodrum/internal/strictyaml"
@@ -8,6 +10,9 @@
 	"github.com/mangodrum/mangodrum/structs"
 )
 
+// Duration is a length of time with a unit.
+type Duration = settings.Duration
+
 // Request is a request to a service, for `mangodrum request send`.
 type Request struct {
 	strictyaml.Header
@@ -30,21 +35,35 @@
 	if err != nil {
 		return nil, err
 	}
-	for name, value := range request.Headers {
-		request.checkHeader(report, name, value)
+	request.check(report)
+	return request, report.Err()
+}
+
+// Check checks a request that was not decoded from a file and fills in the
+// method and path.
+func (r *Request) Check() error {
+	report := strictyaml.NewReport("request")
+	for _, problem := range strictyaml.Validate(r) {
+		if !strings.HasPrefix(problem.Field, "apiVersion") && problem.Field != "kind" {
+			report.Problems = append(report.Problems, problem)
+		}
 	}
-	if request.Path != "" && !strings.HasPrefix(request.Path, "/") || strings.ContainsAny(request.Path, " \r\n") {
-		report.Add("path", "start the path with / and escape white space", "%q is no path", request.Path)
+	r.check(report)
+	return report.Err()
+}
+
+func (r *Request) check(report *strictyaml.Report) {
+	for _, name := range slices.Sorted(maps.Keys(r.Headers)) {
+		r.checkHeader(report, name, r.Headers[name])
 	}
-	if err := report.Err(); err != nil {
-		return nil, err
+	if r.Path != "" && !strings.HasPrefix(r.Path, "/") || strings.ContainsAny(r.Path, " \r\n") {
+		report.Add("path", "start the path with / and escape white space", "%q is no path", r.Path)
 	}
-	fill(&request.Path, "/")
-	if request.Body != "" {
-		fill(&request.Method, "POST")
+	fill(&r.Path, "/")
+	if r.Body != "" {
+		fill(&r.Method, "POST")
 	}
-	fill(&request.Method, "GET")
-	return request, nil
+	fill(&r.Method, "GET")
 }
 
 func (r *Request) checkHeader(report *strictyaml.Report, name, value string) {
--- a/internal/strictyaml/flatten.go
+++ b/internal/strictyaml/flatten.go
@@ -106,6 +106,28 @@
 	return nil
 }
 
+// Validate checks the scalar fields of a struct that was not decoded against
+// their tags. Empty values are checked only if they are required.
+func Validate(value any) Problems {
+	var problems Problems
+	add := func(field, detail, remedy string) {
+		problems = append(problems, &Problem{Field: field, Detail: detail, Remedy: remedy})
+	}
+	walk(reflect.Indirect(reflect.ValueOf(value)), "", func(field string, v reflect.Value, tag reflect.StructField) {
+		required := tag.Tag.Get("required") == "true"
+		switch {
+		case v.IsZero() && required:
+			add(field, "is missing", "add the field")
+		case v.IsZero() || v.Kind() == reflect.Map || v.Kind() == reflect.Slice || v.Kind() == reflect.Pointer:
+		default:
+			if err := checkTags(v, &tag); err != nil {
+				add(field, fmt.Sprintf("%q %v", textOf(v), err), remedyFor(v.Addr().Elem(), &tag))
+			}
+		}
+	})
+	return problems
+}
+
 // Encode writes the struct value as YAML in declaration order. Empty lists,
 // empty structs and nil pointers are left out. The result is canonical: equal
 // values give equal bytes.
