--- /dev/null
+++ b/internal/daemon/failure_test.go
@@ -0,0 +1,175 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"syscall"
+	"testing"
+
+	"github.com/mangodrum/mangodrum/errs"
+	"github.com/mangodrum/mangodrum/operatorapi"
+	"github.com/mangodrum/mangodrum/platform/standin"
+	"github.com/mangodrum/mangodrum/structs"
+)
+
+// Guards against lost or doubled tasks when the owner of a shard is killed
+// while its tasks run, and against a shard that nobody takes over.
+func TestOwnerIsKilled(t *testing.T) {
+	c := startProcesses(t)
+	if err := c.submit(1, "before", "ishikari", 20, "3s"); err != nil {
+		t.Fatal(err)
+	}
+	victim := c.ownerNumber("ishikari", 1)
+	c.instances[victim].signal(t, syscall.SIGKILL)
+	other := (victim + 1) % 3
+	c.waitServing(other, (victim+2)%3)
+	eventually(t, "a job is accepted after the takeover", func() error {
+		return c.submit(other, "after", "ishikari", 5, "10ms")
+	})
+	c.waitSucceeded(other, "before", 20)
+	c.waitSucceeded(other, "after", 5)
+	c.checkSafety()
+}
+
+// ownerNumber waits until the shard has an owner and returns its number.
+func (c *processCell) ownerNumber(shard string, seenBy int) int {
+	c.t.Helper()
+	number := -1
+	eventually(c.t, "shard has an owner", func() error {
+		for id, info := range c.owners(seenBy) {
+			if string(id) == shard {
+				number = slices.Index(c.callers, info.CallerAddress)
+				return nil
+			}
+		}
+		return errs.New(errs.NotRun, "", "shard %s has no owner", shard)
+	})
+	return number
+}
+
+// Guards against an owner that was frozen past its lease and goes on as owner
+// when it wakes.
+func TestOwnerIsFrozen(t *testing.T) {
+	c := startProcesses(t)
+	if err := c.submit(0, "before", "kamikawa", 20, "2s"); err != nil {
+		t.Fatal(err)
+	}
+	victim := c.ownerNumber("kamikawa", 0)
+	other := (victim + 1) % 3
+	c.instances[victim].signal(t, syscall.SIGSTOP)
+	eventually(t, "another instance owns the shard", func() error {
+		if info, ok := c.owners(other)["kamikawa"]; !ok || info.CallerAddress == c.callers[victim] {
+			return errs.New(errs.NotRun, "", "kamikawa is at %q", info.ID)
+		}
+		return c.submit(other, "during", "kamikawa", 5, "10ms")
+	})
+	c.instances[victim].signal(t, syscall.SIGCONT)
+	c.waitSucceeded(other, "before", 20)
+	c.waitSucceeded(other, "during", 5)
+	eventually(t, "the frozen instance works again", func() error {
+		return c.submit(victim, "later", "kamikawa", 5, "10ms")
+	})
+	c.waitSucceeded(victim, "later", 5)
+	c.checkSafety()
+}
+
+// Guards against work that is acknowledged though it is not durable, and
+// against idempotent requests that fail, while the store is down; and against
+// a "not run" answer to work that did run.
+func TestStoreOutage(t *testing.T) {
+	c := startProcesses(t)
+	c.control(standin.OpFault, standin.FaultRequest{Unavailable: true})
+	for n := range c.callers {
+		if status, outcome, body := c.request(n, "PUT", fmt.Sprintf("idempotent-%d", n), ""); status != 200 {
+			t.Errorf("idempotent request at %d: status %d, outcome %s, %s", n, status, outcome, body)
+		}
+		if status, outcome, body := c.request(n, "POST", fmt.Sprintf("invoice-%d", n), ""); outcome != "not-run" {
+			t.Errorf("non-idempotent request at %d: status %d, outcome %s, %s", n, status, outcome, body)
+		}
+	}
+	if err := c.submit(0, "refused", "oshima", 5, "10ms"); err == nil {
+		t.Error("a job was acknowledged while the store was down")
+	}
+	c.control(standin.OpFault, standin.FaultRequest{})
+	for n := range c.callers {
+		id := fmt.Sprintf("invoice-%d", n)
+		eventually(t, "the invoice runs", func() error {
+			if status, outcome, body := c.request(n, "POST", id, ""); status != 200 {
+				return errs.New(errs.NotRun, "", "status %d, outcome %s, %s", status, outcome, body)
+			}
+			return nil
+		})
+	}
+	eventually(t, "the job is accepted", func() error { return c.submit(0, "refused", "oshima", 5, "10ms") })
+	c.waitSucceeded(1, "refused", 5)
+	c.checkSafety()
+}
+
+// Guards against a lost or doubled job or request when replies of the store
+// are lost after the write, and calls are refused in between.
+func TestStoreLosesReplies(t *testing.T) {
+	c := startProcesses(t)
+	c.control(standin.OpFault, standin.FaultRequest{LoseReplyEvery: 2, RefuseEvery: 5})
+	for n := range 9 {
+		id := fmt.Sprintf("job-%d", n)
+		eventually(t, "job is accepted", func() error { return c.submit(n%3, structs.JobID(id), "", 3, "10ms") })
+	}
+	for n := range 9 {
+		c.waitSucceeded((n+1)%3, structs.JobID(fmt.Sprintf("job-%d", n)), 3)
+	}
+	c.checkSafety()
+}
+
+// Guards against state that is lost when every instance dies at one time.
+func TestRestartOfAll(t *testing.T) {
+	c := startProcesses(t)
+	if err := c.submit(0, "survivor", "oshima", 10, "2s"); err != nil {
+		t.Fatal(err)
+	}
+	for _, p := range c.instances {
+		p.signal(t, syscall.SIGKILL)
+	}
+	for n, p := range c.instances {
+		<-p.ended
+		c.start(n)
+	}
+	c.waitServing(0, 1, 2)
+	c.waitSucceeded(2, "survivor", 10)
+	c.checkSafety()
+}
+
+// Guards against a planned stop that interrupts a request or a task, or exits
+// with an error.
+func TestPlannedStopUnderLoad(t *testing.T) {
+	c := startProcesses(t)
+	if err := c.submit(0, "running", "ishikari", 10, "1s"); err != nil {
+		t.Fatal(err)
+	}
+	var group sync.WaitGroup
+	for n := range 20 {
+		group.Go(func() {
+			id := fmt.Sprintf("slow-%d", n)
+			if status, outcome, body := c.request(0, "PUT", id, "?sleep=700ms"); status != 200 && outcome != "not-run" {
+				t.Errorf("request %s: status %d, outcome %q, %s", id, status, outcome, body)
+			}
+		})
+	}
+	eventually(t, "requests are in flight", func() error {
+		list, err := c.client(0).Instances(context.Background())
+		if err != nil || !slices.ContainsFunc(list.Instances, func(i operatorapi.InstanceStatus) bool { return i.Self && i.InFlight > 0 }) {
+			return errs.New(errs.NotRun, "", "none in flight: %v", err)
+		}
+		return nil
+	})
+	c.instances[0].signal(t, syscall.SIGTERM)
+	group.Wait()
+	<-c.instances[0].ended
+	if c.instances[0].code != ExitDone {
+		t.Errorf("exit code %d, want %d: %s", c.instances[0].code, ExitDone, c.instances[0].errors)
+	}
+	c.waitServing(1, 2)
+	c.waitSucceeded(1, "running", 10)
+	c.checkSafety()
+}
