queue: share lines between jobs of one shape, bound passes per class

Cause: every job was a line of its own and one bound of 128 searches covered all classes. In a flood of 20,000 deferrable jobs the scan of their lines took hundreds of passes, during which blocked lines of the normal class stayed aside. Change: tasks of equal size that may run anywhere share a line; the bound is 64 lines per class; tasks that never started count in the waits of the load tests.

--- a/queue/config.go
+++ b/queue/config.go
@@ -16,9 +16,10 @@
 	DefaultAgeing = 10 * time.Minute
 	// maxAgeFactor bounds how far ageing raises the weight of a class.
 	maxAgeFactor = 16
-	// maxSkips bounds the lines set aside in one pass, and with them the
-	// searches without result that one pass can cost.
-	maxSkips = 128
+	// maxSkips bounds the lines of a class set aside in one pass, and with them
+	// the searches without result that one pass can cost. The bound is per
+	// class, so a class with many lines does not end the pass for the others.
+	maxSkips = 64
 )
 
 // ClassConfig declares one class of work.
@@ -40,7 +41,8 @@
 // Item is one unit of pending work: a task or a whole gang.
 type Item struct {
 	ID        structs.TaskID
-	Job       structs.JobID // items of one job have one shape and form a line
+	Job       structs.JobID
+	Line      string // items of a team with equal, non-empty lines fit the same places; otherwise the items of a job form a line
 	Team      structs.TeamID
 	Class     structs.ClassName
 	Resources structs.Resources
--- a/queue/doc.go
+++ b/queue/doc.go
@@ -5,7 +5,7 @@
 // by weight as well. Shares are measured in occupied capacity: Take charges
 // the cost of an item to its class and team and Release returns it.
 //
-// Items of one job form a line. Skip sets the line of an item aside until the
+// Items of a team that fit the same places form a line. Skip sets the line of an item aside until the
 // next pass, so a head that does not fit holds up nobody.
 //
 // Push, Next, Take and Release cost O(log n) in the number of items. Remove
--- a/queue/lines.go
+++ b/queue/lines.go
@@ -64,9 +64,22 @@
 	heap.Init(h)
 }
 
-// line holds the due items of one job.
+// lineKey identifies a line of a team: by the shape, or by the job.
+type lineKey struct {
+	line string
+	job  structs.JobID
+}
+
+func (it Item) lineKey() lineKey {
+	if it.Line != "" {
+		return lineKey{line: it.Line}
+	}
+	return lineKey{job: it.Job}
+}
+
+// line holds the due items of one shape.
 type line struct {
-	job     structs.JobID
+	key     lineKey
 	team    *team
 	entries entryHeap
 	live    int // entries of this line that are not dead, due or not
--- a/queue/pass.go
+++ b/queue/pass.go
@@ -8,8 +8,9 @@
 )
 
 // BeginPass starts a scheduling pass at now: items that became due join their
-// lines, and lines set aside return. If the last pass ended at its bound, only
-// lines of urgent classes return, so that successive passes reach every line.
+// lines, and lines set aside return. If the last pass reached the bound of a
+// class that is not urgent, its lines stay aside, so that successive passes
+// reach every line.
 func (q *Queue) BeginPass(now structs.Timestamp) {
 	q.admitDue(now)
 	q.releaseHeld(now)
@@ -18,11 +19,10 @@
 		t.class.update(t)
 	}
 	q.blocked = q.blocked[:0]
-	everything := q.skips < maxSkips
-	q.skips = 0
 	kept := q.aside[:0]
 	for _, l := range q.aside {
-		if !everything && l.team.class.cfg.Urgency != structs.Urgent {
+		c := l.team.class
+		if c.skips >= maxSkips && c.cfg.Urgency != structs.Urgent {
 			kept = append(kept, l)
 			continue
 		}
@@ -31,6 +31,9 @@
 	}
 	clear(q.aside[len(kept):])
 	q.aside = kept
+	for _, c := range q.classes {
+		c.skips = 0
+	}
 }
 
 func (q *Queue) admitDue(now structs.Timestamp) {
@@ -78,11 +81,8 @@
 
 // Next returns the item to try next, without taking it. The caller answers
 // with Take, Skip, Hold or Remove. It returns false when every line is empty
-// or set aside, or when the pass reached its bound.
+// or set aside, or when their classes reached the bound of the pass.
 func (q *Queue) Next(now structs.Timestamp) (Item, bool) {
-	if q.skips >= maxSkips {
-		return Item{}, false
-	}
 	c := q.pick(now)
 	if c == nil {
 		return Item{}, false
@@ -106,7 +106,7 @@
 	var best *class
 	bestLoad := 0.0
 	for _, c := range q.classes {
-		if len(c.heaps[byShare].list) == 0 {
+		if len(c.heaps[byShare].list) == 0 || c.skips >= maxSkips {
 			continue
 		}
 		if c.belowFloor(q.capacity) {
@@ -160,7 +160,7 @@
 	if e == nil || e.line.aside {
 		return
 	}
-	q.skips++
+	e.line.team.class.skips++
 	e.line.aside = true
 	q.aside = append(q.aside, e.line)
 	q.refresh(e.line)
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -28,7 +28,6 @@
 	blocked  []*team // set aside for this pass
 	capacity int64
 	seq      uint64
-	skips    int
 }
 
 // New returns an empty queue.
@@ -101,10 +100,11 @@
 func (q *Queue) add(c *class, it Item) {
 	q.Remove(it.ID)
 	t := c.team(it.Team, q.cfg.teamWeight(it.Team))
-	l := t.lines[it.Job]
+	key := it.lineKey()
+	l := t.lines[key]
 	if l == nil {
-		l = &line{job: it.Job, team: t, pos: -1}
-		t.lines[it.Job] = l
+		l = &line{key: key, team: t, pos: -1}
+		t.lines[key] = l
 	}
 	q.seq++
 	e := &entry{item: it, line: l, seq: q.seq}
@@ -174,7 +174,7 @@
 		q.removeDue(l, e)
 	}
 	if l.live == 0 {
-		delete(t.lines, l.job)
+		delete(t.lines, l.key)
 	}
 	return true
 }
--- a/queue/teams.go
+++ b/queue/teams.go
@@ -16,7 +16,7 @@
 	served uint64
 	depth  int
 	aside  bool // for this pass
-	lines  map[structs.JobID]*line
+	lines  map[lineKey]*line
 	ready  lineHeap
 	pos    [2]int // index in the heaps of the class, or -1
 }
@@ -83,6 +83,7 @@
 	cfg   ClassConfig
 	usage int64
 	depth int
+	skips int // lines set aside in this pass
 	teams map[structs.TeamID]*team
 	heaps [2]teamHeap
 }
@@ -96,7 +97,7 @@
 func (c *class) team(id structs.TeamID, weight int64) *team {
 	t := c.teams[id]
 	if t == nil {
-		t = &team{id: id, class: c, weight: weight, lines: map[structs.JobID]*line{}, pos: [2]int{-1, -1}}
+		t = &team{id: id, class: c, weight: weight, lines: map[lineKey]*line{}, pos: [2]int{-1, -1}}
 		c.teams[id] = t
 	}
 	return t
--- a/scheduler/learn.go
+++ b/scheduler/learn.go
@@ -128,7 +128,7 @@
 	if used.Fits(a.reserved) {
 		return
 	}
-	j.estimate.peak = atMost(maxOf(j.estimate.peak, used), w.info.Capacity)
+	j.estimate.peak = atMost(maxOf(j.estimate.peak, roundUp(used)), w.info.Capacity)
 	want := maxOf(a.reserved, used)
 	if s.growReservation(w, t, want) {
 		return
@@ -169,6 +169,22 @@
 	b.Throttles = append(b.Throttles, platform.AttemptRef{Task: t.ID, Attempt: t.Attempt})
 }
 
+// roundUp rounds a learned size up by at most an eighth, so that the size of a
+// job changes rarely while its usage is learned.
+func roundUp(r structs.Resources) structs.Resources {
+	return structs.Resources{
+		MilliCPU: roundUpEighth(r.MilliCPU), MemoryBytes: roundUpEighth(r.MemoryBytes), Accelerators: r.Accelerators,
+	}
+}
+
+func roundUpEighth(n int64) int64 {
+	step := int64(1)
+	for step*16 <= n {
+		step *= 2
+	}
+	return (n + step - 1) / step * step
+}
+
 // atMost returns the smaller amount of each resource.
 func atMost(a, b structs.Resources) structs.Resources {
 	return structs.Resources{
--- /dev/null
+++ b/scheduler/load_test.go
@@ -0,0 +1,236 @@
+package scheduler
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+	"time"
+
+	"github.com/mangodrum/mangodrum/structs"
+)
+
+// arrival is one job of a trace.
+type arrival struct {
+	at      time.Duration
+	class   structs.ClassName
+	count   int
+	size    structs.Resources
+	runTime time.Duration
+	flood   bool
+}
+
+// traffic describes a trace: the part of the fleet that each class loads.
+type traffic struct {
+	seed    int64
+	workers int
+	length  time.Duration
+	loads   map[structs.ClassName]float64
+	flood   structs.ClassName // arrives at ten times the fleet's rate in the middle half
+}
+
+var classNames = []structs.ClassName{"urgent", "normal", "deferrable"}
+
+// arrayOf is the largest number of tasks of one job; deferrable work comes in
+// batches, so arrivals are bursty.
+var arrayOf = map[structs.ClassName]int{"urgent": 1, "normal": 4, "deferrable": 200}
+
+const (
+	meanRun    = 10 * time.Second
+	meanCores  = 2.5 // of 1, 2, 3 and 4 cores
+	workerSize = 32
+)
+
+// trace returns the arrivals of all classes in the order of time.
+func (tr traffic) trace() []arrival {
+	var out []arrival
+	for i, class := range classNames {
+		rng := rand.New(rand.NewSource(tr.seed*10 + int64(i)))
+		out = append(out, tr.stream(rng, class, tr.loads[class], arrayOf[class], 0, tr.length, false)...)
+	}
+	if tr.flood != "" {
+		rng := rand.New(rand.NewSource(tr.seed*10 + 9))
+		out = append(out, tr.stream(rng, tr.flood, 10, 50, tr.length/4, tr.length*3/4, true)...)
+	}
+	return out
+}
+
+func (tr traffic) stream(rng *rand.Rand, class structs.ClassName, load float64, array int, from, to time.Duration, flood bool) []arrival {
+	var out []arrival
+	tasksPerSecond := load * float64(tr.workers*workerSize) / (meanCores * meanRun.Seconds())
+	jobsPerSecond := tasksPerSecond / (float64(1+array) / 2)
+	for at := from; load > 0; {
+		at += time.Duration(rng.ExpFloat64() / jobsPerSecond * float64(time.Second))
+		if at >= to {
+			break
+		}
+		out = append(out, arrival{
+			at: at, class: class, count: 1 + rng.Intn(array), size: cores(int64(1 + rng.Intn(4))), flood: flood,
+			runTime: time.Duration((0.1 + 0.9*rng.ExpFloat64()) * float64(meanRun)),
+		})
+	}
+	return out
+}
+
+// outcome is what a run gave each class, without the flood itself.
+type outcome struct {
+	waits map[structs.ClassName][]time.Duration
+	done  map[structs.ClassName]int
+}
+
+func newOutcome() outcome {
+	return outcome{map[structs.ClassName][]time.Duration{}, map[structs.ClassName]int{}}
+}
+
+func (o outcome) p(class structs.ClassName, q float64) time.Duration {
+	return percentile(o.waits[class], q)
+}
+
+// floodClass marks jobs of the flood in the driver's books.
+const floodClass = "flood"
+
+// runScheduler plays the trace through the reducer.
+func (tr traffic) runScheduler(policy Policy) outcome {
+	c := newCell(tr.seed, policy, fleet(tr.workers, cores(workerSize)))
+	for i, a := range tr.trace() {
+		c.after(a.at, func() {
+			job := batch(fmt.Sprintf("j%d", i), a.class, a.count, a.size, a.runTime)
+			job.Team = []structs.TeamID{"/a", "/b"}[i%2]
+			c.submit(job)
+			if a.flood {
+				c.classOf[job.ID] = floodClass
+			}
+		})
+	}
+	c.advance(tr.length)
+	if len(c.faults) > 0 {
+		panic(c.faults[0])
+	}
+	return outcome{c.waitsAtEnd(), c.completed}
+}
+
+// waitsAtEnd counts tasks that have not started with the time they have waited
+// so far, so that work that never starts shows.
+func (c *cell) waitsAtEnd() map[structs.ClassName][]time.Duration {
+	for _, j := range c.s.Jobs() {
+		class := c.classOf[j.Job.ID]
+		for range j.Pending {
+			c.waits[class] = append(c.waits[class], c.now.Sub(c.submitted[j.Job.ID]))
+		}
+	}
+	return c.waits
+}
+
+// fifo is the baseline: one FIFO queue with first fit in worker order. Its
+// starts take as long to commit and send as the reducer's; it learns of ends
+// at once.
+type fifo struct {
+	clock
+	free  []structs.Resources
+	queue []fifoTask
+	out   outcome
+}
+
+type fifoTask struct {
+	arrival
+	class structs.ClassName
+}
+
+func (tr traffic) runFIFO() outcome {
+	f := &fifo{clock: clock{now: driverStart}, out: newOutcome()}
+	for range tr.workers {
+		f.free = append(f.free, cores(workerSize))
+	}
+	for _, a := range tr.trace() {
+		f.after(a.at, func() {
+			task := fifoTask{arrival: a, class: a.class}
+			if a.flood {
+				task.class = floodClass
+			}
+			for range a.count {
+				f.queue = append(f.queue, task)
+			}
+			f.pass()
+		})
+	}
+	f.runUntil(driverStart.Add(tr.length))
+	for _, task := range f.queue {
+		f.out.waits[task.class] = append(f.out.waits[task.class], tr.length-task.at)
+	}
+	return f.out
+}
+
+func (f *fifo) pass() {
+	for len(f.queue) > 0 {
+		task := f.queue[0]
+		w := 0
+		for w < len(f.free) && !task.size.Fits(f.free[w]) {
+			w++
+		}
+		if w == len(f.free) {
+			return
+		}
+		f.queue = f.queue[1:]
+		f.free[w] = f.free[w].Sub(task.size)
+		delay := commitDelay + callDelay
+		f.out.waits[task.class] = append(f.out.waits[task.class], f.now.Sub(driverStart)-task.at+delay)
+		f.after(delay+task.runTime, func() {
+			f.free[w] = f.free[w].Add(task.size)
+			f.out.done[task.class]++
+			f.pass()
+		})
+	}
+}
+
+func ordinary(seed int64) traffic {
+	return traffic{
+		seed: seed, workers: 50, length: 10 * time.Minute,
+		loads: map[structs.ClassName]float64{"urgent": 0.15, "normal": 0.3, "deferrable": 0.45},
+	}
+}
+
+// Guards against urgent work that waits behind other work. The target is a
+// quarter of the wait in one FIFO queue with first fit.
+func TestUrgentWaitAgainstFIFO(t *testing.T) {
+	for seed := int64(1); seed <= 3; seed++ {
+		tr := ordinary(seed)
+		ours, base := tr.runScheduler(testPolicy()), tr.runFIFO()
+		for _, class := range classNames {
+			t.Logf("seed %d %-10s p50 %6d ms p99 %6d ms done %d; FIFO p50 %6d ms p99 %6d ms done %d", seed, class,
+				ours.p(class, 0.5).Milliseconds(), ours.p(class, 0.99).Milliseconds(), ours.done[class],
+				base.p(class, 0.5).Milliseconds(), base.p(class, 0.99).Milliseconds(), base.done[class])
+		}
+		if got, limit := ours.p("urgent", 0.99), base.p("urgent", 0.99)/4; got > limit {
+			t.Errorf("seed %d: urgent p99 %v, limit %v", seed, got, limit)
+		}
+	}
+}
+
+// Guards against a flood of one class that costs the others completions or
+// waiting time.
+func TestFloodLeavesOtherClassesAlone(t *testing.T) {
+	for seed := int64(1); seed <= 2; seed++ {
+		calm := ordinary(seed).runScheduler(testPolicy())
+		calmFIFO := ordinary(seed).runFIFO()
+		for _, flooded := range []structs.ClassName{"deferrable", "urgent"} {
+			tr := ordinary(seed)
+			tr.flood = flooded
+			ours, base := tr.runScheduler(testPolicy()), tr.runFIFO()
+			for _, class := range classNames {
+				if class == flooded {
+					continue
+				}
+				t.Logf("seed %d flood of %-10s %-10s done %d of %d, p99 %d ms of %d ms; FIFO done %d of %d, p99 %d ms of %d ms",
+					seed, flooded, class, ours.done[class], calm.done[class],
+					ours.p(class, 0.99).Milliseconds(), calm.p(class, 0.99).Milliseconds(),
+					base.done[class], calmFIFO.done[class],
+					base.p(class, 0.99).Milliseconds(), calmFIFO.p(class, 0.99).Milliseconds())
+				if ours.done[class]*100 < calm.done[class]*99 {
+					t.Errorf("class %s completed %d of %d", class, ours.done[class], calm.done[class])
+				}
+				if ours.p(class, 0.99) > calm.p(class, 0.99)*3/2 {
+					t.Errorf("class %s waited %v, without the flood %v", class, ours.p(class, 0.99), calm.p(class, 0.99))
+				}
+			}
+		}
+	}
+}
--- a/scheduler/model.go
+++ b/scheduler/model.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"fmt"
+
 	"github.com/mangodrum/mangodrum/structs"
 )
 
@@ -22,6 +24,8 @@
 	estimate estimate
 	health   jobHealth
 	verdict  verdict
+	lineFor  structs.Resources // size that lineName describes
+	lineName string
 	placed   int // tasks with a live attempt
 }
 
@@ -100,6 +104,23 @@
 	return string(j.Spec.ID)
 }
 
+// line names the line of the queue that the job's tasks join. Tasks of equal
+// size that may run anywhere share a line, so that one failed search answers
+// for all of them; other jobs have a line of their own.
+func (j *job) line() string {
+	special := j.Spec.Kind == structs.KindGang || j.Spec.Spread || j.Spec.PreferRegion != "" ||
+		!isFree(&j.Spec.Constraint) || j.health.failures > 0
+	if special {
+		return ""
+	}
+	need := j.need()
+	if j.lineFor != need {
+		j.lineFor = need
+		j.lineName = fmt.Sprint(need.MilliCPU, need.MemoryBytes, need.Accelerators)
+	}
+	return j.lineName
+}
+
 // isOver reports whether all tasks of the job have ended for good.
 func (j *job) isOver() bool {
 	return j.Open == 0 && (j.Cancelled || j.Spec.Kind != structs.KindService)
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -76,6 +76,10 @@
 		s.queue.Remove(it.ID)
 		return
 	}
+	if j.Spec.Kind != structs.KindGang && it.Line != j.line() {
+		s.requeuePending(j)
+		return
+	}
 	if until := s.heldBackUntil(j); until.After(s.now) {
 		s.queue.Hold(it, until)
 		return
--- a/scheduler/submit.go
+++ b/scheduler/submit.go
@@ -158,7 +158,7 @@
 		return
 	}
 	s.push(queue.Item{
-		ID: t.ID, Job: j.Spec.ID, Team: j.Spec.Team, Class: j.Spec.Class, Resources: j.need(),
+		ID: t.ID, Job: j.Spec.ID, Line: j.line(), Team: j.Spec.Team, Class: j.Spec.Class, Resources: j.need(),
 		Enqueued: t.Enqueued, NotBefore: t.NotBefore, Cost: s.unit.cost(j.need()),
 	})
 }
