Test slot credits under random faults; drop urgent requests that start too late

Cause: nothing checked the slots while instances pause or die and owners are replaced; urgent requests were started with too little time left and ended with an unknown outcome. Change: a simulation with pauses, deaths, isolation, clock skew, late views of the owner and hanging executors; an urgent request with less time left than half of a usual answer takes is refused as not run. The clock bound at a credit's end is not exercised: shortening it by a second goes unnoticed.

--- a/router/balance_test.go
+++ b/router/balance_test.go
@@ -24,13 +24,13 @@
 type creditBalancer struct{ sim *routerSim }
 
 func newCreditBalancer(seed uint64) balancer {
-	return &creditBalancer{newRouterSim(seed, openPolicy(), 1, false)}
+	return &creditBalancer{newRouterSim(seed, openPolicy("normal", structs.Normal), 1, false)}
 }
 
 // openPolicy has one class without limits that would drop requests.
-func openPolicy() router.Policy {
+func openPolicy(class structs.ClassName, urgency structs.Urgency) router.Policy {
 	return router.Policy{Classes: []router.ClassPolicy{{
-		Name: "normal", Urgency: structs.Normal, QueueLimit: 1 << 20, TeamQueueLimit: 1 << 20,
+		Name: class, Urgency: urgency, QueueLimit: 1 << 20, TeamQueueLimit: 1 << 20,
 		DefaultDeadline: 10 * time.Second,
 	}}}
 }
--- a/router/queue.go
+++ b/router/queue.go
@@ -159,6 +159,10 @@
 			return
 		}
 		r := team.items[team.head]
+		if s.isTooLate(r) {
+			s.refuse(r, s.certainOutcome(r), ReasonCannotMeet, s.expectedWait(svc, r.class))
+			continue
+		}
 		e := s.choose(svc, r)
 		if e == nil {
 			team.skipped = svc.round
@@ -170,6 +174,23 @@
 	}
 }
 
+// isTooLate reports whether an urgent request that waited has less time left
+// than half of a usual answer takes. It would end with an unknown outcome.
+func (s *State) isTooLate(r *request) bool {
+	if s.policy.Classes[r.class].Urgency != structs.Urgent {
+		return false
+	}
+	return r.req.Deadline.Sub(s.now) < r.service.latency/2
+}
+
+// certainOutcome is what is known about a request that is not running.
+func (s *State) certainOutcome(r *request) Outcome {
+	if r.maybeRan {
+		return OutcomeUnknown
+	}
+	return NotRun
+}
+
 // nextQueued picks the class that is owed a start by its floor, otherwise the
 // one with the lowest pass.
 func (s *State) nextQueued(svc *service) (*classQueue, *teamQueue) {
--- a/router/sim_test.go
+++ b/router/sim_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -101,17 +102,19 @@
 
 // simInstance drives one router.State.
 type simInstance struct {
-	sim       *routerSim
-	id        structs.InstanceID
-	location  structs.Location
-	state     *router.State
-	dead      bool
-	paused    []func() // what arrived during a pause; nil when running
-	isPaused  bool
-	skew      time.Duration
-	running   map[router.Ref]*simAttempt
-	nextRef   router.Ref
-	requested map[router.Ref]router.Request
+	sim      *routerSim
+	id       structs.InstanceID
+	location structs.Location
+	state    *router.State
+	dead     bool
+	gone     bool     // the directory says so
+	paused   []func() // what arrived during a pause
+	isPaused bool
+	isolated bool // its messages to and from owners are lost
+	skew     time.Duration
+	owners   map[structs.Region]*simOwner // as this instance knows them
+	running  map[router.Ref]*simAttempt
+	nextRef  router.Ref
 }
 
 type simAttempt struct {
@@ -131,9 +134,11 @@
 	perClass  map[structs.ClassName]map[router.Outcome]int
 	refused   map[router.Reason]int
 	attempts  int
-	recording bool
+	meanRun   time.Duration
 }
 
+// simOwner is one ownership of a region's shard. An owner that lost the
+// shard stays as it is, so that what it still sends can do harm.
 type simOwner struct {
 	sim     *routerSim
 	region  structs.Region
@@ -141,7 +146,10 @@
 	epoch   structs.Epoch
 	paused  bool
 	cut     bool // from the table: its ownership is not renewed
-	backlog []*credits.Request
+	lost    bool
+	skew    time.Duration
+	backlog []func()
+	expiry  structs.Timestamp
 	horizon structs.Timestamp
 }
 
@@ -150,12 +158,10 @@
 		clockwork: newClockwork(seed), executors: simExecutorList(regions),
 		owners: map[structs.Region]*simOwner{}, waits: map[structs.ClassName][]time.Duration{},
 		totals: map[router.Outcome]int{}, perClass: map[structs.ClassName]map[router.Outcome]int{},
-		refused: map[router.Reason]int{}, recording: true,
+		refused: map[router.Reason]int{}, meanRun: meanRun,
 	}
 	for _, r := range []structs.Region{"r0", "r1", "r2"}[:regions] {
-		s.owners[r] = &simOwner{sim: s, region: r}
-		s.owners[r].takeOver(nil)
-		s.after(0, s.owners[r].renew)
+		s.owners[r] = s.newOwner(r, nil, nil, 0)
 	}
 	count := simInstances
 	if alone {
@@ -166,7 +172,7 @@
 		in := &simInstance{
 			sim: s, id: structs.InstanceID([]byte{'i', byte('0' + i)}),
 			location: structs.Location{Region: region, FailureDomain: structs.FailureDomain(string(region) + []string{"a", "b", "c"}[i/regions%3])},
-			running:  map[router.Ref]*simAttempt{}, requested: map[router.Ref]router.Request{},
+			running:  map[router.Ref]*simAttempt{}, owners: maps.Clone(s.owners),
 		}
 		in.state = router.New(router.Config{
 			Instance: in.id, Location: in.location, Seed: seed + uint64(i), Policy: policy, Alone: alone,
@@ -186,34 +192,49 @@
 	return infos
 }
 
-// takeOver starts a new ledger, as a new owner of the region does.
-func (o *simOwner) takeOver(unconfirmed []structs.InstanceID) {
-	o.epoch++
-	previous := o.horizon
-	o.horizon = max(o.horizon, o.sim.now.Add(time.Minute))
-	o.ledger = credits.New(credits.Config{
-		Region: o.region, Epoch: o.epoch, Unconfirmed: unconfirmed, PreviousHorizon: previous,
-		Expiry: o.sim.now.Add(6 * time.Second), Horizon: o.horizon,
-	})
-	o.ledger.Reduce(o.sim.now, &credits.ExecutorsListed{Executors: o.sim.infos()})
+// Times of the ownership row, and a short lease horizon.
+const (
+	rowExpiry = 6 * time.Second
+	horizon   = 30 * time.Second
+)
+
+// newOwner starts an ownership after that of previous.
+func (s *routerSim) newOwner(region structs.Region, previous *simOwner, unconfirmed []structs.InstanceID, skew time.Duration) *simOwner {
+	o := &simOwner{sim: s, region: region, epoch: 1, skew: skew}
+	cfg := credits.Config{Region: region, Unconfirmed: unconfirmed}
+	if previous != nil {
+		previous.lost = true
+		o.epoch = previous.epoch + 1
+		cfg.PreviousHorizon = previous.horizon
+	}
+	o.expiry, o.horizon = o.now().Add(rowExpiry), max(cfg.PreviousHorizon, o.now().Add(horizon))
+	cfg.Epoch, cfg.Expiry, cfg.Horizon = o.epoch, o.expiry, o.horizon
+	o.ledger = credits.New(cfg)
+	o.ledger.Reduce(o.now(), &credits.ExecutorsListed{Executors: s.infos()})
+	s.after(0, o.renew)
+	return o
 }
 
-// renew keeps the ownership while the owner runs.
+func (o *simOwner) now() structs.Timestamp { return o.sim.now.Add(o.skew) }
+
+// renew keeps the ownership while the owner runs and reaches the table.
 func (o *simOwner) renew() {
+	if o.lost {
+		return
+	}
 	if !o.paused && !o.cut {
-		o.horizon = max(o.horizon, o.sim.now.Add(time.Minute))
-		o.reduce(&credits.OwnershipRenewed{Expiry: o.sim.now.Add(6 * time.Second), Horizon: o.horizon})
+		o.expiry, o.horizon = o.now().Add(rowExpiry), max(o.horizon, o.now().Add(horizon))
+		o.reduce(&credits.OwnershipRenewed{Expiry: o.expiry, Horizon: o.horizon})
 	}
 	o.sim.after(2*time.Second, o.renew)
 }
 
-func (o *simOwner) reduce(ev structs.Event) { o.send(o.ledger.Reduce(o.sim.now, ev)) }
-
-func (o *simOwner) send(effects []structs.Effect) {
-	for _, effect := range effects {
+func (o *simOwner) reduce(ev structs.Event) {
+	for _, effect := range o.ledger.Reduce(o.now(), ev) {
 		grant := effect.(credits.SendGrant).Grant
+		grant.Holdings = slices.Clone(grant.Holdings)
 		for _, in := range o.sim.instances {
-			if in.id == grant.To {
+			if in.id == grant.To && !in.isolated {
 				o.sim.after(o.sim.delay(o.region, in.location.Region), func() {
 					in.deliver(func() { in.reduce(&router.CreditsDelivered{Grant: grant}) })
 				})
@@ -222,18 +243,19 @@
 	}
 }
 
-func (o *simOwner) receive(r *credits.Request) {
+// receive takes an event now, or after a pause.
+func (o *simOwner) receive(ev structs.Event) {
 	if o.paused {
-		o.backlog = append(o.backlog, r)
+		o.backlog = append(o.backlog, func() { o.reduce(ev) })
 		return
 	}
-	o.reduce(&credits.RequestReceived{Request: *r})
+	o.reduce(ev)
 }
 
 func (o *simOwner) resume() {
 	o.paused = false
-	for _, r := range o.backlog {
-		o.reduce(&credits.RequestReceived{Request: *r})
+	for _, fn := range o.backlog {
+		fn()
 	}
 	o.backlog = nil
 }
@@ -264,7 +286,7 @@
 func (in *simInstance) resume() {
 	in.isPaused = false
 	for _, fn := range in.paused {
-		fn()
+		in.deliver(fn) // drops what a dead instance had to do
 	}
 	in.paused = nil
 }
@@ -314,17 +336,18 @@
 		case router.Send:
 			in.send(e)
 		case router.RequestCredits:
-			owner := in.sim.owners[e.Region]
-			request := e.Request
-			in.sim.after(in.sim.delay(in.location.Region, e.Region), func() { owner.receive(&request) })
+			owner := in.owners[e.Region]
+			if in.isolated {
+				continue
+			}
+			request := &credits.RequestReceived{Request: e.Request}
+			in.sim.after(in.sim.delay(in.location.Region, e.Region), func() { owner.receive(request) })
 		case router.ExtendAttempt:
 			if a := in.running[e.Ref]; a != nil {
 				a.send.Deadline = e.Deadline
 			}
 		case router.Refuse:
-			if in.sim.recording {
-				in.sim.refused[e.Reason]++
-			}
+			in.sim.refused[e.Reason]++
 		case router.RequestObserved:
 			in.sim.observe(e)
 		}
@@ -332,9 +355,6 @@
 }
 
 func (s *routerSim) observe(e router.RequestObserved) {
-	if !s.recording {
-		return
-	}
 	s.totals[e.Outcome]++
 	if s.perClass[e.Class] == nil {
 		s.perClass[e.Class] = map[router.Outcome]int{}
@@ -351,10 +371,15 @@
 	in.sim.attempts++
 	a := &simAttempt{executor: x, send: e}
 	in.running[e.Ref] = a
-	run, result := in.sim.exponential(meanRun), router.Result{Kind: router.Completed, Status: 200}
+	run, result := in.sim.exponential(in.sim.meanRun), router.Result{Kind: router.Completed, Status: 200}
 	if x.behave != nil {
 		run, result = x.behave()
 	}
+	if left := e.Deadline.Sub(in.now()); run > left {
+		// The executor is told the deadline. One that ignores it while its
+		// instance is paused is beyond what credits can bound.
+		run, result = left, router.Result{Kind: router.Broken}
+	}
 	result.HeadLatency = run
 	result.Replayable = true
 	in.sim.after(run, func() {
