--- a/config/cell.go
+++ b/config/cell.go
@@ -20,9 +20,9 @@
 
 // CellLatency holds round-trip times of the network.
 type CellLatency struct {
-	Domains settings.Duration `yaml:"between_failure_domains" required:"true" doc:"Between failure domains of a region."`
-	Regions settings.Duration `yaml:"between_regions" required:"true" doc:"Between regions."`
-	Clients settings.Duration `yaml:"to_clients" required:"true" doc:"Between an instance and its clients."`
+	Domains settings.Duration `yaml:"between_failure_domains" required:"true" min:"0s" max:"10s" doc:"Between failure domains of a region."`
+	Regions settings.Duration `yaml:"between_regions" required:"true" min:"0s" max:"10s" doc:"Between regions."`
+	Clients settings.Duration `yaml:"to_clients" required:"true" min:"0s" max:"10s" doc:"Between an instance and its clients."`
 }
 
 // CellService describes the executors of the cell's service.
--- a/internal/strictyaml/decode.go
+++ b/internal/strictyaml/decode.go
@@ -8,6 +8,7 @@
 
 	"github.com/goccy/go-yaml"
 	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/lexer"
 	"github.com/goccy/go-yaml/parser"
 )
 
@@ -36,11 +37,11 @@
 		report.Add("", "split the file", "file has %d bytes, more than %d", len(data), MaxFileBytes)
 		return nil, report.Err()
 	}
-	if err := checkNesting(data); err != nil {
-		report.Add("", "nest values less deeply", "%v", err)
+	tokens := lexer.Tokenize(string(data))
+	if checkTokens(report, tokens); report.Err() != nil {
 		return nil, report.Err()
 	}
-	parsed, err := parser.ParseBytes(data, 0, parser.AllowDuplicateMapKey())
+	parsed, err := parser.Parse(tokens, 0, parser.AllowDuplicateMapKey())
 	if err != nil {
 		report.addSyntax(err)
 		return nil, report.Err()
@@ -57,25 +58,6 @@
 	return documents, report.Err()
 }
 
-// checkNesting bounds the depth before parsing because the parser recurses
-// once per level.
-func checkNesting(data []byte) error {
-	depth, deepest := 0, 0
-	for _, c := range data {
-		switch c {
-		case '[', '{':
-			depth++
-		case ']', '}', '\n':
-			depth = max(0, depth-1)
-		}
-		deepest = max(deepest, depth)
-	}
-	if deepest > 10*maxDepth {
-		return fmt.Errorf("brackets are nested more than %d levels deep", 10*maxDepth)
-	}
-	return nil
-}
-
 func (r *Report) addSyntax(err error) {
 	line, detail := 0, err.Error()
 	var syntax yaml.Error
@@ -186,6 +168,14 @@
 	return nil, false
 }
 
+// keyOf returns the key of an entry without quotes.
+func keyOf(entry *ast.MappingValueNode) string {
+	if text, ok := entry.Key.(*ast.StringNode); ok {
+		return text.Value
+	}
+	return entry.Key.GetToken().Value
+}
+
 func join(prefix, name string) string {
 	if prefix == "" {
 		return name
@@ -202,7 +192,7 @@
 	fields := fieldsOf(target.Type())
 	seen := map[string]bool{}
 	for _, entry := range entries {
-		name := entry.Key.String()
+		name := keyOf(entry)
 		path := join(field, name)
 		if !seen[name] || d.report.lines[path] == 0 {
 			d.report.lines[path] = lineOf(entry.Key)
@@ -255,7 +245,7 @@
 	}
 	target.Set(reflect.MakeMap(target.Type()))
 	for _, entry := range entries {
-		key := reflect.ValueOf(entry.Key.GetToken().Value)
+		key := reflect.ValueOf(keyOf(entry))
 		path := join(field, key.String())
 		d.report.lines[path] = lineOf(entry.Key)
 		if target.MapIndex(key).IsValid() {
--- a/settings/decode_test.go
+++ b/settings/decode_test.go
@@ -107,7 +107,7 @@
 		{"half a window", `, window_end: "05:00"`, "", "t.yaml:17: branches[2].set.batch"},
 		{"urgency", "urgency: normal", "urgency: slow", "t.yaml:5: classes[1].urgency"},
 		{"repeated key", "set: {weight: 7,", "set: {weight: 7, weight: 8,", "t.yaml:12: branches[1].set.weight"},
-		{"anchor", "class: normal", "class: &a normal", "t.yaml:9: branches[0].set.class"},
+		{"anchor", "class: normal", "class: &a normal", "t.yaml:9: anchors"},
 		{"kind", "kind: Settings", "kind: Job", "t.yaml:2: kind"},
 		{"null", "class: normal", "class:", "t.yaml:9: branches[0].set.class"},
 		{"syntax", "kind: Settings", "kind: [", "YAML syntax"},
--- a/settings/effective.go
+++ b/settings/effective.go
@@ -76,6 +76,7 @@
 	return Set{
 		Weight:            ptr(100),
 		CrossRegionCostMS: ptr(60),
+		Quota:             Quota{Guaranteed: zeroAmounts(), Borrow: zeroAmounts()},
 		Requests: Requests{
 			Concurrency: ptr(256), QueueLimit: ptr(1024),
 			MaxBody: ptr(Bytes(8 << 20)), Timeout: ptr(Duration(30 * time.Second)),
@@ -92,6 +93,10 @@
 	}
 }
 
+func zeroAmounts() Amounts {
+	return Amounts{CPU: ptr(Cores(0)), Memory: ptr(Bytes(0)), Accelerators: ptr(0)}
+}
+
 // CellDefaults returns the values of the cell's fields that are not set.
 func CellDefaults() Cell {
 	return Cell{ShardsPerRegion: ptr(1), AgeingPeriod: ptr(Duration(time.Minute))}
