--- a/peer/message.go
+++ b/peer/message.go
@@ -17,10 +17,11 @@
 // Message kinds.
 const (
 	KindHeartbeat Kind = iota + 1 // Heartbeat
-	KindSettings                  // owned by package settings
+	KindSettings                  // settings.Version
 	KindCall                      // Call
 	KindReply                     // Reply
-	KindCredits                   // owned by package router/credits
+	KindCredits                   // credits.Message
+	KindHandover                  // Handover
 )
 
 // Message is the envelope of everything that instances send to each other.
@@ -37,10 +38,17 @@
 	Incarnation     uint64                            `cbor:"1,keyasint"`
 	SettingsVersion uint64                            `cbor:"2,keyasint"`
 	Shards          map[structs.ShardID]structs.Epoch `cbor:"3,keyasint,omitempty"` // owned shards and their epochs
-	Draining        bool                              `cbor:"4,keyasint,omitempty"`
+	Phase           string                            `cbor:"4,keyasint"`           // a membership.Status
 	Ready           bool                              `cbor:"5,keyasint,omitempty"`
 	StoreHealthy    bool                              `cbor:"6,keyasint,omitempty"`
 	SentAt          structs.Timestamp                 `cbor:"7,keyasint"`
+	Info            structs.InstanceInfo              `cbor:"8,keyasint"`
+	InFlight        uint32                            `cbor:"9,keyasint,omitempty"` // requests
+}
+
+// Handover tells the receiver that a shard was handed over to it.
+type Handover struct {
+	Shard structs.ShardID `cbor:"1,keyasint"`
 }
 
 // Call asks the receiver to carry out an operation, for example on a shard
