placement: keep the tree of equal workers shallow

Cause: equal free amounts were ordered by the same hash that orders the heap, so workers of one shape formed a chain and each update was linear in their number (seen in a profile of the shard benchmark: 82% in insertBelow and removeBelow). Change: ties are ordered by the reversed bits of the hash; a test bounds the height with 2,100 equal workers (2,100 before, at most 55 now).

--- a/placement/index_test.go
+++ b/placement/index_test.go
@@ -240,3 +240,32 @@
 		t.Errorf("largest free %s, remedy %q", e.LargestFree, e.Remedy)
 	}
 }
+
+// Guards against a tree that degenerates into a chain when many workers have
+// the same free resources, which made each update linear in their number.
+func TestTreeOfEqualWorkersIsShallow(t *testing.T) {
+	x := New()
+	const workers = 2100
+	for n := range workers {
+		x.Upsert(structs.Worker{
+			ID: structs.WorkerID(fmt.Sprintf("w-%04d", n)), State: structs.Live,
+			Capacity: structs.Resources{MilliCPU: 32_000, MemoryBytes: 128 << 30, Accelerators: 1},
+		})
+	}
+	// A treap of n random nodes has an expected height below 3 log2(n).
+	const limit = 5 * 11
+	for d := range x.trees {
+		for _, root := range x.trees[d].roots {
+			if height := x.trees[d].height(root); height > limit {
+				t.Errorf("tree %d has height %d with %d equal workers, want at most %d", d, height, workers, limit)
+			}
+		}
+	}
+}
+
+func (t *tree) height(n int32) int {
+	if n == none {
+		return 0
+	}
+	return 1 + max(t.height(t.nodes[n].left), t.height(t.nodes[n].right))
+}
--- a/placement/tree.go
+++ b/placement/tree.go
@@ -1,6 +1,10 @@
 package placement
 
-import "github.com/mangodrum/mangodrum/structs"
+import (
+	"math/bits"
+
+	"github.com/mangodrum/mangodrum/structs"
+)
 
 // dimension is the resource that a tree is ordered by.
 type dimension uint8
@@ -64,6 +68,9 @@
 	roots [accelClasses]int32
 }
 
+// less orders equal free amounts by the reversed bits of the priority. With the
+// priority itself the order of equal workers would be the heap order as well,
+// and workers of one shape would form a chain.
 func (t *tree) less(a, b int32) bool {
 	p, q := &t.nodes[a], &t.nodes[b]
 	if p.first != q.first {
@@ -72,8 +79,8 @@
 	if p.second != q.second {
 		return p.second < q.second
 	}
-	if p.priority != q.priority {
-		return p.priority < q.priority
+	if x, y := bits.Reverse64(p.priority), bits.Reverse64(q.priority); x != y {
+		return x < y
 	}
 	return a < b
 }
