queue: hold a class in a flood to its floor, let short bursts go first

Cause: a flood of the most urgent class took all room above the floors by its weight, and small tasks of the flood filled the gaps that larger tasks of the other classes waited for. Floors were compared with the present usage only, so a class lost its usual bursts as soon as another class used its whole floor. Change: a class above its floor with a backlog larger than the floor comes last, the smaller backlog first; a burst of up to 1.5 times the floor goes first while the average of a minute is below the floor; a worker is claimed for a blocked task by least lack, after a tenth of the time for classes that go first; a flood does not fill gaps while another class waits for room without a claim.

--- a/queue/config.go
+++ b/queue/config.go
@@ -16,6 +16,12 @@
 	DefaultAgeing = 10 * time.Minute
 	// maxAgeFactor bounds how far ageing raises the weight of a class.
 	maxAgeFactor = 16
+	// burstWindow is the time over which the usage of a class may be above its
+	// floor and still go first, if the average is below.
+	burstWindow = time.Minute
+	// burstFactor bounds such a burst; it keeps half of the other floors free
+	// at any time.
+	burstFactor = 1.5
 	// maxSkips bounds the lines of a class set aside in one pass, and with them
 	// the searches without result that one pass can cost. The bound is per
 	// class, so a class with many lines does not end the pass for the others.
--- a/queue/doc.go
+++ b/queue/doc.go
@@ -2,7 +2,9 @@
 //
 // A class below its floor goes first, the most urgent one before the others;
 // above the floors, classes share by weight, and the teams of a class share
-// by weight as well. Shares are measured in occupied capacity: Take charges
+// by weight as well. A class above its floor with a large backlog is in a flood
+// and comes after all others, so what it takes beyond its floor is only what
+// the others leave. Shares are measured in occupied capacity: Take charges
 // the cost of an item to its class and team and Release returns it.
 //
 // Items of a team that fit the same places form a line. Skip sets the line of an item aside until the
--- a/queue/pass.go
+++ b/queue/pass.go
@@ -14,6 +14,10 @@
 func (q *Queue) BeginPass(now structs.Timestamp) {
 	q.admitDue(now)
 	q.releaseHeld(now)
+	for _, c := range q.classes {
+		c.age(now.Sub(q.began))
+	}
+	q.began = now
 	for _, t := range q.blocked {
 		t.aside = false
 		t.class.update(t)
@@ -33,6 +37,7 @@
 	q.aside = kept
 	for _, c := range q.classes {
 		c.skips = 0
+		c.shut = false
 	}
 }
 
@@ -100,26 +105,38 @@
 	return now.Sub(t.oldest().item.Enqueued) > q.cfg.Ageing
 }
 
-// pick returns the class to serve: the most urgent one below its floor, or
-// else the one with the least occupied capacity per weight.
+// pick returns the class to serve: of the lowest tier, and in it the most
+// urgent one below its floor, the one with the least occupied capacity per
+// weight, or among classes in excess the one with the smallest backlog.
 func (q *Queue) pick(now structs.Timestamp) *class {
 	var best *class
-	bestLoad := 0.0
+	bestTier, bestLoad := 0, 0.0
 	for _, c := range q.classes {
-		if len(c.heaps[byShare].list) == 0 || c.skips >= maxSkips {
+		if len(c.heaps[byShare].list) == 0 || c.skips >= maxSkips || c.shut {
 			continue
 		}
-		if c.belowFloor(q.capacity) {
+		tier := c.tier(q.capacity)
+		if tier == tierFloor {
 			return c
 		}
 		load := c.load(now, q.cfg.Ageing)
-		if best == nil || load < bestLoad {
-			best, bestLoad = c, load
+		if tier == tierExcess {
+			load = c.backlog()
+		}
+		if best == nil || tier < bestTier || tier == bestTier && load < bestLoad {
+			best, bestTier, bestLoad = c, tier, load
 		}
 	}
 	return best
 }
 
+// Shut ends the pass for a class.
+func (q *Queue) Shut(name structs.ClassName) {
+	if c := q.byName[name]; c != nil {
+		c.shut = true
+	}
+}
+
 // Take removes the item and charges its cost to its class and team.
 func (q *Queue) Take(it Item) {
 	if !q.Remove(it.ID) {
@@ -178,6 +195,19 @@
 	t.class.update(t)
 }
 
+// GoesFirst reports whether the class is below its floor, now or on average.
+func (q *Queue) GoesFirst(name structs.ClassName) bool {
+	c := q.byName[name]
+	return c != nil && c.tier(q.capacity) == tierFloor
+}
+
+// IsFlooded reports whether the class is above its floor with a backlog that
+// grows beyond it.
+func (q *Queue) IsFlooded(name structs.ClassName) bool {
+	c := q.byName[name]
+	return c != nil && c.tier(q.capacity) == tierExcess
+}
+
 // HasDue reports whether the next pass would admit items or lines whose time
 // has come.
 func (q *Queue) HasDue(now structs.Timestamp) bool {
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -28,6 +28,7 @@
 	blocked  []*team // set aside for this pass
 	capacity int64
 	seq      uint64
+	began    structs.Timestamp // of the last pass
 }
 
 // New returns an empty queue.
@@ -123,6 +124,7 @@
 	e.item.NotBefore = 0
 	heap.Push(&e.line.entries, e)
 	e.line.due++
+	e.line.team.class.ready += e.item.Cost
 	q.refresh(e.line)
 }
 
@@ -191,6 +193,7 @@
 // in the heap as dead, which keeps the removal of a whole line linear.
 func (q *Queue) removeDue(l *line, e *entry) {
 	l.due--
+	l.team.class.ready -= e.item.Cost
 	if l.due == 0 {
 		q.refresh(l)
 		l.entries.list = nil
--- a/queue/teams.go
+++ b/queue/teams.go
@@ -80,12 +80,15 @@
 
 // class is the pending work of one class.
 type class struct {
-	cfg   ClassConfig
-	usage int64
-	depth int
-	skips int // lines set aside in this pass
-	teams map[structs.TeamID]*team
-	heaps [2]teamHeap
+	cfg     ClassConfig
+	usage   int64
+	average float64 // usage over about burstWindow
+	ready   int64   // cost of the items that are due
+	depth   int
+	skips   int  // lines set aside in this pass
+	shut    bool // not served any more in this pass
+	teams   map[structs.TeamID]*team
+	heaps   [2]teamHeap
 }
 
 func newClass(cfg ClassConfig) *class {
@@ -119,11 +122,40 @@
 	}
 }
 
-// belowFloor reports whether the class occupies less than its floor.
-func (c *class) belowFloor(capacity int64) bool {
-	return float64(c.usage)*million < float64(c.cfg.FloorPPM)*float64(capacity)
+// Tiers of classes; a lower tier is served first.
+const (
+	tierFloor  = iota // below the floor, now or on average
+	tierShare         // above the floor
+	tierExcess        // above the floor with a backlog larger than the floor
+)
+
+// tier returns the tier of the class. A short burst above the floor counts as
+// below it while the average of the last minute is, so that a class keeps its
+// waiting time when another one uses all of its own floor. A class in a flood
+// is held to its floor while others have work, whatever its urgency.
+func (c *class) tier(capacity int64) int {
+	floor := float64(c.cfg.FloorPPM) / million * float64(capacity)
+	usage := float64(c.usage)
+	switch {
+	case usage < floor:
+		return tierFloor
+	case float64(c.ready) > floor:
+		return tierExcess
+	case c.average < floor && usage < floor*burstFactor:
+		return tierFloor
+	}
+	return tierShare
 }
 
+// age moves the average towards the present usage.
+func (c *class) age(passed time.Duration) {
+	part := min(float64(passed)/float64(burstWindow), 1)
+	c.average += (float64(c.usage) - c.average) * part
+}
+
+// backlog returns the due work in relation to the floor.
+func (c *class) backlog() float64 { return float64(c.ready) / float64(c.cfg.FloorPPM) }
+
 // load returns the occupied share per weight. The weight grows with the age
 // of the oldest item.
 func (c *class) load(now structs.Timestamp, ageing time.Duration) float64 {
--- a/scheduler/claim.go
+++ b/scheduler/claim.go
@@ -2,17 +2,25 @@
 
 import (
 	"slices"
+	"time"
 
-	"github.com/mangodrum/mangodrum/placement"
 	"github.com/mangodrum/mangodrum/queue"
 	"github.com/mangodrum/mangodrum/structs"
 )
 
 const (
-	// maxClaims bounds the jobs for which workers are kept free at a time.
-	maxClaims = 8
-	// claimedPart is the largest part of the workers kept free, as a divisor.
-	claimedPart = 4
+	// claimedPart is the largest part of the workers kept free, as a divisor;
+	// at least one claim is always allowed.
+	claimedPart = 8
+	// claimUses is how many tasks of a job one claim serves before the worker
+	// returns to all.
+	claimUses = 8
+	// claimSooner divides the waiting time before a claim for a class that
+	// goes first, whose room other classes would fill with small tasks.
+	claimSooner = 10
+	// gangClaimEvery is the least time between two searches for a gang's
+	// workers, which look at every running task.
+	gangClaimEvery = time.Second
 )
 
 // claim keeps workers free for a task or gang that found no place for long.
@@ -21,32 +29,31 @@
 	job     *job
 	workers []structs.WorkerID
 	ready   structs.Timestamp // estimated time at which the workers have room
+	uses    int
 }
 
 // claims holds the current claims in the order in which they were made.
 type claims struct {
 	list     []*claim
+	byJob    map[*job]*claim
 	byWorker map[structs.WorkerID]*claim
-	tried    structs.Timestamp // last attempt to make a claim
+	tried    structs.Timestamp // last search for a gang
 }
 
-func (c *claims) init() { c.byWorker = map[structs.WorkerID]*claim{} }
-
-func (c *claims) of(j *job) *claim {
-	for _, cl := range c.list {
-		if cl.job == j {
-			return cl
-		}
-	}
-	return nil
+func (c *claims) init() {
+	c.byWorker = map[structs.WorkerID]*claim{}
+	c.byJob = map[*job]*claim{}
 }
 
+func (c *claims) of(j *job) *claim { return c.byJob[j] }
+
 // drop ends the claim of a job, if it has one.
 func (c *claims) drop(s *State, j *job) {
 	cl := c.of(j)
 	if cl == nil {
 		return
 	}
+	delete(c.byJob, j)
 	c.list = slices.DeleteFunc(c.list, func(x *claim) bool { return x == cl })
 	for _, id := range cl.workers {
 		delete(c.byWorker, id)
@@ -64,33 +71,77 @@
 }
 
 // noteBlocked makes a claim for an item that has waited for long, and notes
-// urgent items for preemption.
+// urgent items for preemption. Without a claim, a flood does not fill the room
+// that the item waits for, for a bounded time.
 func (s *State) noteBlocked(p *pass, it queue.Item, j *job) {
 	waited := s.now.Sub(max(it.Enqueued, j.Spec.NotBefore))
 	c, _ := s.policy.class(it.Class)
 	if c.Urgency == structs.Urgent && waited >= s.policy.Preemption.After {
 		p.blocked = append(p.blocked, it)
 	}
-	if waited < s.policy.Gang.ReserveAfter || s.claims.of(j) != nil || len(s.claims.list) >= maxClaims {
-		return
+	if s.claims.of(j) == nil && waited >= s.claimAfter(c) {
+		s.makeClaim(j)
 	}
-	if s.now.Sub(s.claims.tried) < s.policy.Gang.ReserveAfter/10 {
-		return
+	if s.claims.of(j) == nil && waited < s.policy.Gang.ReserveAfter && !s.queue.IsFlooded(c.Name) {
+		p.holdFloods = true
 	}
-	s.claims.tried = s.now
-	s.makeClaim(j)
 }
 
-// makeClaim chooses workers that will have room once the tasks on them that
-// end by themselves are over.
 func (s *State) makeClaim(j *job) {
-	reqs := []placement.Request{s.request(j)}
 	if j.Spec.Kind == structs.KindGang {
-		_, reqs = s.gangRequests(j)
+		s.claimForGang(j)
+		return
+	}
+	s.claimForTask(j)
+}
+
+// claimAfter is how long an item of the class waits before a claim.
+func (s *State) claimAfter(c ClassPolicy) time.Duration {
+	if s.queue.GoesFirst(c.Name) {
+		return s.policy.Gang.ReserveAfter / claimSooner
+	}
+	return s.policy.Gang.ReserveAfter
+}
+
+// hasRoom reports whether n more workers may be kept free.
+func (c *claims) hasRoom(s *State, n int) bool {
+	return len(c.list) == 0 || (len(c.byWorker)+n)*claimedPart <= len(s.workers)
+}
+
+// claimForTask keeps the worker free that lacks least for a task of the job.
+func (s *State) claimForTask(j *job) {
+	if !s.claims.hasRoom(s, 1) {
+		return
 	}
+	need := j.need()
+	var best *worker
+	var bestLack int64
+	for _, w := range s.workers {
+		if !s.isClaimable(w) || !need.Fits(w.info.Capacity) || !allows(&j.Spec.Constraint, &w.info) {
+			continue
+		}
+		free, _ := s.index.Free(w.id)
+		lack := s.unit.cost(need.Sub(free))
+		if best == nil || lack < bestLack || lack == bestLack && w.id < best.id {
+			best, bestLack = w, lack
+		}
+	}
+	if best != nil {
+		s.claimWorkers(&claim{job: j, workers: []structs.WorkerID{best.id}})
+	}
+}
+
+// claimForGang chooses workers that will have room once the tasks on them
+// that end by themselves are over.
+func (s *State) claimForGang(j *job) {
+	if s.now.Sub(s.claims.tried) < gangClaimEvery {
+		return
+	}
+	s.claims.tried = s.now
+	_, reqs := s.gangRequests(j)
 	x := s.shadow(func(t *task) bool { return t.job.Spec.Kind == structs.KindService || t.live.unknown })
 	for _, w := range s.workers {
-		if _, taken := s.claims.byWorker[w.id]; taken || !s.isUsable(w) {
+		if !s.isClaimable(w) {
 			x.Remove(w.id)
 		}
 	}
@@ -100,15 +151,20 @@
 	}
 	slices.Sort(ids)
 	ids = slices.Compact(ids)
-	if (len(s.claims.byWorker)+len(ids))*claimedPart > len(s.workers) && len(s.claims.list) > 0 {
-		return
+	if s.claims.hasRoom(s, len(ids)) {
+		s.claimWorkers(&claim{job: j, workers: ids})
 	}
-	s.claimWorkers(&claim{job: j, workers: ids})
+}
+
+// isClaimable reports whether the worker takes new work and is not claimed.
+func (s *State) isClaimable(w *worker) bool {
+	return s.claims.byWorker[w.id] == nil && s.isUsable(w)
 }
 
 func (s *State) claimWorkers(cl *claim) {
 	cl.ready = s.now
 	s.claims.list = append(s.claims.list, cl)
+	s.claims.byJob[cl.job] = cl
 	for _, id := range cl.workers {
 		w := s.workers[id]
 		s.claims.byWorker[id] = cl
@@ -159,10 +215,14 @@
 		}
 	}
 	restore()
-	if placed {
+	if !placed {
+		return false
+	}
+	cl.uses++
+	if cl.uses >= claimUses {
 		s.claims.drop(s, t.job)
 	}
-	return placed
+	return true
 }
 
 // backfill starts a task on a worker that is kept free, if the task ends
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -43,6 +43,10 @@
 		if !ok {
 			break
 		}
+		if p.holdFloods && s.queue.IsFlooded(it.Class) {
+			s.queue.Shut(it.Class)
+			continue
+		}
 		s.try(&p, it)
 	}
 	if p.starts >= maxStarts {
@@ -56,6 +60,9 @@
 	starts  int
 	failed  []structs.Resources // sizes that found no place on any worker
 	blocked []queue.Item        // urgent items without a place
+	// holdFloods is set when an item of a class that is not in a flood found no
+	// place a short time ago: a class in a flood must not fill the gaps.
+	holdFloods bool
 }
 
 // failsLike reports whether a task of the size cannot be placed because a
--- a/scheduler/preempt.go
+++ b/scheduler/preempt.go
@@ -26,7 +26,7 @@
 		if j == nil || j.Spec.Kind == structs.KindGang || s.claims.of(j) != nil {
 			continue
 		}
-		if s.quota.isGuaranteed(it.Team, j.need()) && len(s.claims.list) < maxClaims {
+		if s.quota.isGuaranteed(it.Team, j.need()) && s.claims.hasRoom(s, 1) {
 			s.preempt(it, j)
 		}
 	}
@@ -44,7 +44,7 @@
 func (s *State) preempt(it queue.Item, j *job) {
 	var best victimSet
 	for _, w := range s.sortedWorkers() {
-		if _, taken := s.claims.byWorker[w.id]; taken || !s.isUsable(w) || !allows(&j.Spec.Constraint, &w.info) {
+		if !s.isClaimable(w) || !allows(&j.Spec.Constraint, &w.info) {
 			continue
 		}
 		set, ok := s.victimsOn(w, j)
