queue: serve a flooded class below its floor after the others below theirs

Cause: a flood of urgent work kept urgent at its floor at every moment and took each freed place first, so bursts of deferrable work waited longer. Change: a class whose backlog is larger than its floor comes after the other classes below their floors, and before those above.

--- a/queue/pass.go
+++ b/queue/pass.go
@@ -116,11 +116,13 @@
 			continue
 		}
 		tier := c.tier(q.capacity)
-		if tier == tierFloor {
+		load := 0.0
+		switch tier {
+		case tierFloor:
 			return c
-		}
-		load := c.load(now, q.cfg.Ageing)
-		if tier == tierExcess {
+		case tierShare:
+			load = c.load(now, q.cfg.Ageing)
+		case tierExcess:
 			load = c.backlog()
 		}
 		if best == nil || tier < bestTier || tier == bestTier && load < bestLoad {
@@ -198,7 +200,7 @@
 // GoesFirst reports whether the class is below its floor, now or on average.
 func (q *Queue) GoesFirst(name structs.ClassName) bool {
 	c := q.byName[name]
-	return c != nil && c.tier(q.capacity) == tierFloor
+	return c != nil && c.tier(q.capacity) <= tierFlood
 }
 
 // IsFlooded reports whether the class is above its floor with a backlog that
--- a/queue/teams.go
+++ b/queue/teams.go
@@ -125,6 +125,7 @@
 // Tiers of classes; a lower tier is served first.
 const (
 	tierFloor  = iota // below the floor, now or on average
+	tierFlood         // below the floor with a backlog larger than the floor
 	tierShare         // above the floor
 	tierExcess        // above the floor with a backlog larger than the floor
 )
@@ -136,10 +137,13 @@
 func (c *class) tier(capacity int64) int {
 	floor := float64(c.cfg.FloorPPM) / million * float64(capacity)
 	usage := float64(c.usage)
+	flooded := float64(c.ready) > floor
 	switch {
+	case usage < floor && flooded:
+		return tierFlood
 	case usage < floor:
 		return tierFloor
-	case float64(c.ready) > floor:
+	case flooded:
 		return tierExcess
 	case c.average < floor && usage < floor*burstFactor:
 		return tierFloor
