--- a/scheduler/driver_test.go
+++ b/scheduler/driver_test.go
@@ -117,6 +117,7 @@
 	old       []platform.WorkerReport
 	onEnd     func(structs.TaskID, platform.RunStatus)
 	onEffect  func(structs.Effect)
+	spent     time.Duration // in Reduce, by the real clock
 }
 
 func newCell(seed int64, policy Policy, workers []structs.Worker) *cell {
@@ -151,7 +152,10 @@
 }
 
 func (c *cell) send(ev structs.Event) {
-	for _, eff := range c.s.Reduce(c.now, ev) {
+	begin := time.Now()
+	effects := c.s.Reduce(c.now, ev)
+	c.spent += time.Since(begin)
+	for _, eff := range effects {
 		c.execute(eff)
 	}
 }
