Test the gateway under faults of executors, table, callers and drains

Change: tests with loopback sockets and a clock that only the test moves; the executor is told the time left in Mangodrum-Deadline-Ms; a drain closes the listener even if Serve has not reached its server yet. Figures: go test -race -count=3 ./gateway first hung in the clean-up of one test: a drain before Serve left the listener open. Conclusion: one fault found and fixed.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -30,7 +30,7 @@
 	if c.gone.Load() || c.g.opts.Now() >= send.Deadline {
 		return c.abort(conn, send, router.NotSent)
 	}
-	if err := c.body.writeRequest(conn.writer, c.ctx, send.Address, c.req); err != nil {
+	if err := c.body.writeRequest(conn.writer, c.ctx, send.Address, c.req, send.Deadline.Sub(sentAt)); err != nil {
 		return c.abort(conn, send, router.Broken)
 	}
 	var head fasthttp.ResponseHeader
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"io"
 	"net/http/httputil"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
@@ -74,8 +75,8 @@
 func (b *requestBody) replayable() bool { return !b.consumed }
 
 // writeRequest sends the head and the body to an executor.
-func (b *requestBody) writeRequest(w *bufio.Writer, ctx *fasthttp.RequestCtx, host string, req router.Request) error {
-	writeHead(w, ctx, host, req, b.length)
+func (b *requestBody) writeRequest(w *bufio.Writer, ctx *fasthttp.RequestCtx, host string, req router.Request, left time.Duration) error {
+	writeHead(w, ctx, host, req, left, b.length)
 	if b.rest != nil {
 		return b.stream(w)
 	}
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -23,6 +23,7 @@
 	// The listener and idle connections close; connections that were cut
 	// end with their handlers.
 	_ = g.server.ShutdownWithContext(ctx)
+	g.closeListeners()
 	g.Close()
 	if cut > 0 {
 		g.opts.Logger.Warn("drain cut requests", "requests", cut)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
 
@@ -34,6 +35,9 @@
 	calls  map[router.Ref]*call
 	outbox []credits.Message
 	idle   chan struct{} // closed when a drain finds no calls left
+	closed bool          // no listener is served any more
+
+	listeners []net.Listener
 
 	stop  chan struct{}
 	once  sync.Once
@@ -148,9 +152,31 @@
 // Ready reports whether the instance takes new requests.
 func (g *Gateway) Ready() bool { return g.ready.Load() }
 
-// Serve accepts callers on listener until Drain or Close.
+// Serve accepts callers on listener until Drain closes it.
 func (g *Gateway) Serve(listener net.Listener) error {
-	return g.server.Serve(&callerListener{Listener: listener, g: g})
+	g.mu.Lock()
+	closed := g.closed
+	g.listeners = append(g.listeners, listener)
+	g.mu.Unlock()
+	if closed {
+		return listener.Close()
+	}
+	err := g.server.Serve(&callerListener{Listener: listener, g: g})
+	if errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
+}
+
+// closeListeners also ends a Serve that has not reached its server yet, which
+// the server's own shutdown would miss.
+func (g *Gateway) closeListeners() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.closed = true
+	for _, listener := range g.listeners {
+		_ = listener.Close()
+	}
 }
 
 // reduce applies an event and carries out its effects.
--- a/gateway/headers.go
+++ b/gateway/headers.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -47,7 +48,7 @@
 
 // writeHead writes the head of the request to an executor. Errors surface
 // when the writer is flushed.
-func writeHead(w *bufio.Writer, ctx *fasthttp.RequestCtx, host string, req router.Request, length int) {
+func writeHead(w *bufio.Writer, ctx *fasthttp.RequestCtx, host string, req router.Request, left time.Duration, length int) {
 	_, _ = w.Write(ctx.Method())
 	_ = w.WriteByte(' ')
 	_, _ = w.Write(executorPath(ctx))
@@ -68,13 +69,12 @@
 		_, _ = w.WriteString("\r\n")
 	}
 	writeLine(w, HeaderRequestID, req.ID)
+	writeNumber(w, HeaderDeadline, max(1, left.Milliseconds()))
 	switch {
 	case length < 0:
 		writeLine(w, "Transfer-Encoding", "chunked")
 	case length > 0 || mayHaveBody(ctx):
-		_, _ = w.WriteString("Content-Length: ")
-		_, _ = w.Write(strconv.AppendInt(w.AvailableBuffer(), int64(length), 10))
-		_, _ = w.WriteString("\r\n")
+		writeNumber(w, "Content-Length", int64(length))
 	}
 	_, _ = w.WriteString("\r\n")
 }
@@ -86,8 +86,19 @@
 	_, _ = w.WriteString("\r\n")
 }
 
+func writeNumber(w *bufio.Writer, key string, n int64) {
+	_, _ = w.WriteString(key)
+	_, _ = w.WriteString(": ")
+	_, _ = w.Write(strconv.AppendInt(w.AvailableBuffer(), n, 10))
+	_, _ = w.WriteString("\r\n")
+}
+
 func isOwnRequestHeader(key []byte) bool {
-	return string(key) == "Host" || string(key) == HeaderRequestID
+	switch string(key) {
+	case "Host", HeaderRequestID, HeaderDeadline:
+		return true
+	}
+	return false
 }
 
 func mayHaveBody(ctx *fasthttp.RequestCtx) bool { return ctx.IsPost() || ctx.IsPut() || ctx.IsPatch() }
--- /dev/null
+++ b/gateway/limits_test.go
@@ -0,0 +1,166 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/mangodrum/mangodrum/router"
+	"github.com/mangodrum/mangodrum/structs"
+)
+
+// Guards against requests that the protocol does not allow and against
+// refusals without outcome, kind and remedy.
+func TestInvalidRequestsAreRefusedWithRemedy(t *testing.T) {
+	f := newFixture(t, func(o *Options) {
+		o.Limits = Limits{MaxBodyBytes: 1000, MaxHeaderBytes: 4096}
+	}, startFake(t, "e1", answerOK))
+	cases := map[string]struct {
+		status int
+		reply  reply
+	}{
+		"identifier missing": {400, f.send("POST", "/", "a")},
+		"deadline":           {400, f.send("GET", "/", "", HeaderDeadline, "soon")},
+		"idempotent":         {400, f.send("GET", "/", "", HeaderIdempotent, "maybe")},
+		"class":              {400, f.send("GET", "/", "", HeaderClass, "none")},
+		"team":               {400, f.send("GET", "/", "", HeaderTeam, "a b")},
+		"service":            {404, f.send("GET", "x/y", "")},
+		"body":               {413, f.send("PUT", "/", strings.Repeat("x", 1001))},
+		"header":             {431, f.send("GET", "/", "", "X", strings.Repeat("x", 5000))},
+	}
+	for name, c := range cases {
+		var body ErrorBody
+		if err := json.Unmarshal([]byte(c.reply.body), &body); err != nil {
+			t.Errorf("%s: body %q: %v", name, c.reply.body, err)
+		}
+		if c.reply.status != c.status || c.reply.outcome != "not-run" || body.Kind == "" || body.Remedy == "" {
+			t.Errorf("%s: %d %s %+v, want %d not-run", name, c.reply.status, c.reply.outcome, body, c.status)
+		}
+	}
+}
+
+// Guards against more connections of callers than the limit, and against a
+// refusal that says nothing.
+func TestConnectionsOfCallersAreLimited(t *testing.T) {
+	f := newFixture(t, func(o *Options) { o.Limits.MaxConnections = 1 }, startFake(t, "e1", answerOK))
+	first, err := net.Dial("tcp4", strings.TrimPrefix(f.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = first.Close() }()
+	_, _ = io.WriteString(first, "GET /readyz HTTP/1.1\r\nHost: x\r\n\r\n")
+	_, _ = first.Read(make([]byte, 1)) // the first connection is accepted
+	second, err := net.Dial("tcp4", strings.TrimPrefix(f.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = second.Close() }()
+	answer, _ := io.ReadAll(second)
+	if !strings.Contains(string(answer), "503") || !strings.Contains(string(answer), "not-run") {
+		t.Errorf("the second connection got %q", answer)
+	}
+}
+
+// Guards against more requests or connections at an executor than it allows.
+func TestSlotsAndConnectionsAreKept(t *testing.T) {
+	arrived := make(chan struct{}, 100)
+	release := make(chan struct{})
+	e := startFake(t, "e1", func(r *http.Request, body string, w net.Conn) bool {
+		arrived <- struct{}{}
+		<-release
+		return answerOK(r, body, w)
+	})
+	e.info.Slots, e.info.Connections = 3, 4
+	f := newFixture(t, nil, e)
+	var replies []<-chan reply
+	for range 20 {
+		replies = append(replies, f.async("PUT", "/", "a"))
+	}
+	for f.Stats().Requests < 20 {
+		f.Tick()
+	}
+	if n := e.requests.Load(); n > 3 {
+		t.Errorf("%d requests at an executor with 3 slots", n)
+	}
+	close(release)
+	for _, c := range replies {
+		if r := await(t, "reply", c); r.outcome != "answered" {
+			t.Errorf("reply = %d %s", r.status, r.outcome)
+		}
+	}
+	if n := e.accepted.Load(); n > 4 {
+		t.Errorf("%d connections to an executor that allows 4", n)
+	}
+}
+
+// Guards against a drain that cuts a running or a queued request, and against
+// an instance that looks ready while it drains.
+func TestDrainEndsRunningAndQueuedRequests(t *testing.T) {
+	arrived := make(chan struct{}, 2)
+	release := make(chan struct{})
+	e := startFake(t, "e1", func(r *http.Request, body string, w net.Conn) bool {
+		arrived <- struct{}{}
+		<-release
+		return answerOK(r, body, w)
+	})
+	e.info.Slots = 1
+	f := newFixture(t, nil, e)
+	replies := []<-chan reply{f.async("PUT", "/", "a"), f.async("PUT", "/", "b")}
+	for f.Stats().Requests < 2 {
+		f.Tick()
+	}
+	await(t, "request at the executor", arrived)
+	drained := make(chan error, 1)
+	go func() { drained <- f.Drain(context.Background()) }()
+	for f.Ready() {
+		f.Tick()
+	}
+	close(release)
+	for _, c := range replies {
+		if r := await(t, "reply", c); r.outcome != "answered" || r.err != nil {
+			t.Errorf("reply = %+v", r)
+		}
+	}
+	if err := await(t, "end of the drain", drained); err != nil {
+		t.Errorf("drain: %v", err)
+	}
+}
+
+// Guards against a drain without end, and against one that hides what it cut.
+func TestDrainReportsWhatItCut(t *testing.T) {
+	arrived := make(chan struct{}, 1)
+	e := startFake(t, "e1", func(_ *http.Request, _ string, w net.Conn) bool {
+		arrived <- struct{}{}
+		_, _ = w.Read(make([]byte, 1))
+		return false
+	})
+	f := newFixture(t, nil, e)
+	hanging := f.async("GET", "/", "")
+	await(t, "request at the executor", arrived)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if err := f.Drain(ctx); err == nil || !strings.Contains(err.Error(), "cut 1 request") {
+		t.Errorf("drain: %v, want a report of 1 request", err)
+	}
+	if r := await(t, "reply", hanging); r.err == nil && r.outcome == "answered" {
+		t.Errorf("reply = %+v", r)
+	}
+}
+
+// Guards against metrics whose size follows the number of teams.
+func TestTeamLabelsAreBounded(t *testing.T) {
+	f := newFixture(t, nil)
+	for i := range 2 * maxTeamLabels {
+		f.metrics.observe(router.RequestObserved{Team: routerTeam(i), Class: "normal", Outcome: router.Answered})
+	}
+	if n := len(f.metrics.times); n > maxTeamLabels+1 {
+		t.Errorf("%d histograms for %d teams, want at most %d", n, 2*maxTeamLabels, maxTeamLabels+1)
+	}
+}
+
+func routerTeam(i int) structs.TeamID { return structs.TeamID("/t" + strconv.Itoa(i)) }
