Leave headroom to other classes during floods; restore reserves of holders

Cause: with only weights and floors, a class that floods held every free slot, so each request of another class waited for the next end of an attempt; and instances whose reserve was used up got no slots back until they lacked some for their demand. Change: a class that floods leaves three standard deviations of the others' use free; the owner restores a holder that has less than half of its reserve.

--- a/router/credits/balance.go
+++ b/router/credits/balance.go
@@ -88,7 +88,7 @@
 	unmet := 0
 	for i := range claimants {
 		c := &claimants[i]
-		unmet += max(0, min(c.demand, c.share)-c.have)
+		unmet += c.wanted()
 	}
 	if unmet > totalFree {
 		l.takeBack(service, claimants, unmet-totalFree)
@@ -213,6 +213,18 @@
 	}
 }
 
+// wanted returns the slots that are worth taking from others: those that the
+// claimant lacks for its demand, and all up to its share if it has less than
+// half of its reserve beyond the demand. A reserve that is used up makes the
+// next requests wait until slots have moved.
+func (c *claimant) wanted() int {
+	reserve := max(0, c.share-c.demand)
+	if c.have < c.share-(reserve+1)/2 {
+		return c.share - c.have
+	}
+	return max(0, c.lack())
+}
+
 func (c *claimant) lack() int { return min(c.demand, c.share) - c.have }
 
 func (l *Ledger) give(c *claimant, x *executor) {
--- a/router/queue.go
+++ b/router/queue.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"math"
 	"slices"
 
 	"github.com/mangodrum/mangodrum/structs"
@@ -216,8 +217,13 @@
 }
 
 // mayStart reports whether a start of the class leaves the slots free that
-// the floors of more urgent classes claim.
+// others may claim: the floors of more urgent classes and, if the class floods
+// the service, what the others' arrivals vary by.
 func (s *State) mayStart(svc *service, class int) bool {
+	free := svc.held - svc.inflight
+	if free <= 0 {
+		return false
+	}
 	reserved := 0
 	for i := range class {
 		queue := &svc.queues[i]
@@ -226,5 +232,46 @@
 		}
 		reserved += max(0, (svc.held*queue.floor+50)/100-queue.inflight)
 	}
-	return svc.held-svc.inflight > reserved
+	if s.isFlooding(svc, class) {
+		reserved = max(reserved, s.headroom(svc, class))
+	}
+	return free > reserved
+}
+
+// isFlooding reports whether a class uses more than its share and would use
+// the whole service: deferrable ones always, others with a long queue.
+func (s *State) isFlooding(svc *service, class int) bool {
+	queue := &svc.queues[class]
+	if !svc.isAboveShare(queue) {
+		return false
+	}
+	return s.policy.Classes[class].Urgency == structs.Deferrable || queue.queued > svc.held
+}
+
+// isAboveShare reports whether a class holds more slots than its weight and
+// floor entitle it to.
+func (svc *service) isAboveShare(queue *classQueue) bool {
+	total := uint64(0)
+	for i := range svc.queues {
+		total += svc.queues[i].weight
+	}
+	share := max(svc.held*int(queue.weight)/int(total), svc.held*queue.floor/100)
+	return queue.inflight > share
+}
+
+// headroomDeviations is how many standard deviations of the other classes'
+// use are left free for them by a class that floods. Independent arrivals
+// vary by about the square root of the slots in use; three deviations are
+// exceeded about once in a thousand.
+const headroomDeviations = 3
+
+// headroom returns the slots to leave free for the classes that do not flood.
+func (s *State) headroom(svc *service, class int) int {
+	used := 0
+	for i := range svc.queues {
+		if i != class && !s.isFlooding(svc, i) {
+			used += svc.queues[i].inflight
+		}
+	}
+	return int(math.Ceil(headroomDeviations * math.Sqrt(float64(used))))
 }
