--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -19,9 +19,12 @@
 )
 
 func TestMain(m *testing.M) {
-	// Two goroutines of fasthttp outlast its servers: a worker pool looks for
-	// its stop signal every 10 s, and the clock of the Date header never ends.
+	// Goroutines of fasthttp outlast its servers and clients: a worker pool
+	// looks for its stop signal every 10 s, and the clock of the Date header
+	// never ends. The gateway does not use the client, only benchmarks do.
 	goleak.VerifyTestMain(m,
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*HostClient).connsCleaner"),
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*TCPDialer).tcpAddrsClean"),
 		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*workerPool).Start.func2"),
 		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.updateServerDate.func1"))
 }
