placement: hold capacity for gangs that cannot start yet

Cause: small tasks would take every gap and a large gang would never start. Claims are out of reach of Find and Reserve at once and as tasks end.

--- a/placement/index.go
+++ b/placement/index.go
@@ -24,7 +24,8 @@
 type worker struct {
 	structs.Worker
 	reserved      structs.Resources
-	spread        []keyCount // tasks on this worker by spread key
+	claimed       structs.Resources // by reservations of gangs; see Reservations
+	spread        []keyCount        // tasks on this worker by spread key
 	domain        int32
 	priority      uint64
 	labels        uint64
@@ -34,7 +35,10 @@
 	indexed       bool // present in the trees
 }
 
-func (w *worker) free() structs.Resources { return w.Capacity.Sub(w.reserved) }
+// free is what new work may take: neither reserved nor claimed.
+func (w *worker) free() structs.Resources { return w.unreserved().Sub(w.claimed) }
+
+func (w *worker) unreserved() structs.Resources { return w.Capacity.Sub(w.reserved) }
 
 func (w *worker) takesWork() bool {
 	return w.listed && !w.unschedulable && w.State == structs.Live
@@ -163,14 +167,14 @@
 	x.forgetIfEmpty(n)
 }
 
-// Free returns the free resources of a listed worker. They are negative where
-// its capacity shrank below what is reserved.
+// Free returns the free resources of a listed worker, claimed ones included.
+// They are negative where its capacity shrank below what is reserved.
 func (x *Index) Free(id structs.WorkerID) (structs.Resources, bool) {
 	n, ok := x.slots[id]
 	if !ok || !x.workers[n].listed {
 		return structs.Resources{}, false
 	}
-	return x.workers[n].free(), true
+	return x.workers[n].unreserved(), true
 }
 
 // Workers returns the listed workers in order of their IDs.
@@ -194,6 +198,19 @@
 	x.count(&x.workers[n], spreadKey)
 }
 
+// claim changes what reservations hold on the worker.
+func (x *Index) claim(n int32, delta structs.Resources) {
+	rec := &x.workers[n]
+	indexed := rec.indexed
+	if indexed {
+		x.removeFromTrees(n)
+	}
+	rec.claimed = rec.claimed.Add(delta)
+	if indexed {
+		x.insertIntoTrees(n)
+	}
+}
+
 func (x *Index) changeReserved(n int32, delta structs.Resources) {
 	rec := &x.workers[n]
 	indexed := rec.indexed
@@ -235,7 +252,7 @@
 // forgetIfEmpty drops a record that no longer carries any information.
 func (x *Index) forgetIfEmpty(n int32) {
 	rec := &x.workers[n]
-	if rec.listed || rec.unschedulable || !rec.reserved.IsZero() || len(rec.spread) > 0 {
+	if rec.listed || rec.unschedulable || !rec.reserved.IsZero() || !rec.claimed.IsZero() || len(rec.spread) > 0 {
 		return
 	}
 	delete(x.slots, rec.ID)
