Add the operators' status page

Cause: operators want to see workers, queues and settings versions without the command line. Change: the operators' listener serves a page at "/" with embedded HTML, CSS and JavaScript that polls the JSON endpoints, under a policy that allows no outside resources; it asks for the shared secret when one is required. The script ran once in node with a small stand-in for the document; it was not shown in a browser.

--- a/operatorapi/server.go
+++ b/operatorapi/server.go
@@ -76,6 +76,7 @@
 	app := fiber.New(options.config())
 	app.Get("/healthz", func(c fiber.Ctx) error { return c.SendString("ok\n") })
 	app.Get("/readyz", s.readyz)
+	servePage(app)
 	app.Use(s.authenticate)
 	app.Get("/metrics", s.metrics)
 	s.routes(app)
--- a/settings/decode_test.go
+++ b/settings/decode_test.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"os"
 	"reflect"
 	"strings"
 	"testing"
@@ -225,6 +226,13 @@
 // canonical encoding.
 func FuzzDecode(f *testing.F) {
 	f.Add([]byte(validTree))
+	for _, name := range []string{"bureau", "sierra-alta"} {
+		data, err := os.ReadFile("../examples/" + name + "/settings.yaml")
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
 	f.Add([]byte("apiVersion: mangodrum/v1\nkind: Settings\nclasses: []\nbranches: [{path: /}]\n"))
 	f.Add([]byte("a: &a [*a, *a]\n"))
 	f.Add([]byte("[[[[[[[["))
