Hash settings trees by the digests of their branches

Cause: a follower encoded the whole tree for the hash of every change, inside the reducer, and the impact of a change compared all teams. Change: the hash of a tree covers the digests of its branches, which are kept with unchanged branches; ImpactOf compares only teams that inherit from a changed branch.

--- a/settings/decode.go
+++ b/settings/decode.go
@@ -33,10 +33,16 @@
 	return &content.Tree, nil
 }
 
-// normalize sorts classes and branches, so that equal trees are equal values.
+// normalize sorts classes and branches, so that equal trees are equal values,
+// and computes the missing digests of branches.
 func (t *Tree) normalize() {
 	slices.SortFunc(t.Classes, func(a, b Class) int { return strings.Compare(string(a.Name), string(b.Name)) })
 	slices.SortFunc(t.Branches, func(a, b Branch) int { return strings.Compare(string(a.Path), string(b.Path)) })
+	for i := range t.Branches {
+		if t.Branches[i].digest == "" {
+			t.Branches[i].digest = t.Branches[i].computeDigest()
+		}
+	}
 }
 
 // Encode returns the canonical encoding of the tree: a settings file with
--- a/settings/diff.go
+++ b/settings/diff.go
@@ -29,10 +29,26 @@
 	classPrefix = "classes/"
 )
 
-// Hash returns the SHA-256 of the canonical encoding in hexadecimal digits.
+// Hash returns the hash of the tree's content in hexadecimal digits: SHA-256
+// over the encodings of cell and classes and the digests of the branches.
+// Digests are kept with the branches, so that the hash after a small change
+// does not encode the whole tree again.
 func (t *Tree) Hash() string {
-	sum := sha256.Sum256(t.Encode())
-	return hex.EncodeToString(sum[:])
+	hash := sha256.New()
+	hash.Write(strictyaml.Encode(Tree{Cell: t.Cell, Classes: t.Classes}))
+	for _, branch := range t.Branches {
+		digest := branch.digest
+		if digest == "" {
+			digest = branch.computeDigest()
+		}
+		hash.Write([]byte(digest))
+	}
+	return hex.EncodeToString(hash.Sum(nil))
+}
+
+func (b Branch) computeDigest() string {
+	sum := sha256.Sum256(strictyaml.Encode(b))
+	return string(sum[:])
 }
 
 // node is one object of the tree with its fields in their notation.
@@ -233,6 +249,7 @@
 	case i < 0:
 		return errs.New(errs.InvalidInput, "add the branch first", "branch %q does not exist", path)
 	}
+	t.Branches[i].digest = ""
 	return setField(&t.Branches[i].Set, change)
 }
 
--- a/settings/impact.go
+++ b/settings/impact.go
@@ -27,13 +27,21 @@
 // that inherits a changed field is concerned; one that overrides it is not.
 // A nil old tree is empty.
 func ImpactOf(old, new *Tree, jobs []structs.Job) Impact {
-	impact := Impact{Changes: Diff(old, new), Classes: changedClasses(Diff(old, new))}
+	changes := Diff(old, new)
+	impact := Impact{Changes: changes, Classes: changedClasses(changes)}
+	changed := map[structs.TeamID]bool{}
+	for _, change := range changes {
+		changed[structs.TeamID(change.Path)] = true
+	}
 	byTeam := map[structs.TeamID]int{}
 	for _, job := range jobs {
 		byTeam[job.Team]++
 	}
 	teams := map[structs.TeamID]bool{}
 	for _, team := range allTeams(old, new) {
+		if !slices.ContainsFunc(lineage(team), func(path structs.TeamID) bool { return changed[path] }) {
+			continue // no branch that the team inherits from changed
+		}
 		fields := diffEffective(team, old, new)
 		if len(fields) == 0 {
 			continue
--- a/settings/types.go
+++ b/settings/types.go
@@ -56,6 +56,8 @@
 type Branch struct {
 	Path structs.TeamID `yaml:"path" required:"true" pattern:"^/$|^(/[a-z0-9][a-z0-9-]{0,39}){1,8}$" doc:"Path of the branch, for example /bureau/dispatch."`
 	Set  Set            `yaml:"set"`
+
+	digest string // hash of the branch's encoding; set in trees from Decode and Apply
 }
 
 // Set holds the fields that a branch overrides. A nil field is inherited.
