instance: answer peers' settings fetches from memory

Cause: an instance that was asked for versions read them from the store, so peers could not follow during an outage; trees of peers were not checked against their hash. Change: versions come from the follower's memory, trees are decoded with their hash, store fetches use settings.Store.Answer. Conclusion: a restarted instance can catch up from its peers in an outage.

--- a/instance/operations.go
+++ b/instance/operations.go
@@ -61,7 +61,7 @@
 	case methodQueues:
 		return i.listQueues(call.Shard)
 	case methodVersions:
-		return withArgument(call, func(after uint64) (any, error) { return i.store.Versions(ctx, after, maxVersions) })
+		return withArgument(call, func(after uint64) (any, error) { return i.ownVersions(after) })
 	case methodTree:
 		return i.ownTree()
 	case methodDrain:
--- a/instance/settings.go
+++ b/instance/settings.go
@@ -10,18 +10,15 @@
 	"github.com/mangodrum/mangodrum/structs"
 )
 
-// maxVersions bounds the versions of one reply.
-const maxVersions = 100
-
 // performSettings carries out an effect of the settings follower.
 func (i *Instance) performSettings(effect structs.Effect) {
 	switch e := effect.(type) {
 	case settings.ReadHead:
-		i.async(tableTimeout, i.readHead)
+		i.fetch(e, "")
 	case settings.FetchVersions:
-		i.async(tableTimeout, func(ctx context.Context) { i.fetchVersions(ctx, e) })
+		i.fetch(e, e.From)
 	case settings.FetchTree:
-		i.async(loadTimeout, func(ctx context.Context) { i.fetchTree(ctx, e) })
+		i.fetch(e, e.From)
 	case settings.InForce:
 		i.log.Info("settings in force", "version", e.Number, "changes", len(e.Changes))
 		i.gateway.SetPolicy(core.RouterPolicy(e.Tree))
@@ -31,57 +28,36 @@
 	}
 }
 
-func (i *Instance) readHead(ctx context.Context) {
-	head, err := i.store.Head(ctx)
-	if err != nil {
-		i.post(settings.HeadReadFailed{})
-		return
-	}
-	i.post(settings.HeadRead{Head: head})
-}
-
-func (i *Instance) fetchVersions(ctx context.Context, e settings.FetchVersions) {
-	versions, err := i.versionsFrom(ctx, e)
-	if err != nil {
-		i.post(settings.FetchFailed{From: e.From})
-		return
-	}
-	i.post(settings.VersionsReceived{From: e.From, Versions: versions})
-}
-
-func (i *Instance) versionsFrom(ctx context.Context, e settings.FetchVersions) ([]settings.Version, error) {
-	if e.From == "" {
-		return i.store.Versions(ctx, e.After, maxVersions)
-	}
-	return remote[[]settings.Version](ctx, i, e.From, methodVersions, "", e.After)
-}
-
-func (i *Instance) fetchTree(ctx context.Context, e settings.FetchTree) {
-	received, err := i.treeFrom(ctx, e)
-	if err != nil {
-		i.post(settings.FetchFailed{From: e.From})
-		return
-	}
-	i.post(received)
+// fetch gets what the follower misses from a peer or, with from "", from the
+// store.
+func (i *Instance) fetch(effect structs.Effect, from structs.InstanceID) {
+	i.async(loadTimeout, func(ctx context.Context) {
+		if from == "" {
+			i.post(i.store.Answer(ctx, effect))
+			return
+		}
+		event, err := i.fetchFromPeer(ctx, effect)
+		if err != nil {
+			event = settings.FetchFailed{From: from}
+		}
+		i.post(event)
+	})
 }
 
-func (i *Instance) treeFrom(ctx context.Context, e settings.FetchTree) (settings.TreeReceived, error) {
-	if e.From == "" {
-		tree, err := i.store.Load(ctx, e.Number)
+func (i *Instance) fetchFromPeer(ctx context.Context, effect structs.Effect) (structs.Event, error) {
+	switch e := effect.(type) {
+	case settings.FetchVersions:
+		versions, err := remote[[]settings.Version](ctx, i, e.From, methodVersions, "", e.After)
+		return settings.VersionsReceived{From: e.From, Versions: versions}, err
+	case settings.FetchTree:
+		reply, err := remote[treeReply](ctx, i, e.From, methodTree, "", nil)
 		if err != nil {
-			return settings.TreeReceived{}, err
+			return nil, err
 		}
-		return settings.TreeReceived{Number: e.Number, Hash: tree.Hash(), Tree: tree}, nil
+		tree, err := settings.DecodeVersion(reply.Number, reply.Hash, reply.YAML)
+		return settings.TreeReceived{From: e.From, Number: reply.Number, Hash: reply.Hash, Tree: tree}, err
 	}
-	reply, err := remote[treeReply](ctx, i, e.From, methodTree, "", nil)
-	if err != nil {
-		return settings.TreeReceived{}, err
-	}
-	tree, err := settings.Decode("settings of "+string(e.From), reply.YAML)
-	if err != nil {
-		return settings.TreeReceived{}, err
-	}
-	return settings.TreeReceived{From: e.From, Number: reply.Number, Hash: reply.Hash, Tree: tree}, nil
+	return nil, errs.New(errs.Failed, "report this fault", "no peer can answer %q", effect.Kind())
 }
 
 // treeReply is the whole tree in force at an instance.
@@ -105,6 +81,18 @@
 	return reply, nil
 }
 
+// ownVersions returns the versions after number from memory, so that peers
+// can follow while the store is down.
+func (i *Instance) ownVersions(number uint64) ([]settings.Version, error) {
+	var versions []settings.Version
+	kept := false
+	i.query(func(_ structs.Timestamp, state *core.State) { versions, kept = state.Settings().VersionsAfter(number) })
+	if !kept {
+		return nil, errs.New(errs.NotRun, "fetch the whole tree", "versions after %d are not kept", number)
+	}
+	return versions, nil
+}
+
 // announce pushes an accepted version to all peers and applies it here.
 func (i *Instance) announce(version settings.Version) {
 	i.post(settings.VersionsReceived{From: i.options.Info.ID, Versions: []settings.Version{version}})
