--- a/placement/index.go
+++ b/placement/index.go
@@ -14,7 +14,8 @@
 	trees   [dimensions]tree
 	domains domainTable
 	spreads spreadTable
-	totals  Usage // of the workers that may take new work
+	totals  Usage      // of the workers that may take new work
+	scale   proportion // that the surpluses in the trees refer to
 	search  search
 }
 
@@ -23,7 +24,8 @@
 type worker struct {
 	structs.Worker
 	reserved      structs.Resources
-	spread        []keyCount // tasks on this worker by spread key
+	claimed       structs.Resources // by reservations of gangs; see Reservations
+	spread        []keyCount        // tasks on this worker by spread key
 	domain        int32
 	priority      uint64
 	labels        uint64
@@ -33,7 +35,10 @@
 	indexed       bool // present in the trees
 }
 
-func (w *worker) free() structs.Resources { return w.Capacity.Sub(w.reserved) }
+// free is what new work may take: neither reserved nor claimed.
+func (w *worker) free() structs.Resources { return w.unreserved().Sub(w.claimed) }
+
+func (w *worker) unreserved() structs.Resources { return w.Capacity.Sub(w.reserved) }
 
 func (w *worker) takesWork() bool {
 	return w.listed && !w.unschedulable && w.State == structs.Live
@@ -58,6 +63,12 @@
 	u.Reserved = u.Reserved.Sub(w.reserved)
 }
 
+func (u *Usage) mean() structs.Resources {
+	n := int64(max(u.Workers, 1))
+	c := u.Capacity
+	return structs.Resources{MilliCPU: c.MilliCPU / n, MemoryBytes: c.MemoryBytes / n, Accelerators: c.Accelerators / n}
+}
+
 // New returns an empty index.
 func New() *Index {
 	x := &Index{slots: make(map[structs.WorkerID]int32)}
@@ -156,14 +167,14 @@
 	x.forgetIfEmpty(n)
 }
 
-// Free returns the free resources of a listed worker. They are negative where
-// its capacity shrank below what is reserved.
+// Free returns the free resources of a listed worker, claimed ones included.
+// They are negative where its capacity shrank below what is reserved.
 func (x *Index) Free(id structs.WorkerID) (structs.Resources, bool) {
 	n, ok := x.slots[id]
 	if !ok || !x.workers[n].listed {
 		return structs.Resources{}, false
 	}
-	return x.workers[n].free(), true
+	return x.workers[n].unreserved(), true
 }
 
 // Workers returns the listed workers in order of their IDs.
@@ -187,6 +198,19 @@
 	x.count(&x.workers[n], spreadKey)
 }
 
+// claim changes what reservations hold on the worker.
+func (x *Index) claim(n int32, delta structs.Resources) {
+	rec := &x.workers[n]
+	indexed := rec.indexed
+	if indexed {
+		x.removeFromTrees(n)
+	}
+	rec.claimed = rec.claimed.Add(delta)
+	if indexed {
+		x.insertIntoTrees(n)
+	}
+}
+
 func (x *Index) changeReserved(n int32, delta structs.Resources) {
 	rec := &x.workers[n]
 	indexed := rec.indexed
@@ -228,7 +252,7 @@
 // forgetIfEmpty drops a record that no longer carries any information.
 func (x *Index) forgetIfEmpty(n int32) {
 	rec := &x.workers[n]
-	if rec.listed || rec.unschedulable || !rec.reserved.IsZero() || len(rec.spread) > 0 {
+	if rec.listed || rec.unschedulable || !rec.reserved.IsZero() || !rec.claimed.IsZero() || len(rec.spread) > 0 {
 		return
 	}
 	delete(x.slots, rec.ID)
@@ -257,6 +281,24 @@
 	rec.indexed = true
 	x.totals.add(rec)
 	x.insertIntoTrees(n)
+	if current := proportionOf(x.totals.Capacity, x.totals.Workers); current.differs(x.scale) {
+		x.rebuild(current)
+	}
+}
+
+// rebuild orders all workers anew by the given proportion.
+func (x *Index) rebuild(scale proportion) {
+	x.scale = scale
+	for dim := range dimensions {
+		for class := range accelClasses {
+			x.trees[dim].roots[class] = none
+		}
+	}
+	for n := range x.workers {
+		if x.workers[n].indexed {
+			x.insertIntoTrees(int32(n))
+		}
+	}
 }
 
 func (x *Index) unlink(n int32) {
@@ -274,7 +316,7 @@
 	own := summary{free: rec.free(), domains: domainBit(rec.domain), labels: rec.labels}
 	for dim := range dimensions {
 		if dim != byAccelerators || rec.class == withAccelerators {
-			x.trees[dim].insert(rec.class, n, rec.priority, own)
+			x.trees[dim].insert(rec.class, n, rec.priority, own, x.scale)
 		}
 	}
 }
--- a/placement/tree.go
+++ b/placement/tree.go
@@ -1,6 +1,10 @@
 package placement
 
-import "github.com/mangodrum/mangodrum/structs"
+import (
+	"math/bits"
+
+	"github.com/mangodrum/mangodrum/structs"
+)
 
 // dimension is the resource that a tree is ordered by.
 type dimension uint8
@@ -26,9 +30,11 @@
 const none int32 = -1
 
 // summary bounds what the workers of a subtree offer: the largest free amount
-// of each resource, and the union of their domain and label bits.
+// of each resource, the largest surplus, and the union of their domain and
+// label bits.
 type summary struct {
 	free    structs.Resources
+	surplus int64 // of the tree's resource over the other; see proportion
 	domains uint64
 	labels  uint64
 }
@@ -37,6 +43,7 @@
 	s.free.MilliCPU = max(s.free.MilliCPU, o.free.MilliCPU)
 	s.free.MemoryBytes = max(s.free.MemoryBytes, o.free.MemoryBytes)
 	s.free.Accelerators = max(s.free.Accelerators, o.free.Accelerators)
+	s.surplus = max(s.surplus, o.surplus)
 	s.domains |= o.domains
 	s.labels |= o.labels
 }
@@ -61,6 +68,9 @@
 	roots [accelClasses]int32
 }
 
+// less orders equal free amounts by the reversed bits of the priority. With the
+// priority itself the order of equal workers would be the heap order as well,
+// and workers of one shape would form a chain.
 func (t *tree) less(a, b int32) bool {
 	p, q := &t.nodes[a], &t.nodes[b]
 	if p.first != q.first {
@@ -69,8 +79,8 @@
 	if p.second != q.second {
 		return p.second < q.second
 	}
-	if p.priority != q.priority {
-		return p.priority < q.priority
+	if x, y := bits.Reverse64(p.priority), bits.Reverse64(q.priority); x != y {
+		return x < y
 	}
 	return a < b
 }
@@ -83,7 +93,8 @@
 	return a < b
 }
 
-func (t *tree) insert(class accelClass, n int32, priority uint64, own summary) {
+func (t *tree) insert(class accelClass, n int32, priority uint64, own summary, p proportion) {
+	own.surplus = p.surplus(t.dim, own.free)
 	first, second := t.keys(own.free)
 	t.nodes[n] = node{left: none, right: none, priority: priority, first: first, second: second, own: own, subtree: own}
 	t.roots[class] = t.insertBelow(t.roots[class], n)
