Reuse per-connection state on the request path

Cause: profiles of the parallel benchmark showed a third of the allocations in the parsed head of each answer, 12% in the channel of each request and 11% in looking at idle sockets; each request took the lock three times. Change: the head and the socket's handle belong to the connection, channels are pooled, the last attempt ends its request under one lock.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -33,14 +33,14 @@
 	if err := c.body.writeRequest(conn.writer, c.ctx, send.Address, c.req, send.Deadline.Sub(sentAt)); err != nil {
 		return c.abort(conn, send, router.Broken)
 	}
-	var head fasthttp.ResponseHeader
-	if err := readHead(conn, &head); err != nil {
+	head := &conn.head
+	if err := readHead(conn, head); err != nil {
 		return c.abort(conn, send, router.Broken)
 	}
-	if !conn.acceptIdentifier(&head, c.req.ID) {
+	if !conn.acceptIdentifier(head, c.req.ID) {
 		return c.abort(conn, send, router.Broken)
 	}
-	return c.pass(conn, send, &head, c.g.opts.Now().Sub(sentAt))
+	return c.pass(conn, send, head, c.g.opts.Now().Sub(sentAt))
 }
 
 // abort closes the attempt's connection and reports how the attempt ended.
@@ -57,13 +57,11 @@
 	if gone && kind != router.NotSent {
 		kind = router.Cancelled
 	}
-	c.attemptEnded(send.Attempt, router.Result{Kind: kind, Replayable: c.body.replayable()})
-	if !gone {
-		return false
+	c.attemptEnded(send.Attempt, router.Result{Kind: kind, Replayable: c.body.replayable()}, gone)
+	if gone {
+		c.ctx.SetConnectionClose()
 	}
-	c.ctx.SetConnectionClose()
-	c.end()
-	return true
+	return gone
 }
 
 var errFraming = errors.New("the executor's answer has no length")
@@ -71,6 +69,7 @@
 // readHead reads the head of the final answer.
 func readHead(conn *execConn, head *fasthttp.ResponseHeader) error {
 	const maxInterim = 8 // 1xx answers; more of them are a fault
+	head.Reset()
 	head.SetNoDefaultContentType(true)
 	for range maxInterim {
 		if err := head.Read(conn.reader); err != nil {
@@ -131,7 +130,6 @@
 
 // complete ends an attempt whose answer is in the response.
 func (c *call) complete(conn *execConn, send router.Send, head *fasthttp.ResponseHeader, latency time.Duration) bool {
-	conn.finish(c.detach(), head)
 	status := head.StatusCode()
 	result := router.Result{
 		Kind: router.Completed, Status: status,
@@ -143,20 +141,20 @@
 			Body:        append([]byte(nil), c.ctx.Response.Body()...),
 		}
 	}
+	conn.finish(c.detach(), head.ConnectionClose())
 	if status >= 500 && send.MayRetry {
 		result.Kind = router.Buffered
-		c.attemptEnded(send.Attempt, result)
+		c.attemptEnded(send.Attempt, result, false)
 		return false
 	}
-	c.attemptEnded(send.Attempt, result)
+	c.attemptEnded(send.Attempt, result, true)
 	c.setOutcome(status)
-	c.end()
 	return true
 }
 
 // finish gives the connection back after a complete answer, or closes it.
-func (conn *execConn) finish(cancelled bool, head *fasthttp.ResponseHeader) {
-	if cancelled || head.ConnectionClose() {
+func (conn *execConn) finish(cancelled, closing bool) {
+	if cancelled || closing {
 		conn.pool.discard(conn)
 		return
 	}
@@ -239,8 +237,8 @@
 	s.probe()
 	cancelled := s.call.detach()
 	switch {
-	case s.ended && !s.close:
-		s.conn.finish(cancelled, &fasthttp.ResponseHeader{})
+	case s.ended:
+		s.conn.finish(cancelled, s.close)
 	default:
 		s.conn.pool.discard(s.conn)
 	}
@@ -252,8 +250,7 @@
 		s.call.gone.Store(true)
 		s.result.Kind = router.Cancelled
 	}
-	s.call.attemptEnded(s.attempt, s.result)
-	s.call.end()
+	s.call.attemptEnded(s.attempt, s.result, true)
 	return nil
 }
 
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -34,6 +34,10 @@
 // or final action and one notice that the caller left, with a margin.
 const maxPendingActions = 8
 
+// actionPool holds channels without actions. A channel goes back when its
+// call is forgotten; after that nothing sends to it.
+var actionPool = sync.Pool{New: func() any { return make(chan action, maxPendingActions) }}
+
 // call is a request from its admission until its answer is written.
 type call struct {
 	g       *Gateway
@@ -55,7 +59,7 @@
 	c := &call{
 		g: g, ctx: ctx, caller: ctx.Conn(), req: req,
 		ref:     router.Ref(g.nextRef.Add(1)),
-		actions: make(chan action, maxPendingActions),
+		actions: actionPool.Get().(chan action),
 	}
 	c.until.Store(math.MaxInt64)
 	return c
@@ -69,20 +73,28 @@
 	g.mu.Lock()
 	g.calls[c.ref] = c
 	g.reduceLocked(&router.RequestArrived{Ref: c.ref, Request: c.req})
-	outbox := g.outbox
-	g.outbox = nil
+	outbox := g.takeOutbox()
 	g.mu.Unlock()
-	for _, message := range outbox {
-		g.opts.SendCredits(message)
-	}
+	g.sendCredits(outbox)
 }
 
 // end forgets the call. Its answer is written or its caller is gone.
 func (c *call) end() {
+	c.g.mu.Lock()
+	c.endLocked()
+	c.g.mu.Unlock()
+}
+
+func (c *call) endLocked() {
 	g := c.g
-	g.mu.Lock()
-	defer g.mu.Unlock()
+	if g.calls[c.ref] != c {
+		return
+	}
 	delete(g.calls, c.ref)
+	for len(c.actions) > 0 {
+		<-c.actions
+	}
+	actionPool.Put(c.actions)
 	if len(g.calls) == 0 && g.idle != nil {
 		select {
 		case <-g.idle:
@@ -124,15 +136,25 @@
 
 // callerLeft reports whether the caller closed its connection.
 func (c *call) callerLeft() bool {
-	return !c.gone.Load() && peekSocket(c.caller) == socketClosed
+	conn, ok := c.caller.(*callerConn)
+	return ok && !c.gone.Load() && conn.socket.peek() == socketClosed
 }
 
 // closeCaller cuts the caller's connection.
 func (c *call) closeCaller() { _ = c.caller.Close() }
 
-// attemptEnded reports the end of an attempt to the router.
-func (c *call) attemptEnded(attempt int, result router.Result) {
-	c.g.reduce(&router.AttemptEnded{Ref: c.ref, Attempt: attempt, Result: result})
+// attemptEnded reports the end of an attempt to the router. last ends the
+// call with it.
+func (c *call) attemptEnded(attempt int, result router.Result, last bool) {
+	g := c.g
+	g.mu.Lock()
+	g.reduceLocked(&router.AttemptEnded{Ref: c.ref, Attempt: attempt, Result: result})
+	if last {
+		c.endLocked()
+	}
+	outbox := g.takeOutbox()
+	g.mu.Unlock()
+	g.sendCredits(outbox)
 }
 
 // serve follows the router's actions until the answer is ready or handed to
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -183,10 +183,20 @@
 func (g *Gateway) reduce(ev structs.Event) {
 	g.mu.Lock()
 	g.reduceLocked(ev)
+	outbox := g.takeOutbox()
+	g.mu.Unlock()
+	g.sendCredits(outbox)
+}
+
+func (g *Gateway) takeOutbox() []credits.Message {
 	outbox := g.outbox
 	g.outbox = nil
-	g.mu.Unlock()
-	for _, message := range outbox {
+	return outbox
+}
+
+// sendCredits runs without the lock: the function may deliver a reply at once.
+func (g *Gateway) sendCredits(messages []credits.Message) {
+	for _, message := range messages {
 		g.opts.SendCredits(message)
 	}
 }
@@ -247,11 +257,12 @@
 	if c.gone.Swap(true) {
 		return
 	}
-	g.reduce(&router.CallerGone{Ref: c.ref})
-	select {
-	case c.actions <- action{kind: actGone}:
-	default:
-	}
+	g.mu.Lock()
+	g.reduceLocked(&router.CallerGone{Ref: c.ref})
+	g.act(c.ref, action{kind: actGone})
+	outbox := g.takeOutbox()
+	g.mu.Unlock()
+	g.sendCredits(outbox)
 }
 
 // Stats are numbers for the operators.
--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -3,7 +3,6 @@
 import (
 	"net"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -27,7 +26,7 @@
 			return nil, err
 		}
 		if l.g.open.Add(1) <= int64(l.g.opts.Limits.MaxConnections) {
-			return &callerConn{Conn: conn, g: l.g}, nil
+			return &callerConn{Conn: conn, g: l.g, socket: newSocketPeeker(conn)}, nil
 		}
 		l.g.open.Add(-1)
 		l.g.metrics.rejectedConnections.Inc()
@@ -40,17 +39,9 @@
 // callerConn counts a caller's connection until it is closed.
 type callerConn struct {
 	net.Conn
-	g    *Gateway
-	once sync.Once
-}
-
-// SyscallConn implements syscall.Conn, for looking at the socket.
-func (c *callerConn) SyscallConn() (syscall.RawConn, error) {
-	conn, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return nil, syscall.ENOTSUP
-	}
-	return conn.SyscallConn()
+	g      *Gateway
+	socket *socketPeeker // used by Tick only
+	once   sync.Once
 }
 
 // Close implements net.Conn.
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -4,9 +4,9 @@
 	"bufio"
 	"net"
 	"sync"
-	"syscall"
 
 	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
 )
 
 // execConn is a connection to an executor.
@@ -15,6 +15,8 @@
 	pool   *pool
 	reader *bufio.Reader
 	writer *bufio.Writer
+	socket *socketPeeker
+	head   fasthttp.ResponseHeader // of the current answer
 	// echoes: every answer so far carried the identifier of its request.
 	echoes bool
 	used   bool
@@ -126,7 +128,7 @@
 		return nil, err
 	}
 	return &execConn{
-		Conn: conn, pool: p, echoes: true,
+		Conn: conn, pool: p, echoes: true, socket: newSocketPeeker(conn),
 		reader: bufio.NewReaderSize(conn, p.limits.MaxHeaderBytes),
 		writer: bufio.NewWriterSize(conn, 4<<10),
 	}, nil
@@ -156,40 +158,5 @@
 // isQuiet reports whether an idle connection is open and has no bytes that
 // nobody asked for.
 func (c *execConn) isQuiet() bool {
-	return c.reader.Buffered() == 0 && peekSocket(c.Conn) == socketQuiet
-}
-
-type socketState int
-
-const (
-	socketQuiet  socketState = iota // open, nothing to read
-	socketData                      // bytes to read
-	socketClosed                    // the peer closed it, or it failed
-)
-
-// peekSocket looks at a connection without reading from it or blocking.
-func peekSocket(conn net.Conn) socketState {
-	raw, ok := conn.(syscall.Conn)
-	if !ok {
-		return socketQuiet
-	}
-	rc, err := raw.SyscallConn()
-	if err != nil {
-		return socketQuiet // not a socket
-	}
-	state := socketClosed
-	err = rc.Control(func(fd uintptr) {
-		var buf [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		switch {
-		case err == syscall.EAGAIN || err == syscall.EINTR:
-			state = socketQuiet
-		case err == nil && n > 0:
-			state = socketData
-		}
-	})
-	if err != nil {
-		return socketClosed
-	}
-	return state
+	return c.reader.Buffered() == 0 && c.socket.peek() == socketQuiet
 }
