Measure the credit messages of an instance

Cause: the control cost of credits was not measured. Change: BenchmarkCreditMessages counts messages and their CBOR bytes.

--- a/router/balance_test.go
+++ b/router/balance_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"github.com/mangodrum/mangodrum/router"
 	"github.com/mangodrum/mangodrum/structs"
 )
@@ -244,6 +246,30 @@
 	}
 }
 
+// BenchmarkCreditMessages reports the credit messages of one instance, with
+// their size in CBOR, over three seconds of virtual time.
+func BenchmarkCreditMessages(b *testing.B) {
+	for _, load := range []float64{0.5, 0.8, 0.95} {
+		b.Run(fmt.Sprintf("%.2f", load), func(b *testing.B) {
+			for range b.N {
+				messages, bytes := 0, 0
+				credits := newCreditBalancer(1).(*creditBalancer)
+				credits.sim.onMessage = func(message any) {
+					encoded, err := cbor.Marshal(message)
+					if err != nil {
+						b.Fatal(err)
+					}
+					messages++
+					bytes += len(encoded)
+				}
+				measure(credits, load, evenArrival)
+				b.ReportMetric(float64(messages)/3/simInstances, "messages/s")
+				b.ReportMetric(float64(bytes)/3/simInstances, "bytes/s")
+			}
+		})
+	}
+}
+
 // Guards against credits that exceed the slots of an executor, or that
 // strand slots when arrivals are uneven: they must not wait longer than the
 // best alternative that keeps to the slots without forwarding.
--- a/router/sim_test.go
+++ b/router/sim_test.go
@@ -135,6 +135,7 @@
 	refused   map[router.Reason]int
 	attempts  int
 	meanRun   time.Duration
+	onMessage func(message any) // sees every credit message
 }
 
 // simOwner is one ownership of a region's shard. An owner that lost the
@@ -233,6 +234,7 @@
 	for _, effect := range o.ledger.Reduce(o.now(), ev) {
 		grant := effect.(credits.SendGrant).Grant
 		grant.Holdings = slices.Clone(grant.Holdings)
+		o.sim.seen(grant)
 		for _, in := range o.sim.instances {
 			if in.id == grant.To && !in.isolated {
 				o.sim.after(o.sim.delay(o.region, in.location.Region), func() {
@@ -260,6 +262,12 @@
 	o.backlog = nil
 }
 
+func (s *routerSim) seen(message any) {
+	if s.onMessage != nil {
+		s.onMessage(message)
+	}
+}
+
 // delay is the time for one message, with jitter so that messages overtake
 // each other.
 func (s *routerSim) delay(a, b structs.Region) time.Duration {
@@ -337,6 +345,7 @@
 			in.send(e)
 		case router.RequestCredits:
 			owner := in.owners[e.Region]
+			in.sim.seen(e.Request)
 			if in.isolated {
 				continue
 			}
