Halve the credit messages

Cause: every holding carried its end and its connections, although ends are equal in nearly all of a message and connections follow from slots. Change: the message names the common end once; holdings name only others.

--- a/router/credits/ledger.go
+++ b/router/credits/ledger.go
@@ -110,7 +110,7 @@
 	for _, d := range r.Demands {
 		h.demands[d.Service] = d.Slots
 	}
-	l.declare(h, r.Holdings)
+	l.declare(h, r)
 	if r.Epoch == l.cfg.Epoch && l.unconfirmed[h.id] {
 		l.confirm(h)
 	}
@@ -118,11 +118,11 @@
 
 // declare replaces the counted slots of h. A credit that has ended is not
 // counted: its slots may be granted to others already.
-func (l *Ledger) declare(h *holder, holdings []Holding) {
+func (l *Ledger) declare(h *holder, r *Request) {
 	old := h.entries
-	h.entries = make(map[structs.ExecutorID]*entry, len(holdings))
-	for _, held := range holdings {
-		until := held.Until
+	h.entries = make(map[structs.ExecutorID]*entry, len(r.Holdings))
+	for _, held := range r.Holdings {
+		until := held.End(r.Until)
 		if was := old[held.Executor]; was != nil {
 			until = max(until, was.until)
 		}
@@ -236,17 +236,15 @@
 
 func (l *Ledger) grantFor(h *holder) Grant {
 	g := Grant{To: h.id, Region: l.cfg.Region, Epoch: l.cfg.Epoch, Sequence: h.sequence}
-	until := min(l.now.Add(Lease), l.cfg.Horizon)
+	g.Until = min(l.now.Add(Lease), l.cfg.Horizon)
 	for _, x := range l.executors {
 		e := h.entries[x.info.ID]
 		if e == nil {
 			continue
 		}
-		e.until = max(e.until, until)
-		g.Holdings = append(g.Holdings, Holding{
-			Executor: x.info.ID, Slots: e.target,
-			Connections: ConnectionsFor(x.info, e.target), Until: e.until,
-		})
+		e.until = max(e.until, g.Until)
+		g.Holdings = append(g.Holdings, Holding{Executor: x.info.ID, Slots: e.target, Until: e.until})
 	}
+	omitCommon(g.Holdings, g.Until)
 	return g
 }
--- a/router/credits/messages.go
+++ b/router/credits/messages.go
@@ -19,12 +19,40 @@
 	ReturnMinGap    = 5 * time.Millisecond
 )
 
-// Holding is a credit for one executor.
+// Holding is a credit for one executor. Its connections follow from its slots,
+// see ConnectionsFor.
 type Holding struct {
-	Executor    structs.ExecutorID `cbor:"1,keyasint"`
-	Slots       int                `cbor:"2,keyasint"`
-	Connections int                `cbor:"3,keyasint"`
-	Until       structs.Timestamp  `cbor:"4,keyasint"`
+	Executor structs.ExecutorID `cbor:"1,keyasint"`
+	Slots    int                `cbor:"2,keyasint,omitempty"`
+	// Until is 0 if the credit ends at the Until of the message. Nearly all
+	// do, which saves half of the bytes.
+	Until structs.Timestamp `cbor:"4,keyasint,omitempty"`
+}
+
+// End returns the credit's end, given the Until of its message.
+func (h Holding) End(common structs.Timestamp) structs.Timestamp {
+	if h.Until == 0 {
+		return common
+	}
+	return h.Until
+}
+
+// omitCommon clears the ends that equal the message's.
+func omitCommon(holdings []Holding, common structs.Timestamp) {
+	for i := range holdings {
+		if holdings[i].Until == common {
+			holdings[i].Until = 0
+		}
+	}
+}
+
+// SetHoldings lists holdings in the request, with their common end apart.
+func (r *Request) SetHoldings(holdings []Holding) {
+	for _, h := range holdings {
+		r.Until = max(r.Until, h.Until)
+	}
+	omitCommon(holdings, r.Until)
+	r.Holdings = holdings
 }
 
 // Demand is the number of slots of a service that an instance can use now:
@@ -44,9 +72,10 @@
 	// refuses grants of older epochs.
 	Epoch structs.Epoch `cbor:"3,keyasint"`
 	// Sequence orders the requests of one instance, also over its restarts.
-	Sequence uint64    `cbor:"4,keyasint"`
-	Holdings []Holding `cbor:"5,keyasint"`
-	Demands  []Demand  `cbor:"6,keyasint"`
+	Sequence uint64            `cbor:"4,keyasint"`
+	Holdings []Holding         `cbor:"5,keyasint"`
+	Demands  []Demand          `cbor:"6,keyasint"`
+	Until    structs.Timestamp `cbor:"7,keyasint"` // of the holdings that name no other end
 }
 
 // Grant is the owner's reply: everything that the instance may use of the
@@ -57,6 +86,7 @@
 	Epoch    structs.Epoch      `cbor:"3,keyasint"`
 	Sequence uint64             `cbor:"4,keyasint"` // of the request that it answers
 	Holdings []Holding          `cbor:"5,keyasint"`
+	Until    structs.Timestamp  `cbor:"6,keyasint"` // of the holdings that name no other end
 }
 
 // Message is what instances exchange: exactly one field is set.
--- a/router/holdings.go
+++ b/router/holdings.go
@@ -113,13 +113,14 @@
 			continue
 		}
 		h, ok := granted[e.info.ID]
+		until := h.End(g.Until)
 		if !ok {
-			h.Until = e.until // what runs keeps the end that it was started with
+			until = e.until // what runs keeps the end that it was started with
 		}
 		if h.Slots < e.held {
 			region.changed = true
 		}
-		s.setHolding(e, h.Slots, h.Until)
+		s.setHolding(e, h.Slots, until)
 	}
 	s.extendAttempts()
 	s.recountHeld()
@@ -227,16 +228,16 @@
 		From: s.cfg.Instance, Location: s.cfg.Location,
 		Epoch: rc.epoch, Sequence: rc.sequence, Demands: demands,
 	}
+	var holdings []credits.Holding
 	for _, e := range s.order {
 		slots := max(e.held, e.inflight)
 		if e.info.Location.Region != region || slots == 0 {
 			continue
 		}
 		s.setHolding(e, e.held, e.until) // closes idle connections beyond what is declared
-		req.Holdings = append(req.Holdings, credits.Holding{
-			Executor: e.info.ID, Slots: slots, Connections: e.connections, Until: e.until,
-		})
+		holdings = append(holdings, credits.Holding{Executor: e.info.ID, Slots: slots, Until: e.until})
 	}
+	req.SetHoldings(holdings)
 	s.emit(RequestCredits{Region: region, Request: req})
 }
 
