--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -26,6 +26,7 @@
 	ready    atomic.Bool
 	draining atomic.Bool
 	nextRef  atomic.Uint64
+	ticks    atomic.Uint64
 	open     atomic.Int64 // callers' connections
 
 	defaultClass atomic.Pointer[structs.ClassName]
@@ -91,16 +92,22 @@
 	}
 }
 
+// ticksPerLook spaces the looks at callers' sockets, a system call each: with
+// thousands of queued requests a look at every tick would cost a quarter of a
+// core.
+const ticksPerLook = 10
+
 // Tick applies what is due: deadlines, retries, leases, callers that left.
 func (g *Gateway) Tick() {
 	now := g.opts.Now()
 	g.reduce(&router.Tick{})
 	g.claims.expire(now)
+	look := g.opts.TickInterval < 0 || g.ticks.Add(1)%ticksPerLook == 0
 	for _, c := range g.runningCalls() {
 		if now >= c.deadline() {
 			c.cancel()
 		}
-		if c.callerLeft() {
+		if look && c.callerLeft() {
 			g.callerGone(c)
 		}
 	}
