--- a/placement/doc.go
+++ b/placement/doc.go
@@ -1,7 +1,7 @@
 // Package placement finds workers for tasks and gangs.
 //
-// Index holds the capacity and the reservations of all workers. Its trees,
-// ordered by free resources, answer Find without looking at every worker.
+// Index holds the capacity and the reservations of all workers. Its grids,
+// sorted by free resources, answer Find without looking at every worker.
 // The index has no clock, does no I/O and is not safe for concurrent use; the
 // same sequence of calls gives the same results.
 //
--- a/placement/domain.go
+++ b/placement/domain.go
@@ -13,7 +13,8 @@
 
 type domain struct {
 	domainKey
-	usage Usage // of the listed workers, including those that take no new work
+	usage Usage       // of the listed workers, including those that take no new work
+	grids [kinds]grid // of the workers that may take new work
 }
 
 // domainTable numbers the failure domains in the order of their appearance.
@@ -32,10 +33,6 @@
 	return n
 }
 
-// domainBit is the domain's bit in a summary. Domains may share a bit, so a
-// match is confirmed on the worker itself.
-func domainBit(n int32) uint64 { return 1 << (uint32(n) % 64) }
-
 // DomainUsage is the capacity and the reservations of a failure domain.
 type DomainUsage struct {
 	Region        structs.Region
@@ -47,7 +44,8 @@
 // order of region and name. It includes workers that take no new work.
 func (x *Index) Domains() []DomainUsage {
 	var list []DomainUsage
-	for _, d := range x.domains.list {
+	for i := range x.domains.list {
+		d := &x.domains.list[i]
 		if d.usage.Workers > 0 {
 			list = append(list, DomainUsage{d.region, d.domain, d.usage})
 		}
--- a/placement/explain.go
+++ b/placement/explain.go
@@ -65,8 +65,8 @@
 			e.Counts[reason]++
 		}
 		if mayRunOn(reason) {
-			largest := summary{free: e.LargestFree}
-			largest.include(&summary{free: rec.free()})
+			largest := cell{free: e.LargestFree}
+			largest.include(rec)
 			e.LargestFree = largest.free
 		}
 	}
--- a/placement/find.go
+++ b/placement/find.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"math"
 	"slices"
 
 	"github.com/mangodrum/mangodrum/structs"
@@ -17,9 +16,9 @@
 }
 
 const (
-	// candidateLimit is the number of fitting workers that are scored in one
-	// pass, in ascending order of the free amount of the tree's resource.
-	candidateLimit = 8
+	// candidateLimit is the number of fitting workers of a cell that are
+	// compared.
+	candidateLimit = 4
 	// spreadLimit is the number of fitting workers looked at for one that
 	// runs no task of the spread key yet.
 	spreadLimit = 64
@@ -39,19 +38,17 @@
 	labels   uint64
 	key      int32 // number of the spread key, or none
 	eligible []bool
-	allowed  []bool // domains of the current pass; a subset of eligible
-	domains  uint64 // bits of the allowed domains
+	allowed  []int32 // domains of the current pass, all of them eligible
 	scale    proportion
-	surplus  int64 // least surplus of the workers of this pass
 	best     choice
 	fitting  int
-	visits   int // nodes visited by the last Find
+	visits   int // lines of cells and workers looked at by the last Find
 }
 
 func (s *search) grow(domains int) {
-	for len(s.allowed) < domains {
-		s.allowed = append(s.allowed, false)
+	for len(s.eligible) < domains {
 		s.eligible = append(s.eligible, false)
+		s.allowed = append(s.allowed, none)
 	}
 }
 
@@ -148,11 +145,10 @@
 	if next < 0 {
 		return level, false
 	}
-	s.domains = 0
+	s.allowed = s.allowed[:0]
 	for i, ok := range s.eligible {
-		s.allowed[i] = ok && x.tasksInDomain(int32(i)) == next
-		if s.allowed[i] {
-			s.domains |= domainBit(int32(i))
+		if ok && x.tasksInDomain(int32(i)) == next {
+			s.allowed = append(s.allowed, int32(i))
 		}
 	}
 	return next, true
@@ -165,97 +161,6 @@
 	return x.spreads.list[x.search.key].inDomain(domain)
 }
 
-// searchAllowed looks through the allowed domains. Workers with accelerators
-// are considered for a task that needs none only if no other worker fits.
-func (x *Index) searchAllowed() {
-	s := &x.search
-	if s.req.Resources.Accelerators > 0 {
-		x.pass(byAccelerators, withAccelerators, anySurplus)
-		return
-	}
-	dim := byCPU
-	surplus := s.scale.surplus(byCPU, s.req.Resources)
-	if surplus < 0 {
-		dim, surplus = byMemory, -surplus
-	}
-	for class := range accelClasses {
-		found := x.pass(dim, class, surplus) || x.pass(dim, class, 0) || x.pass(dim, class, anySurplus)
-		if found {
-			return
-		}
-	}
-}
-
-// anySurplus admits every worker to a pass.
-const anySurplus = math.MinInt64
-
-// pass looks through the workers of the class that have at least the given
-// surplus of the resource of dim, and reports whether one fits. A task that
-// takes more of a resource than of the other goes to workers with a larger
-// surplus of it first, which it brings closer to balance, and among them to
-// the one with the least of it.
-func (x *Index) pass(dim dimension, class accelClass, surplus int64) bool {
-	s := &x.search
-	s.fitting = 0
-	s.surplus = surplus
-	t := &x.trees[dim]
-	x.walk(t, t.roots[class])
-	return s.best.slot != none
-}
-
-// walk visits the fitting workers below root in ascending order of the tree's
-// free resource. It returns true when enough were seen.
-func (x *Index) walk(t *tree, root int32) bool {
-	if root == none {
-		return false
-	}
-	s := &x.search
-	s.visits++
-	p := &t.nodes[root]
-	if !s.mayContain(&p.subtree) {
-		return false
-	}
-	need, _ := t.keys(s.req.Resources)
-	if p.first >= need {
-		if x.walk(t, p.left) {
-			return true
-		}
-		if x.consider(root, &p.own) {
-			return true
-		}
-	}
-	return x.walk(t, p.right)
-}
-
-func (s *search) mayContain(sum *summary) bool {
-	return s.req.Resources.Fits(sum.free) &&
-		s.surplus <= sum.surplus &&
-		s.domains&sum.domains != 0 &&
-		s.labels&sum.labels == s.labels
-}
-
-// consider scores the worker if it fits and returns true when enough workers
-// were seen.
-func (x *Index) consider(n int32, own *summary) bool {
-	s := &x.search
-	if !s.mayContain(own) || !x.matches(n) {
-		return false
-	}
-	s.fitting++
-	rec := &x.workers[n]
-	c := choice{slot: n, tasks: rec.onWorker(s.key), score: s.score(rec)}
-	if s.best.slot == none || c.tasks < s.best.tasks || (c.tasks == s.best.tasks && c.score > s.best.score) {
-		s.best = c
-	}
-	return s.fitting >= spreadLimit || (s.fitting >= candidateLimit && s.best.tasks == 0)
-}
-
-// matches confirms what the bits of a summary only suggest.
-func (x *Index) matches(n int32) bool {
-	rec := &x.workers[n]
-	return x.search.allowed[rec.domain] && allowsWorker(&x.search.req.Constraint, rec)
-}
-
 func allowsWorker(c *structs.Constraint, rec *worker) bool {
 	for key, value := range c.Labels {
 		if got, ok := rec.Labels[key]; !ok || got != value {
--- a/placement/index.go
+++ b/placement/index.go
@@ -10,12 +10,12 @@
 type Index struct {
 	slots   map[structs.WorkerID]int32
 	workers []worker
-	unused  []int32 // slots free for reuse
-	trees   [dimensions]tree
+	unused  []int32  // slots free for reuse
+	links   [2]links // by layout
 	domains domainTable
 	spreads spreadTable
 	totals  Usage      // of the workers that may take new work
-	scale   proportion // that the surpluses in the trees refer to
+	scale   proportion // that the grids refer to
 	search  search
 }
 
@@ -32,7 +32,7 @@
 	class         accelClass
 	listed        bool
 	unschedulable bool
-	indexed       bool // present in the trees
+	indexed       bool // present in the grids
 }
 
 // free is what new work may take: neither reserved nor claimed.
@@ -69,15 +69,18 @@
 	return structs.Resources{MilliCPU: c.MilliCPU / n, MemoryBytes: c.MemoryBytes / n, Accelerators: c.Accelerators / n}
 }
 
+// accelClass separates workers without accelerators from those with some, so
+// that tasks that need none can avoid the latter.
+type accelClass uint8
+
+const (
+	withoutAccelerators accelClass = iota
+	withAccelerators
+)
+
 // New returns an empty index.
 func New() *Index {
 	x := &Index{slots: make(map[structs.WorkerID]int32)}
-	for dim := range dimensions {
-		x.trees[dim].dim = dim
-		for class := range accelClasses {
-			x.trees[dim].roots[class] = none
-		}
-	}
 	x.domains.byLocation = make(map[domainKey]int32)
 	x.spreads.byKey = make(map[string]int32)
 	return x
@@ -203,11 +206,11 @@
 	rec := &x.workers[n]
 	indexed := rec.indexed
 	if indexed {
-		x.removeFromTrees(n)
+		x.removeFromGrids(n)
 	}
 	rec.claimed = rec.claimed.Add(delta)
 	if indexed {
-		x.insertIntoTrees(n)
+		x.insertIntoGrids(n)
 	}
 }
 
@@ -215,7 +218,7 @@
 	rec := &x.workers[n]
 	indexed := rec.indexed
 	if indexed {
-		x.removeFromTrees(n)
+		x.removeFromGrids(n)
 		x.totals.Reserved = x.totals.Reserved.Add(delta)
 	}
 	rec.reserved = rec.reserved.Add(delta)
@@ -224,7 +227,7 @@
 		usage.Reserved = usage.Reserved.Add(delta)
 	}
 	if indexed {
-		x.insertIntoTrees(n)
+		x.insertIntoGrids(n)
 	}
 }
 
@@ -239,8 +242,8 @@
 		x.unused = x.unused[:last]
 	} else {
 		x.workers = append(x.workers, worker{})
-		for dim := range dimensions {
-			x.trees[dim].nodes = append(x.trees[dim].nodes, node{})
+		for i := range x.links {
+			x.links[i] = append(x.links[i], link{})
 		}
 	}
 	x.workers[n] = worker{priority: mix(hashString(string(id))), domain: none}
@@ -260,7 +263,7 @@
 	x.unused = append(x.unused, n)
 }
 
-// unlist takes a worker out of the trees and of its domain.
+// unlist takes a worker out of the grids and of its domain.
 func (x *Index) unlist(n int32) {
 	rec := &x.workers[n]
 	if !rec.listed {
@@ -272,7 +275,7 @@
 	rec.listed = false
 }
 
-// link puts the worker into the trees if it may take new work.
+// link puts the worker into the grids if it may take new work.
 func (x *Index) link(n int32) {
 	rec := &x.workers[n]
 	if rec.indexed || !rec.takesWork() {
@@ -280,8 +283,13 @@
 	}
 	rec.indexed = true
 	x.totals.add(rec)
-	x.insertIntoTrees(n)
-	if current := proportionOf(x.totals.Capacity, x.totals.Workers); current.differs(x.scale) {
+	x.insertIntoGrids(n)
+	x.rescale()
+}
+
+// rescale orders all workers anew when the mean worker has changed.
+func (x *Index) rescale() {
+	if current := proportionOf(x.totals.Capacity, x.totals.Workers); current != x.scale {
 		x.rebuild(current)
 	}
 }
@@ -289,14 +297,14 @@
 // rebuild orders all workers anew by the given proportion.
 func (x *Index) rebuild(scale proportion) {
 	x.scale = scale
-	for dim := range dimensions {
-		for class := range accelClasses {
-			x.trees[dim].roots[class] = none
+	for i := range x.domains.list {
+		for k := range kinds {
+			x.domains.list[i].grids[k].clear()
 		}
 	}
 	for n := range x.workers {
 		if x.workers[n].indexed {
-			x.insertIntoTrees(int32(n))
+			x.insertIntoGrids(int32(n))
 		}
 	}
 }
@@ -308,26 +316,8 @@
 	}
 	rec.indexed = false
 	x.totals.remove(rec)
-	x.removeFromTrees(n)
-}
-
-func (x *Index) insertIntoTrees(n int32) {
-	rec := &x.workers[n]
-	own := summary{free: rec.free(), domains: domainBit(rec.domain), labels: rec.labels}
-	for dim := range dimensions {
-		if dim != byAccelerators || rec.class == withAccelerators {
-			x.trees[dim].insert(rec.class, n, rec.priority, own, x.scale)
-		}
-	}
-}
-
-func (x *Index) removeFromTrees(n int32) {
-	rec := &x.workers[n]
-	for dim := range dimensions {
-		if dim != byAccelerators || rec.class == withAccelerators {
-			x.trees[dim].remove(rec.class, n)
-		}
-	}
+	x.removeFromGrids(n)
+	x.rescale()
 }
 
 func atMost(r, limit structs.Resources) structs.Resources {
--- a/placement/score.go
+++ b/placement/score.go
@@ -1,6 +1,10 @@
 package placement
 
-import "github.com/mangodrum/mangodrum/structs"
+import (
+	"math/bits"
+
+	"github.com/mangodrum/mangodrum/structs"
+)
 
 const million = 1_000_000
 
@@ -8,9 +12,16 @@
 // equal: the mean capacity of the workers.
 type proportion struct{ milliCPU, memoryBytes int64 }
 
+// proportionOf rounds the mean capacity down to four significant bits, so
+// that the proportion seldom changes as workers come and go.
 func proportionOf(total structs.Resources, workers int) proportion {
 	n := int64(max(workers, 1))
-	return proportion{total.MilliCPU / n, total.MemoryBytes / n}
+	return proportion{roundDown(total.MilliCPU / n), roundDown(total.MemoryBytes / n)}
+}
+
+func roundDown(v int64) int64 {
+	low := max(bits.Len64(uint64(v))-4, 0)
+	return v >> low << low
 }
 
 // shares returns the processors and the memory of r in parts per million of
@@ -19,29 +30,11 @@
 	return signedShare(r.MilliCPU, p.milliCPU), signedShare(r.MemoryBytes, p.memoryBytes)
 }
 
-// surplus returns by how much the resource of dim exceeds the other one in r,
-// in parts per million of the proportion.
-func (p proportion) surplus(dim dimension, r structs.Resources) int64 {
+// surplus returns by how much processors exceed memory in r, in parts per
+// million of the proportion.
+func (p proportion) surplus(r structs.Resources) int64 {
 	cpu, memory := p.shares(r)
-	switch dim {
-	case byCPU:
-		return cpu - memory
-	case byMemory:
-		return memory - cpu
-	}
-	return 0
-}
-
-// differs reports whether the two proportions differ by more than a
-// sixteenth, which changes the order of few workers. A proportion without
-// workers differs from every other.
-func (p proportion) differs(o proportion) bool {
-	if o == (proportion{}) {
-		return p != o
-	}
-	a := float64(p.milliCPU) * float64(o.memoryBytes)
-	b := float64(o.milliCPU) * float64(p.memoryBytes)
-	return a*16 > b*17 || b*16 > a*17
+	return cpu - memory
 }
 
 // tightness is the weight of a small remainder against a balanced one, in
@@ -72,7 +65,7 @@
 }
 
 func (s *search) imbalance(r structs.Resources) int64 {
-	surplus := s.scale.surplus(byCPU, r)
+	surplus := s.scale.surplus(r)
 	return max(surplus, -surplus)
 }
 
