core: keep workers that a directory list lacks

Cause: each list replaced the known workers, so a worker that a wrong list lacked lost its address, and the leases of its tasks were not renewed. Change: core keeps absent workers until they are listed again or gone; the driver gets the fault and the check.

--- a/core/state.go
+++ b/core/state.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -158,11 +159,8 @@
 }
 
 func (s *State) directoryRead(now structs.Timestamp, e DirectoryRead) []structs.Effect {
+	e.Workers = s.keepAbsent(e.Workers)
 	s.directory = e
-	s.workers = make(map[structs.WorkerID]structs.Worker, len(e.Workers))
-	for _, worker := range e.Workers {
-		s.workers[worker.ID] = worker
-	}
 	effects := s.membership(now, membership.DirectoryListed{Instances: e.Instances})
 	if s.owners == nil && len(e.Workers) > 0 {
 		s.shardSet = shardsOf(e.Workers)
@@ -179,6 +177,27 @@
 	return effects
 }
 
+// keepAbsent returns the listed workers and those that an earlier list had.
+// A list can be wrong, and without an address the leases of the tasks on an
+// absent worker could not be renewed; only the state gone ends a worker.
+func (s *State) keepAbsent(listed []structs.Worker) []structs.Worker {
+	if s.workers == nil {
+		s.workers = make(map[structs.WorkerID]structs.Worker, len(listed))
+	}
+	for _, worker := range listed {
+		s.workers[worker.ID] = worker
+	}
+	if len(s.workers) == len(listed) {
+		return listed
+	}
+	all := make([]structs.Worker, 0, len(s.workers))
+	for _, worker := range s.workers {
+		all = append(all, worker)
+	}
+	slices.SortFunc(all, func(a, b structs.Worker) int { return cmp.Compare(a.ID, b.ID) })
+	return all
+}
+
 // shardsOf returns one shard for each region that has workers.
 func shardsOf(workers []structs.Worker) []ownership.Shard {
 	seen := map[structs.Region]bool{}
--- a/faulttest/faults_test.go
+++ b/faulttest/faults_test.go
@@ -33,6 +33,7 @@
 	wrongSizes
 	wrongRunTimes
 	jobsTooLarge
+	directoryWrong // half of the instances and workers are absent from each list
 	kinds
 )
 
@@ -40,7 +41,7 @@
 	"messages-lost", "messages-delayed", "messages-doubled", "messages-reordered", "store-down", "store-slow",
 	"replies-lost", "instance-dies", "instance-pauses", "lease-lapses", "all-instances-die", "planned-stop",
 	"worker-dies", "worker-unreachable", "worker-fails-all", "cancel-wave", "wrong-sizes", "wrong-run-times",
-	"jobs-too-large",
+	"jobs-too-large", "directory-wrong",
 }
 
 // fault is one fault of a schedule.
--- a/faulttest/node_test.go
+++ b/faulttest/node_test.go
@@ -27,6 +27,7 @@
 	gen         uint64
 	pausedUntil structs.Timestamp
 	state       *core.State
+	seen        map[structs.WorkerID]bool // workers that a directory list had
 }
 
 func (n *node) clock() structs.Timestamp { return n.sim.Now.Add(n.skew) }
@@ -35,6 +36,7 @@
 func (n *node) boot() {
 	n.up, n.draining, n.pausedUntil = true, false, 0
 	n.gen++
+	n.seen = map[structs.WorkerID]bool{}
 	n.state = core.New(core.Config{Self: n.info, Incarnation: n.gen, Seed: n.gen, Tuning: n.sim.opts.Tuning})
 	n.reduce(settings.TreeReceived{Number: 1, Hash: n.sim.tree.Hash(), Tree: n.sim.tree})
 	n.every(time.Second, n.heartbeat)
@@ -67,11 +69,17 @@
 
 func (n *node) readDirectory() {
 	var list core.DirectoryRead
+	absent := func() bool { return n.sim.active[directoryWrong] > 0 && n.sim.Rand.IntN(2) == 0 }
 	for _, w := range n.sim.order {
-		list.Workers = append(list.Workers, w.Info)
+		if !absent() {
+			n.seen[w.Info.ID] = true
+			list.Workers = append(list.Workers, w.Info)
+		}
 	}
 	for _, peer := range n.sim.nodes {
-		list.Instances = append(list.Instances, peer.info)
+		if !absent() {
+			list.Instances = append(list.Instances, peer.info)
+		}
 	}
 	n.reduce(list)
 }
@@ -240,6 +248,12 @@
 		})
 	}
 	w := s.workers[e.Worker]
+	if _, known := n.state.Worker(e.Worker); !known {
+		if n.seen[e.Worker] {
+			s.fail("%s forgot worker %s because a list lacked it", n.name(), e.Worker)
+		}
+		return
+	}
 	s.Message(func() {
 		if w.dead || s.Now < w.cutUntil {
 			return
