--- a/faulttest/cell_test.go
+++ b/faulttest/cell_test.go
@@ -218,6 +218,18 @@
 	}
 }
 
+// cancelServices cancels all services until that is acknowledged, so that they
+// leave room for what must finish.
+func (s *sim) cancelServices() {
+	for _, job := range s.clients.jobs {
+		_, acked := s.clients.acked[job.ID]
+		if acked && job.Kind == structs.KindService && !s.clients.cancelled[job.ID] {
+			s.submit(job, true)
+		}
+	}
+	s.After(time.Second, s.cancelServices)
+}
+
 func (c *clients) reply(e scheduler.Reply) {
 	req := c.calls[e.Call]
 	switch {
--- a/faulttest/driver_test.go
+++ b/faulttest/driver_test.go
@@ -10,6 +10,7 @@
 	"github.com/mangodrum/mangodrum/core"
 	"github.com/mangodrum/mangodrum/journal"
 	"github.com/mangodrum/mangodrum/ownership"
+	"github.com/mangodrum/mangodrum/structs"
 )
 
 var (
@@ -26,6 +27,7 @@
 	s := newSim(seed, 3, 2, 8, opts)
 	end := epochStart.Add(settled)
 	s.startClients(epochStart.Add(faultsOver + longest))
+	s.After(faultsOver+longest, s.cancelServices)
 	for _, f := range faults {
 		s.inject(f)
 	}
@@ -48,6 +50,11 @@
 			return
 		}
 		s.clients.check(s, shard, app)
+		for _, job := range app.Jobs() {
+			if fits := job.Size.Fits(capacity); fits && job.Ended == 0 && job.Job.Kind != structs.KindService {
+				s.fail("job %s is not over long after all faults ended: %d pending, %d placed", job.Job.ID, job.Pending, job.Placed)
+			}
+		}
 	}
 }
 
