--- a/instance/background.go
+++ b/instance/background.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"reflect"
 	"time"
 
 	"github.com/mangodrum/mangodrum/core"
@@ -35,11 +36,12 @@
 // readDirectory registers this instance and keeps reading the platform's lists.
 func (i *Instance) readDirectory(ctx context.Context) {
 	registered := false
+	var known core.DirectoryRead
 	every(ctx, directoryInterval, func() {
 		if !registered {
 			registered = i.register(ctx, structs.Live)
 		}
-		i.readLists(ctx)
+		known = i.readLists(ctx, known)
 	})
 }
 
@@ -51,27 +53,33 @@
 	return i.options.Directory.Register(ctx, self) == nil
 }
 
-// readLists reads all lists. If one fails, the older lists stay in use.
-func (i *Instance) readLists(ctx context.Context) {
+// readLists reads all lists and passes them on if one changed. If a read
+// fails, the older lists stay in use.
+func (i *Instance) readLists(ctx context.Context, known core.DirectoryRead) core.DirectoryRead {
 	ctx, cancel := context.WithTimeout(ctx, directoryTimeout)
 	defer cancel()
-	instances, err := i.options.Directory.Instances(ctx)
+	read, err := i.lists(ctx)
 	if err != nil {
 		i.metrics.directoryErrors.Inc()
-		return
+		return known
 	}
-	workers, err := i.options.Directory.Workers(ctx)
-	if err != nil {
-		i.metrics.directoryErrors.Inc()
-		return
+	if reflect.DeepEqual(read, known) {
+		return known
 	}
-	executors, err := i.options.Directory.Executors(ctx)
-	if err != nil {
-		i.metrics.directoryErrors.Inc()
-		return
+	i.gateway.SetExecutors(read.Executors)
+	i.post(read)
+	return read
+}
+
+func (i *Instance) lists(ctx context.Context) (read core.DirectoryRead, err error) {
+	if read.Instances, err = i.options.Directory.Instances(ctx); err != nil {
+		return read, err
+	}
+	if read.Workers, err = i.options.Directory.Workers(ctx); err != nil {
+		return read, err
 	}
-	i.gateway.SetExecutors(executors)
-	i.post(core.DirectoryRead{Instances: instances, Workers: workers, Executors: executors})
+	read.Executors, err = i.options.Directory.Executors(ctx)
+	return read, err
 }
 
 // sendHeartbeats tells all peers what this instance holds.
