Test slots in a flood and leaving executors on separate processes

Cause: slot credits had no test across the gateways of three processes. Change: 150 callers send 900 requests of 100 ms to three instances; a leaving executor must get no further request.

--- a/internal/daemon/failure_test.go
+++ b/internal/daemon/failure_test.go
@@ -5,9 +5,12 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 
+	"github.com/valyala/fasthttp"
+
 	"github.com/mangodrum/mangodrum/errs"
 	"github.com/mangodrum/mangodrum/operatorapi"
 	"github.com/mangodrum/mangodrum/platform/standin"
@@ -173,3 +176,67 @@
 	c.waitSucceeded(1, "running", 10)
 	c.checkSafety()
 }
+
+// Guards against executors that get more requests than they have slots, and
+// against lost answers, while callers of three instances send more than the
+// executors can take.
+func TestSlotsUnderFlood(t *testing.T) {
+	c := startProcesses(t)
+	const senders, each = 150, 6
+	var answered, notRun atomic.Int64
+	var group sync.WaitGroup
+	for sender := range senders {
+		group.Go(func() {
+			for n := range each {
+				id := fmt.Sprintf("flood-%d-%d", sender, n)
+				status, outcome, body := c.request(sender%3, "PUT", id, "?sleep=100ms")
+				switch {
+				case status == 200 && body == id+" door":
+					answered.Add(1)
+				case outcome == "not-run":
+					notRun.Add(1)
+				default:
+					t.Errorf("request %s: status %d, outcome %q, %s", id, status, outcome, body)
+				}
+			}
+		})
+	}
+	group.Wait()
+	t.Logf("%d answered, %d refused as not run", answered.Load(), notRun.Load())
+	if answered.Load() < senders*each/2 {
+		t.Errorf("%d of %d requests were answered, want at least half", answered.Load(), senders*each)
+	}
+	c.checkSafety()
+}
+
+// Guards against new work for an executor that the directory lists as leaving.
+func TestLeavingExecutorGetsNoNewWork(t *testing.T) {
+	c := startProcesses(t)
+	if status, outcome, body := c.request(0, "PUT", "first", ""); status != 200 {
+		t.Fatalf("status %d, outcome %q, body %q", status, outcome, body)
+	}
+	leaving := structs.ExecutorID("dispatch-ishikari-a01")
+	c.control(standin.OpState, standin.StateRequest{Executor: leaving, State: structs.Leaving})
+	eventually(t, "the executor is left alone", func() error {
+		for n := range 300 {
+			if from := c.executorOf(n%3, fmt.Sprintf("later-%d", n)); from == leaving {
+				return errs.New(errs.NotRun, "", "request %d went to %s", n, leaving)
+			}
+		}
+		return nil
+	})
+	c.checkSafety()
+}
+
+func (c *processCell) executorOf(n int, id string) structs.ExecutorID {
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	request.SetRequestURI("http://" + c.callers[n] + "/v1/services/dispatch/orders")
+	request.Header.SetMethod("PUT")
+	request.Header.Set("Mangodrum-Request-Id", id)
+	request.Header.Set("Mangodrum-Team", "/bureau/dispatch")
+	request.Header.Set("Mangodrum-Class", "urgent")
+	if err := c.http.Do(request, response); err != nil {
+		c.t.Fatal(err)
+	}
+	return structs.ExecutorID(response.Header.Peek("Executor"))
+}
--- a/internal/daemon/process_test.go
+++ b/internal/daemon/process_test.go
@@ -75,6 +75,7 @@
 // processCell is a cell of separate processes: the stand-in and three instances.
 type processCell struct {
 	t         *testing.T
+	http      *fasthttp.Client // of this cell: connections to earlier cells on the same ports are dead
 	platform  string
 	instances []*process
 	configs   []string
@@ -89,7 +90,7 @@
 	if err != nil {
 		t.Fatalf("stand-in: %v", err)
 	}
-	c := &processCell{t: t, platform: field(line, "platform=")}
+	c := &processCell{t: t, http: &fasthttp.Client{}, platform: field(line, "platform=")}
 	regions := []string{"ishikari", "kamikawa", "oshima"}
 	for n, region := range regions {
 		base := freePortBase(t)
@@ -173,7 +174,7 @@
 	request.SetRequestURI("http://" + c.platform + "/" + op)
 	request.Header.SetMethod("POST")
 	request.SetBody(data)
-	if err := fasthttp.Do(request, response); err != nil || response.StatusCode() != 200 {
+	if err := c.http.Do(request, response); err != nil || response.StatusCode() != 200 {
 		c.t.Fatalf("%s: %v, %s", op, err, response.Body())
 	}
 	return response.Body()
@@ -220,7 +221,7 @@
 	request.Header.Set("Mangodrum-Team", "/bureau/dispatch")
 	request.Header.Set("Mangodrum-Class", "urgent")
 	request.SetBodyString("door")
-	if err := fasthttp.Do(request, response); err != nil {
+	if err := c.http.Do(request, response); err != nil {
 		return 0, err.Error(), ""
 	}
 	return response.StatusCode(), string(response.Header.Peek("Mangodrum-Outcome")), string(response.Body())
