--- a/placement/bench_test.go
+++ b/placement/bench_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"testing"
+
+	"github.com/mangodrum/mangodrum/structs"
 )
 
 // BenchmarkFind times one Find in a fleet that is 0.85 full, against a full
@@ -32,3 +34,37 @@
 		})
 	}
 }
+
+// BenchmarkFindGang times a gang of 64 tasks at 2,100 workers.
+func BenchmarkFindGang(b *testing.B) {
+	l := newLoad(&fleets[0], 2100, 18, "plain")
+	gang := gangOf("g", 0, 64, res(4, 8, 0)).Requests
+	b.ResetTimer()
+	for range b.N {
+		if _, ok := l.x.FindGang(gang); !ok {
+			b.Fatal("the gang has no place")
+		}
+	}
+}
+
+// BenchmarkPlan times the reservations of three gangs of 256 tasks that must
+// wait for about 18,000 running tasks.
+func BenchmarkPlan(b *testing.B) {
+	l := newLoad(&fleets[0], 2100, 18, "plain")
+	running := make([]Running, 0, len(l.tasks))
+	for i, task := range l.tasks {
+		running = append(running, Running{Worker: task.id, Resources: task.r, End: structs.Timestamp(i+1) * second})
+	}
+	var gangs []Gang
+	for i := range 3 {
+		gangs = append(gangs, gangOf(fmt.Sprint("g", i), structs.Timestamp(i), 256, res(24, 96, 0)))
+	}
+	r := NewReservations(l.x, 20)
+	b.ReportMetric(float64(len(running)), "tasks")
+	for range b.N {
+		if plan := r.Plan(0, running, gangs); len(plan) != len(gangs) {
+			b.Fatalf("planned %d of %d gangs", len(plan), len(gangs))
+		}
+		r.Clear()
+	}
+}
