--- a/placement/forecast.go
+++ b/placement/forecast.go
@@ -11,6 +11,7 @@
 type ending struct {
 	at        structs.Timestamp
 	worker    structs.WorkerID
+	slot      int32 // of the worker in the forecast's index
 	resources structs.Resources
 }
 
@@ -22,6 +23,7 @@
 	index   *Index
 	endings []ending // in order of time
 	ended   int      // number of endings that the copy has seen
+	touched []int32  // workers that moveTo has taken out of the grids
 }
 
 func (r *Reservations) newForecast(now structs.Timestamp, running []Running) *forecast {
@@ -36,8 +38,8 @@
 	}
 	for i := range running {
 		t := &running[i]
-		if _, ok := f.index.slots[t.Worker]; ok && t.End != 0 {
-			f.endings = append(f.endings, ending{r.expectedEnd(now, t), t.Worker, t.Resources})
+		if slot, ok := f.index.slots[t.Worker]; ok && t.End != 0 {
+			f.endings = append(f.endings, ending{r.expectedEnd(now, t), t.Worker, slot, t.Resources})
 		}
 	}
 	slices.SortFunc(f.endings, func(a, b ending) int {
@@ -46,16 +48,36 @@
 	return f
 }
 
-// moveTo lets the first n running tasks have ended.
+// moveTo lets the first n running tasks have ended. Every worker is sorted
+// into the index anew at most once, however many of its tasks end.
 func (f *forecast) moveTo(n int) {
+	f.touched = f.touched[:0]
 	for ; f.ended < n; f.ended++ {
 		e := &f.endings[f.ended]
-		f.index.Release(e.worker, e.resources, "")
+		f.change(e.slot, structs.Resources{}.Sub(e.resources))
 	}
 	for ; f.ended > n; f.ended-- {
 		e := &f.endings[f.ended-1]
-		f.index.Adopt(e.worker, e.resources, "")
+		f.change(e.slot, e.resources)
 	}
+	for _, slot := range f.touched {
+		f.index.workers[slot].indexed = true
+		f.index.insertIntoGrids(slot)
+	}
+}
+
+// change adds to the reservations of a worker that is taken out of the grids.
+func (f *forecast) change(slot int32, delta structs.Resources) {
+	rec := &f.index.workers[slot]
+	if rec.indexed {
+		rec.indexed = false
+		f.index.removeFromGrids(slot)
+		f.touched = append(f.touched, slot)
+	}
+	rec.reserved = rec.reserved.Add(delta)
+	f.index.totals.Reserved = f.index.totals.Reserved.Add(delta)
+	usage := &f.index.domains.list[rec.domain].usage
+	usage.Reserved = usage.Reserved.Add(delta)
 }
 
 // earliest finds the first time at which the gang fits. More ended tasks
@@ -83,14 +105,6 @@
 
 func (f *forecast) fits(g *Gang, ended int) ([]structs.WorkerID, bool) {
 	f.moveTo(ended)
-	total := f.index.Totals()
-	var need structs.Resources
-	for i := range g.Requests {
-		need = need.Add(g.Requests[i].Resources)
-	}
-	if !need.Fits(total.Capacity.Sub(total.Reserved)) {
-		return nil, false
-	}
 	return f.index.FindGang(g.Requests)
 }
 
--- a/placement/gang.go
+++ b/placement/gang.go
@@ -15,12 +15,15 @@
 	}
 	order := x.largestFirst(reqs)
 	placed := make([]structs.WorkerID, len(reqs))
-	for _, region := range x.regionsFor(&reqs[0]) {
-		if x.tryGang(reqs, order, placed, region) {
+	room := x.roomByRegion(reqs)
+	total := 0
+	for _, region := range x.regionsFor(&reqs[0], room) {
+		total += room[region]
+		if room[region] >= len(reqs) && x.tryGang(reqs, order, placed, region) {
 			return placed, true
 		}
 	}
-	if x.tryGang(reqs, order, placed, "") {
+	if total >= len(reqs) && x.tryGang(reqs, order, placed, "") {
 		return placed, true
 	}
 	return nil, false
@@ -40,20 +43,56 @@
 	return order
 }
 
-// regionsFor returns the regions that the request allows, the preferred one
-// first and the others by falling free capacity.
-func (x *Index) regionsFor(req *Request) []structs.Region {
-	free := make(map[structs.Region]int64)
+// roomByRegion returns an upper bound of the number of the gang's tasks that
+// each region can take: how often its smallest amounts fit on the workers. It
+// saves attempts that would place most tasks before they fail.
+func (x *Index) roomByRegion(reqs []Request) map[structs.Region]int {
+	least := reqs[0].Resources
+	for i := range reqs {
+		r := reqs[i].Resources
+		least.MilliCPU = min(least.MilliCPU, r.MilliCPU)
+		least.MemoryBytes = min(least.MemoryBytes, r.MemoryBytes)
+		least.Accelerators = min(least.Accelerators, r.Accelerators)
+	}
+	byDomain := make([]int64, len(x.domains.list))
+	for i := range x.workers {
+		if rec := &x.workers[i]; rec.takesWork() {
+			byDomain[rec.domain] += timesThatFit(least, rec.free(), int64(len(reqs)))
+		}
+	}
+	room := make(map[structs.Region]int)
+	for d, n := range byDomain {
+		room[x.domains.list[d].region] += int(n)
+	}
+	return room
+}
+
+// timesThatFit returns how often r fits into free, at most limit.
+func timesThatFit(r, free structs.Resources, limit int64) int64 {
+	if !r.Fits(free) {
+		return 0
+	}
+	n := limit
+	if r.MilliCPU > 0 {
+		n = min(n, free.MilliCPU/r.MilliCPU)
+	}
+	if r.MemoryBytes > 0 {
+		n = min(n, free.MemoryBytes/r.MemoryBytes)
+	}
+	if r.Accelerators > 0 {
+		n = min(n, free.Accelerators/r.Accelerators)
+	}
+	return n
+}
+
+// regionsFor returns the regions in which workers are listed, the preferred
+// one first and the others by falling room, then by name.
+func (x *Index) regionsFor(req *Request, room map[structs.Region]int) []structs.Region {
 	var regions []structs.Region
 	for _, d := range x.Domains() {
-		if !allowsDomain(&req.Constraint, domainKey{d.Region, d.FailureDomain}) {
-			continue
-		}
 		if !slices.Contains(regions, d.Region) {
 			regions = append(regions, d.Region)
 		}
-		free[d.Region] += share(d.Capacity.MilliCPU-d.Reserved.MilliCPU, x.totals.Capacity.MilliCPU)
-		free[d.Region] += share(d.Capacity.Accelerators-d.Reserved.Accelerators, x.totals.Capacity.Accelerators)
 	}
 	slices.SortStableFunc(regions, func(a, b structs.Region) int {
 		if (a == req.Prefer) != (b == req.Prefer) {
@@ -62,7 +101,7 @@
 			}
 			return 1
 		}
-		return int(free[b] - free[a])
+		return room[b] - room[a]
 	})
 	return regions
 }
--- a/placement/reservation_test.go
+++ b/placement/reservation_test.go
@@ -115,6 +115,17 @@
 	}
 }
 
+// Guards against a gang that waits for the end of what an earlier gang holds
+// on other workers.
+func TestHoldsDoNotHideFreeWorkers(t *testing.T) {
+	x, running := busyIndex(t)
+	x.Upsert(newWorker("free", "r", "d", res(4, 4, 0)))
+	plan := NewReservations(x, 0).Plan(0, running, []Gang{gangOf("a", 1, 4, res(8, 8, 0)), gangOf("b", 2, 1, res(4, 4, 0))})
+	if len(plan) != 2 || plan[1].Start != 0 {
+		t.Errorf("planned %v, want gang b at once on the free worker", plan)
+	}
+}
+
 // Guards against starvation: a stream of small tasks that would fill every
 // gap must not push the start of a large gang back, and two gangs must not
 // block each other.
--- a/quota/reclaim.go
+++ b/quota/reclaim.go
@@ -1,6 +1,11 @@
 package quota
 
-import "github.com/mangodrum/mangodrum/structs"
+import (
+	"cmp"
+	"slices"
+
+	"github.com/mangodrum/mangodrum/structs"
+)
 
 // Victim is a borrower that gives capacity back.
 type Victim struct {
@@ -18,91 +23,97 @@
 	if !ok {
 		return nil
 	}
-	c := reclaim{Tree: t, claimant: i, freed: make([]structs.Resources, len(t.nodes))}
+	c := reclaim{
+		Tree:     t,
+		claimant: i,
+		freed:    make([]structs.Resources, len(t.nodes)),
+		given:    make([]structs.Resources, len(t.nodes)),
+	}
+	need := t.shortfall(i, r)
+	if need.IsZero() {
+		return nil
+	}
+	c.orderBorrowers(need)
 	for n := i; n >= 0; n = t.nodes[n].parent {
 		c.cover(n, onlyWhere(t.nodes[n].excess(r), r))
 	}
-	return c.victims
+	return c.victims()
 }
 
 // reclaim is the state of one Reclaim.
 type reclaim struct {
 	*Tree
-	claimant int
-	freed    []structs.Resources // by node, with the teams below
-	victims  []Victim
+	claimant  int
+	borrowers []borrower          // in the order in which they give back
+	freed     []structs.Resources // by node, with the teams below
+	given     []structs.Resources // by node, without them
+	order     []int               // nodes that give, in the order of their first part
+}
+
+// borrower is a team that uses more than its own guarantee.
+type borrower struct {
+	node     int
+	relative int64 // part of the capacity above the guarantee, by weight
+}
+
+// orderBorrowers sorts the teams that are over their guarantee in a needed
+// resource, the most over relative to weight first.
+func (c *reclaim) orderBorrowers(need structs.Resources) {
+	for i := 1; i < len(c.nodes); i++ {
+		n := &c.nodes[i]
+		over := onlyWhere(positive(n.direct.Sub(n.own)), need)
+		if i != c.claimant && !over.IsZero() {
+			relative := over.DominantShare(c.nodes[root].Guaranteed) / n.Weight
+			c.borrowers = append(c.borrowers, borrower{i, relative})
+		}
+	}
+	slices.SortStableFunc(c.borrowers, func(a, b borrower) int { return cmp.Compare(b.relative, a.relative) })
 }
 
-// cover takes from borrowers below limit until the excess over limit is gone.
+// cover takes from borrowers at or below limit until the excess over limit is
+// gone.
 func (c *reclaim) cover(limit int, excess structs.Resources) {
-	for {
+	for _, b := range c.borrowers {
 		need := positive(excess.Sub(c.freed[limit]))
 		if need.IsZero() {
 			return
 		}
-		victim, amount := c.mostOver(limit, need)
-		if amount.IsZero() {
-			return
-		}
-		c.take(victim, amount)
-	}
-}
-
-// mostOver returns the borrower at or below limit that gives back first, and how
-// much of need it can give.
-func (c *reclaim) mostOver(limit int, need structs.Resources) (victim int, amount structs.Resources) {
-	var most int64
-	for i := 1; i < len(c.nodes); i++ {
-		over, ok := c.over(i, limit)
-		give := minOf(over, need)
-		if !ok || give.IsZero() {
+		if !c.isAncestor(limit, b.node) {
 			continue
 		}
-		share := onlyWhere(over, need).DominantShare(c.nodes[root].Guaranteed)
-		relative := share / c.nodes[i].Weight
-		if amount.IsZero() || relative > most {
-			victim, amount, most = i, give, relative
+		if amount := minOf(c.over(b.node), need); !amount.IsZero() {
+			c.take(b.node, amount)
 		}
 	}
-	return victim, amount
 }
 
 // over returns what team i can give back to the claimant: the least excess
-// over a guarantee from the team up to the common ancestor, which must be
-// limit or below it. Usage within a guarantee that the claimant does not
-// share is never taken.
-func (c *reclaim) over(i, limit int) (structs.Resources, bool) {
-	if i == c.claimant || !c.isAncestor(limit, i) {
-		return structs.Resources{}, false
-	}
-	amount := positive(c.nodes[i].direct.Sub(c.freedBy(i)).Sub(c.nodes[i].own))
+// over a guarantee from the team up to the common ancestor. Usage within a
+// guarantee that the claimant does not share is never taken.
+func (c *reclaim) over(i int) structs.Resources {
+	amount := positive(c.nodes[i].direct.Sub(c.given[i]).Sub(c.nodes[i].own))
 	for n := i; n != root && !c.isAncestor(n, c.claimant); n = c.nodes[n].parent {
 		amount = minOf(amount, positive(c.nodes[n].used.Sub(c.freed[n]).Sub(c.nodes[n].Guaranteed)))
 	}
-	return amount, true
-}
-
-// freedBy returns what the team itself already gives.
-func (c *reclaim) freedBy(i int) structs.Resources {
-	for _, v := range c.victims {
-		if v.Team == c.nodes[i].Team {
-			return v.Amount
-		}
-	}
-	return structs.Resources{}
+	return amount
 }
 
 func (c *reclaim) take(i int, amount structs.Resources) {
+	if c.given[i].IsZero() {
+		c.order = append(c.order, i)
+	}
+	c.given[i] = c.given[i].Add(amount)
 	for n := i; n >= 0; n = c.nodes[n].parent {
 		c.freed[n] = c.freed[n].Add(amount)
 	}
-	for k := range c.victims {
-		if c.victims[k].Team == c.nodes[i].Team {
-			c.victims[k].Amount = c.victims[k].Amount.Add(amount)
-			return
-		}
+}
+
+func (c *reclaim) victims() []Victim {
+	list := make([]Victim, 0, len(c.order))
+	for _, i := range c.order {
+		list = append(list, Victim{Team: c.nodes[i].Team, Amount: c.given[i]})
 	}
-	c.victims = append(c.victims, Victim{Team: c.nodes[i].Team, Amount: amount})
+	return list
 }
 
 // isAncestor reports whether a is i or above it.
