scheduler: use quota, gang reservations and preemption choice of placement

Cause: quota was a plain ledger, gangs claimed whole workers, and a task claimed a worker before it could preempt, so urgent work never preempted. Change: quota.Tree decides on admission; placement.Reservations holds room for gangs, renewed once a second; placement.ChoosePreemption chooses victims, for up to 8 tasks of a job at a time; a worker with a part in a reservation is not claimed.

--- a/scheduler/claim.go
+++ b/scheduler/claim.go
@@ -18,18 +18,16 @@
 	// claimSooner divides the waiting time before a claim for a class that
 	// goes first, whose room other classes would fill with small tasks.
 	claimSooner = 10
-	// gangClaimEvery is the least time between two searches for a gang's
-	// workers, which look at every running task.
-	gangClaimEvery = time.Second
 )
 
-// claim keeps workers free for a task or gang that found no place for long.
-// Other work that ends in time is backfilled on them.
+// claim keeps a worker free for a task that found no place for long. Other
+// work that ends in time is backfilled on it. Gangs have reservations instead.
 type claim struct {
-	job     *job
-	workers []structs.WorkerID
-	ready   structs.Timestamp // estimated time at which the workers have room
-	uses    int
+	job      *job
+	workers  []structs.WorkerID
+	ready    structs.Timestamp // estimated time at which the workers have room
+	uses     int
+	preempts bool // tasks on the workers were asked to make room
 }
 
 // claims holds the current claims in the order in which they were made.
@@ -37,7 +35,6 @@
 	list     []*claim
 	byJob    map[*job]*claim
 	byWorker map[structs.WorkerID]*claim
-	tried    structs.Timestamp // last search for a gang
 }
 
 func (c *claims) init() {
@@ -79,22 +76,18 @@
 	if c.Urgency == structs.Urgent && waited >= s.policy.Preemption.After {
 		p.blocked = append(p.blocked, it)
 	}
+	if j.Spec.Kind == structs.KindGang {
+		s.noteWaitingGang(p, it, j, waited)
+		return
+	}
 	if s.claims.of(j) == nil && waited >= s.claimAfter(c) {
-		s.makeClaim(j)
+		s.claimForTask(j)
 	}
 	if s.claims.of(j) == nil && waited < s.policy.Gang.ReserveAfter && !s.queue.IsFlooded(c.Name) {
 		p.holdFloods = true
 	}
 }
 
-func (s *State) makeClaim(j *job) {
-	if j.Spec.Kind == structs.KindGang {
-		s.claimForGang(j)
-		return
-	}
-	s.claimForTask(j)
-}
-
 // claimAfter is how long an item of the class waits before a claim.
 func (s *State) claimAfter(c ClassPolicy) time.Duration {
 	if s.queue.GoesFirst(c.Name) {
@@ -131,34 +124,10 @@
 	}
 }
 
-// claimForGang chooses workers that will have room once the tasks on them
-// that end by themselves are over.
-func (s *State) claimForGang(j *job) {
-	if s.now.Sub(s.claims.tried) < gangClaimEvery {
-		return
-	}
-	s.claims.tried = s.now
-	_, reqs := s.gangRequests(j)
-	x := s.shadow(func(t *task) bool { return t.job.Spec.Kind == structs.KindService || t.live.unknown })
-	for _, w := range s.workers {
-		if !s.isClaimable(w) {
-			x.Remove(w.id)
-		}
-	}
-	ids, ok := x.FindGang(reqs)
-	if !ok {
-		return
-	}
-	slices.Sort(ids)
-	ids = slices.Compact(ids)
-	if s.claims.hasRoom(s, len(ids)) {
-		s.claimWorkers(&claim{job: j, workers: ids})
-	}
-}
-
-// isClaimable reports whether the worker takes new work and is not claimed.
+// isClaimable reports whether the worker takes new work, is not claimed and
+// has no part in the reservation of a gang.
 func (s *State) isClaimable(w *worker) bool {
-	return s.claims.byWorker[w.id] == nil && s.isUsable(w)
+	return s.claims.byWorker[w.id] == nil && !s.plannedOn[w.id] && s.isUsable(w)
 }
 
 func (s *State) claimWorkers(cl *claim) {
@@ -219,7 +188,7 @@
 		return false
 	}
 	cl.uses++
-	if cl.uses >= claimUses {
+	if cl.uses >= claimUses || cl.preempts && cl.uses >= len(cl.workers) {
 		s.claims.drop(s, t.job)
 	}
 	return true
@@ -232,6 +201,11 @@
 	if estimate <= 0 {
 		return false
 	}
+	req := s.request(t.job)
+	if id, ok := s.reservations.Backfill(s.now, &req, estimate); ok {
+		s.startReserved(p, it, t, id)
+		return true
+	}
 	for _, cl := range s.claims.list {
 		if cl.job == t.job || s.now.Add(estimate).After(cl.ready) {
 			continue
--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -31,7 +31,7 @@
 func (s *State) changePolicy(p Policy) {
 	s.policy = p.withDefaults()
 	s.cfg.Policy = s.policy
-	s.quota.limits = s.policy.Teams
+	s.quota.configure(s.policy.Teams)
 	s.queue.Configure(s.policy.queueConfig())
 	s.reconsiderHeld()
 	s.dirty = true
--- a/scheduler/gang.go
+++ b/scheduler/gang.go
@@ -1,12 +1,21 @@
 package scheduler
 
 import (
+	"time"
+
 	"github.com/mangodrum/mangodrum/placement"
 	"github.com/mangodrum/mangodrum/platform"
 	"github.com/mangodrum/mangodrum/queue"
 	"github.com/mangodrum/mangodrum/structs"
 )
 
+const (
+	// gangPlanEvery is the least time between two plans of reservations.
+	gangPlanEvery = time.Second
+	// runTimePadding is the percentage added to expected run times in plans.
+	runTimePadding = 50
+)
+
 // gangItemID identifies the one item that stands for a gang in the queue.
 func gangItemID(j *job) structs.TaskID { return structs.TaskID(string(j.Spec.ID) + "/gang") }
 
@@ -63,20 +72,15 @@
 
 // tryGang starts all pending tasks of the gang or none.
 func (s *State) tryGang(p *pass, it queue.Item, j *job) bool {
-	if p.failsLike(j.need()) && s.claims.of(j) == nil {
-		return false
-	}
 	tasks, reqs := s.gangRequests(j)
-	restore := s.openClaim(j)
-	ids, ok := s.index.FindGang(reqs)
-	if ok {
-		ok = s.reserveGang(reqs, ids)
+	ids, ok := s.startReservation(j, len(reqs))
+	if !ok && !p.failsLike(j.need()) {
+		ids, ok = s.index.FindGang(reqs)
+		ok = ok && s.reserveGang(reqs, ids)
 	}
-	restore()
 	if !ok {
 		return false
 	}
-	s.claims.drop(s, j)
 	s.queue.Remove(it.ID)
 	for i, t := range tasks {
 		s.place(t, ids[i])
@@ -85,6 +89,84 @@
 	return true
 }
 
+// plannedGang is the shape for which a gang has a reservation.
+type plannedGang struct {
+	need  structs.Resources
+	tasks int
+}
+
+// startReservation turns the gang's reservation into room for its tasks. A
+// reservation for another shape is dropped with all others; the next plan
+// makes new ones.
+func (s *State) startReservation(j *job, tasks int) ([]structs.WorkerID, bool) {
+	plan, ok := s.planned[j.Spec.ID]
+	if !ok {
+		return nil, false
+	}
+	if plan.need != j.need() || plan.tasks != tasks {
+		s.dropReservations()
+		return nil, false
+	}
+	ids, ok := s.reservations.Start(j.Spec.ID)
+	if ok {
+		delete(s.planned, j.Spec.ID)
+	}
+	return ids, ok
+}
+
+func (s *State) dropReservations() {
+	s.reservations.Clear()
+	clear(s.planned)
+	clear(s.plannedOn)
+}
+
+// noteWaitingGang collects gangs that have waited for long without a place.
+func (s *State) noteWaitingGang(p *pass, it queue.Item, j *job, waited time.Duration) {
+	if waited < s.policy.Gang.ReserveAfter {
+		return
+	}
+	_, reqs := s.gangRequests(j)
+	p.gangs = append(p.gangs, placement.Gang{ID: j.Spec.ID, Enqueued: it.Enqueued, Requests: reqs})
+}
+
+// planGangs renews the reservations of the gangs that wait. The plan looks at
+// every running task, so it is made at most once a second.
+func (s *State) planGangs(p *pass) {
+	if len(p.gangs) == 0 {
+		// A pass that ended at its bound may not have come to the gangs.
+		if len(s.planned) > 0 && s.now.Sub(s.plannedAt) > 2*gangPlanEvery {
+			s.dropReservations()
+		}
+		return
+	}
+	if s.now.Sub(s.plannedAt) < gangPlanEvery {
+		return
+	}
+	s.plannedAt = s.now
+	s.dropReservations()
+	for _, r := range s.reservations.Plan(s.now, s.running(), p.gangs) {
+		s.planned[r.Gang] = plannedGang{s.jobs[r.Gang].need(), len(r.Workers)}
+		for _, id := range r.Workers {
+			s.plannedOn[id] = true
+		}
+	}
+}
+
+// running returns all placed tasks with their expected ends.
+func (s *State) running() []placement.Running {
+	var out []placement.Running
+	for _, w := range s.sortedWorkers() {
+		for _, t := range w.tasks {
+			r := placement.Running{Worker: w.id, Resources: t.live.reserved, Started: t.Started}
+			if t.job.Spec.Kind != structs.KindService && !t.live.unknown {
+				r.End = t.Started.Add(max(s.runTimeOf(t.job), time.Millisecond))
+			}
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
 // reserveGang reserves room for all requests or for none.
 func (s *State) reserveGang(reqs []placement.Request, ids []structs.WorkerID) bool {
 	for i := range reqs {
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/mangodrum/mangodrum/placement"
 	"github.com/mangodrum/mangodrum/queue"
 	"github.com/mangodrum/mangodrum/structs"
 )
@@ -52,6 +53,7 @@
 	if p.starts >= maxStarts {
 		s.dirty = true
 	}
+	s.planGangs(&p)
 	s.preemptFor(&p)
 }
 
@@ -59,6 +61,7 @@
 type pass struct {
 	starts  int
 	failed  []structs.Resources // sizes that found no place on any worker
+	gangs   []placement.Gang    // that have waited for long without a place
 	blocked []queue.Item        // urgent items without a place
 	// holdFloods is set when an item of a class that is not in a flood found no
 	// place a short time ago: a class in a flood must not fill the gaps.
@@ -160,10 +163,15 @@
 	if !s.index.Reserve(id, t.job.need(), t.job.spreadKey()) {
 		return false
 	}
+	s.startReserved(p, it, t, id)
+	return true
+}
+
+// startReserved starts the item on a worker where room is reserved for it.
+func (s *State) startReserved(p *pass, it queue.Item, t *task, id structs.WorkerID) {
 	s.queue.Remove(it.ID)
 	s.place(t, id)
 	p.starts++
-	return true
 }
 
 // place records the start of a task for which room is reserved on the worker.
--- a/scheduler/policy.go
+++ b/scheduler/policy.go
@@ -31,8 +31,10 @@
 
 // TeamPolicy is the part of a team's quota that belongs to this shard.
 type TeamPolicy struct {
+	Parent      structs.TeamID // whose limits it shares; empty for none
 	Guaranteed  structs.Resources
 	BorrowLimit structs.Resources // what it may use above Guaranteed while others leave it idle
+	BorrowAll   bool              // it may borrow whatever is idle; BorrowLimit is ignored
 	Weight      int64
 }
 
--- a/scheduler/preempt.go
+++ b/scheduler/preempt.go
@@ -5,8 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/mangodrum/mangodrum/placement"
 	"github.com/mangodrum/mangodrum/platform"
-	"github.com/mangodrum/mangodrum/queue"
 	"github.com/mangodrum/mangodrum/structs"
 )
 
@@ -14,6 +14,9 @@
 // at every running task.
 const preemptEvery = 250 * time.Millisecond
 
+// maxPreempted bounds the tasks of one job for which room is made at a time.
+const maxPreempted = 8
+
 // preemptFor takes back borrowed capacity for urgent items without a place.
 func (s *State) preemptFor(p *pass) {
 	s.continuePreemptions()
@@ -23,79 +26,76 @@
 	s.preempted = s.now
 	for _, it := range p.blocked {
 		j := s.jobs[it.Job]
-		if j == nil || j.Spec.Kind == structs.KindGang || s.claims.of(j) != nil {
+		if j == nil || j.Spec.Kind == structs.KindGang || s.isPreempting(j) {
 			continue
 		}
-		if s.quota.isGuaranteed(it.Team, j.need()) && s.claims.hasRoom(s, 1) {
-			s.preempt(it, j)
+		if s.quota.isGuaranteed(it.Team, j.need()) && 2*len(s.claims.byWorker) <= len(s.workers) {
+			s.preempt(j)
 		}
 	}
 }
 
-// victimSet is what must end on one worker to make room.
-type victimSet struct {
-	worker *worker
-	tasks  []*task
-	cost   int64
-}
-
-// preempt makes room on the worker where that costs least. The worker is kept
-// free for the item meanwhile.
-func (s *State) preempt(it queue.Item, j *job) {
-	var best victimSet
-	for _, w := range s.sortedWorkers() {
-		if !s.isClaimable(w) || !allows(&j.Spec.Constraint, &w.info) {
-			continue
-		}
-		set, ok := s.victimsOn(w, j)
-		if ok && (best.worker == nil || set.cost < best.cost) {
-			best = set
+// preempt makes room where that costs least, for up to maxPreempted tasks of
+// the job on as many workers. The workers are kept free for the job meanwhile.
+func (s *State) preempt(j *job) {
+	c, _ := s.policy.class(j.Spec.Class)
+	s.claims.drop(s, j)
+	req := s.request(j)
+	cl := &claim{job: j, preempts: true}
+	candidates := s.candidates(j)
+	var steps []placement.PreemptionStep
+	for len(cl.workers) < min(maxPreempted, j.Open-j.placed) {
+		choice, ok := s.index.ChoosePreemption(&req, c.Urgency, candidates)
+		if !ok {
+			break
 		}
+		cl.workers = append(cl.workers, choice.Worker)
+		steps = append(steps, choice.Steps...)
+		candidates = slices.DeleteFunc(candidates, func(x placement.Candidate) bool { return x.Worker == choice.Worker })
 	}
-	if best.worker == nil {
+	if len(cl.workers) == 0 {
 		return
 	}
-	s.claimWorkers(&claim{job: j, workers: []structs.WorkerID{best.worker.id}})
-	for _, t := range best.tasks {
-		s.beginPreemption(best.worker, t)
+	s.claimWorkers(cl)
+	for _, step := range steps {
+		t := s.tasks[step.Task]
+		s.beginPreemption(s.workers[t.Worker], t)
 	}
 }
 
-// victimsOn returns the cheapest tasks of borrowing teams that make room for
-// the job on the worker.
-func (s *State) victimsOn(w *worker, j *job) (victimSet, bool) {
-	set := victimSet{worker: w}
-	free, ok := s.index.Free(w.id)
-	if !ok || !j.need().Fits(w.info.Capacity) {
-		return set, false
-	}
-	candidates := make([]*task, 0, len(w.tasks))
-	for _, t := range w.tasks {
-		switch {
-		case t.live.stop != stopNone || t.live.preempt != 0:
-			free = free.Add(t.live.reserved) // ends soon
-		case s.mayPreempt(t):
-			candidates = append(candidates, t)
+// isPreempting reports whether room is being made for the job.
+func (s *State) isPreempting(j *job) bool {
+	cl := s.claims.of(j)
+	return cl != nil && cl.preempts
+}
+
+// candidates returns the tasks that may make room for the job. A throttled
+// task keeps its reservation, since the platform's workers check starts
+// against declared sizes; throttling alone therefore frees nothing.
+func (s *State) candidates(j *job) []placement.Candidate {
+	var out []placement.Candidate
+	for _, w := range s.workers {
+		if !s.isClaimable(w) || !allows(&j.Spec.Constraint, &w.info) {
+			continue
 		}
-	}
-	slices.SortFunc(candidates, func(a, b *task) int {
-		return cmp.Or(cmp.Compare(s.lossOf(a), s.lossOf(b)), cmp.Compare(a.ID, b.ID))
-	})
-	for _, t := range candidates {
-		if j.need().Fits(free) {
-			break
+		for _, t := range w.tasks {
+			if !s.mayPreempt(t) {
+				continue
+			}
+			c, _ := s.policy.class(t.job.Spec.Class)
+			out = append(out, placement.Candidate{
+				Task: t.ID, Worker: w.id, Resources: t.live.reserved, Urgency: c.Urgency,
+				Cost: s.lossOf(t), CanCheckpoint: true,
+			})
 		}
-		free = free.Add(t.live.reserved)
-		set.tasks = append(set.tasks, t)
-		set.cost += s.lossOf(t)
 	}
-	return set, j.need().Fits(free)
+	return out
 }
 
 // mayPreempt reports whether the task runs on borrowed capacity and can be
 // run again: services and gangs are never preempted, nor is urgent work.
 func (s *State) mayPreempt(t *task) bool {
-	if t.job.Spec.Kind != structs.KindBatch || !t.live.running {
+	if t.job.Spec.Kind != structs.KindBatch || !t.live.running || t.live.stop != stopNone || t.live.preempt != 0 {
 		return false
 	}
 	c, ok := s.policy.class(t.job.Spec.Class)
--- a/scheduler/property_test.go
+++ b/scheduler/property_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"flag"
 	"fmt"
+	"hash/fnv"
 	"testing"
 	"time"
 
@@ -270,3 +271,31 @@
 	}, gen.Int64Range(1, 1<<40)))
 	properties.TestingRun(t)
 }
+
+// Guards against decisions that depend on the order of a map or on anything
+// else than the events.
+func TestSameEventsGiveTheSameEffects(t *testing.T) {
+	trace := func() string {
+		h := newSchedule(11)
+		sum := fnv.New64a()
+		check := h.onEffect
+		h.onEffect = func(eff structs.Effect) {
+			check(eff)
+			if r, ok := eff.(Reply); ok {
+				eff = Reply{Call: r.Call, Job: r.Job}
+			}
+			data, err := encoding.Marshal(eff)
+			if err != nil {
+				t.Fatal(err)
+			}
+			sum.Write(data)
+		}
+		for range 300 {
+			h.step()
+		}
+		return fmt.Sprintf("%x after %d records", sum.Sum64(), len(h.journal))
+	}
+	if first, second := trace(), trace(); first != second {
+		t.Errorf("two runs differ: %s, %s", first, second)
+	}
+}
--- a/scheduler/query.go
+++ b/scheduler/query.go
@@ -123,7 +123,6 @@
 }
 
 func (s *State) explain(now structs.Timestamp, j *job, e *Explanation) {
-	free := e.Limit.Sub(e.Used)
 	switch until := max(j.health.until, j.Spec.NotBefore); {
 	case e.Pending == 0:
 		e.Summary, e.Remedy = "no task waits", "nothing to do"
@@ -141,8 +140,8 @@
 		e.Until = until
 		e.Summary = fmt.Sprintf("not before %s: %d failures in a row on %d workers", until.Time().Format(time.RFC3339), j.health.failures, len(j.health.workers))
 		e.Remedy = "correct or cancel the job if it fails by itself, otherwise wait"
-	case !e.Need.Fits(free):
-		e.Summary = fmt.Sprintf("above quota: needs %s, team %s uses %s of %s", e.Need, j.Spec.Team, e.Used, e.Limit)
+	case !s.quota.admits(j.Spec.Team, e.Need):
+		e.Summary = fmt.Sprintf("above quota: needs %s; %s", e.Need, s.quota.reason(j.Spec.Team, e.Need))
 		e.Remedy = "wait for the team's other tasks, or raise its quota or borrow limit"
 	default:
 		e.Summary, e.Remedy = e.Workers.String(), e.Workers.Remedy
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -20,27 +20,31 @@
 	quarantine map[structs.WorkerID]strikes
 
 	// Derived from the durable part and the events of this epoch.
-	tasks     map[structs.TaskID]*task
-	workers   map[structs.WorkerID]*worker
-	due       dueHeap
-	queue     *queue.Queue
-	index     *placement.Index
-	quota     *ledger
-	horizon   structs.Timestamp
-	waits     waitHeap
-	ended     []endedJob
-	rolling   map[structs.JobID]*job
-	held      map[structs.JobID]*job
-	fleet     uint64          // number of changes of the list of workers
-	shapes    map[string]bool // whether a shape of task can run at all, for the current workers
-	unit      unit
-	claims    claims
-	probes    []structs.WorkerID // quarantined workers that are due for a probe
-	victims   []*task            // of preemptions that wait for a checkpoint
-	preempted structs.Timestamp  // time of the last search for victims
-	passed    structs.Timestamp  // time of the last pass
-	dirty     bool               // a pass may place something
-	counts    Counters
+	tasks        map[structs.TaskID]*task
+	workers      map[structs.WorkerID]*worker
+	due          dueHeap
+	queue        *queue.Queue
+	index        *placement.Index
+	quota        *ledger
+	horizon      structs.Timestamp
+	waits        waitHeap
+	ended        []endedJob
+	rolling      map[structs.JobID]*job
+	held         map[structs.JobID]*job
+	fleet        uint64          // number of changes of the list of workers
+	shapes       map[string]bool // whether a shape of task can run at all, for the current workers
+	unit         unit
+	claims       claims
+	reservations *placement.Reservations
+	planned      map[structs.JobID]plannedGang // gangs with a reservation
+	plannedAt    structs.Timestamp
+	plannedOn    map[structs.WorkerID]bool // workers with a part in a reservation
+	probes       []structs.WorkerID        // quarantined workers that are due for a probe
+	victims      []*task                   // of preemptions that wait for a checkpoint
+	preempted    structs.Timestamp         // time of the last search for victims
+	passed       structs.Timestamp         // time of the last pass
+	dirty        bool                      // a pass may place something
+	counts       Counters
 
 	// Of the current epoch's journal.
 	sequence  uint64
@@ -109,6 +113,9 @@
 		quota:      newLedger(cfg.Policy),
 	}
 	s.claims.init()
+	s.reservations = placement.NewReservations(s.index, runTimePadding)
+	s.planned = map[structs.JobID]plannedGang{}
+	s.plannedOn = map[structs.WorkerID]bool{}
 	s.outbox.init()
 	return s
 }
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -278,10 +278,23 @@
 	return true
 }
 
+// capacity returns what all listed workers hold that are not gone.
+func (s *State) capacity() structs.Resources {
+	var total structs.Resources
+	for _, w := range s.workers {
+		if w.listed && w.info.State != structs.Gone {
+			total = total.Add(w.info.Capacity)
+		}
+	}
+	return total
+}
+
 // fleetChanged reconsiders what depends on the list of workers.
 func (s *State) fleetChanged() {
-	s.unit = unitOf(s.index.Totals().Capacity, s.unit)
-	s.queue.SetCapacity(s.unit.cost(s.index.Totals().Capacity))
+	total := s.capacity()
+	s.unit = unitOf(total, s.unit)
+	s.queue.SetCapacity(s.unit.cost(total))
+	s.quota.setCapacity(total)
 	s.fleet++
 	clear(s.shapes)
 	s.reconsiderHeld()
