scheduler: halve the calls to workers

Cause: 8.7 calls per start, 10,700 calls/s at the peak: each start was followed by a call that its own report had answered, each acknowledgement was a call, and tasks of unknown run time were looked at every 200 ms. Change: a report plans the next call; acknowledgements travel with the next call within 2 s; a task past its estimate is looked at after an eighth of its age, at least 400 ms.

--- a/scheduler/driver_test.go
+++ b/scheduler/driver_test.go
@@ -19,7 +19,6 @@
 	tickEvery   = 50 * time.Millisecond
 	commitDelay = 25 * time.Millisecond // mean time to the next flush
 	callDelay   = time.Millisecond
-	forever     = structs.Timestamp(1 << 62)
 )
 
 type timed struct {
--- a/scheduler/lease.go
+++ b/scheduler/lease.go
@@ -84,7 +84,7 @@
 		a.leaseEnd = end
 		b := s.outbox.batch(t.Worker)
 		b.Starts = append(b.Starts, s.startOf(t))
-		s.callAt(w, s.now.Add(fastPoll))
+		s.callAt(w, s.now.Add(resendAfter))
 		s.observeWait(t)
 	}
 }
@@ -123,7 +123,7 @@
 		b := s.outbox.batch(t.Worker)
 		b.Stops = append(b.Stops, platform.AttemptRef{Task: t.ID, Attempt: t.Attempt})
 	}
-	s.callAt(w, s.now.Add(fastPoll))
+	s.callAt(w, s.now.Add(resendAfter))
 }
 
 // confirmStopped settles what was on the worker by the operator's word. A
--- a/scheduler/reduce.go
+++ b/scheduler/reduce.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/mangodrum/mangodrum/errs"
@@ -149,9 +150,13 @@
 	}
 }
 
+// acknowledge sends the acknowledgement with the next call to the worker.
 func (s *State) acknowledge(id structs.WorkerID, ref platform.AttemptRef) {
-	b := s.outbox.batch(id)
-	b.Acks = append(b.Acks, ref)
+	w := s.worker(id)
+	if !slices.Contains(w.acks, ref) {
+		w.acks = append(w.acks, ref)
+	}
+	s.callAt(w, s.now.Add(ackWithin))
 }
 
 // stalled reports whether the journal does not make records durable.
@@ -197,10 +202,10 @@
 
 func (o *outbox) flush(s *State, out []structs.Effect) []structs.Effect {
 	for _, id := range o.order {
-		out = append(out, SendBatch{Worker: id, Batch: *o.batches[id]})
-		if w := s.workers[id]; w != nil {
-			w.sent(s.now)
-		}
+		w, b := s.worker(id), o.batches[id]
+		b.Acks, w.acks = w.acks, nil
+		w.sent(s.now)
+		out = append(out, SendBatch{Worker: id, Batch: *b})
 	}
 	clear(o.batches)
 	o.order = o.order[:0]
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -35,6 +35,7 @@
 	if fresh {
 		s.settleAbsent(w, r.At)
 		w.forgetAcknowledged(r.At, s.committed)
+		s.replan(w)
 	}
 }
 
@@ -89,7 +90,7 @@
 		s.acknowledge(w.id, ref)
 		return
 	}
-	s.callAt(w, s.now.Add(fastPoll))
+	s.callAt(w, s.now.Add(resendAfter))
 }
 
 // settleAbsent settles the attempts that a fresh report does not list. After
@@ -122,7 +123,6 @@
 	if !a.running {
 		a.running = true
 		a.since = s.now
-		s.callAt(w, s.now.Add(fastPoll))
 	}
 	if a.stop == stopNone {
 		s.observeUsage(w, t, tr.Used)
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -11,7 +11,15 @@
 const (
 	// fastPoll is the time between two calls to a worker with work in
 	// transition, and the resolution at which ends of tasks are seen.
-	fastPoll = 200 * time.Millisecond
+	fastPoll = 400 * time.Millisecond
+	// lateLooks divides the age of an attempt past its estimate into the time
+	// until the next look.
+	lateLooks = 8
+	// ackWithin is how long an acknowledgement waits for another call to its
+	// worker.
+	ackWithin = 2 * time.Second
+	// forever is later than any other time.
+	forever = structs.Timestamp(1 << 62)
 	// resendAfter is the time after which an unanswered start or stop is sent
 	// again. Workers start an attempt at most once, so this is safe.
 	resendAfter = time.Second
@@ -30,7 +38,8 @@
 	id       structs.WorkerID
 	info     structs.Worker
 	listed   bool
-	tasks    []*task // placed here, in no particular order
+	tasks    []*task               // placed here, in no particular order
+	acks     []platform.AttemptRef // for the next call
 	ending   map[platform.AttemptRef]ending
 	reportAt structs.Timestamp // of the newest report, by the worker's clock
 	heard    structs.Timestamp // when the newest report arrived
@@ -117,12 +126,30 @@
 		w.due = s.now.Add(resendAfter)
 		return
 	}
-	next := s.now.Add(min(idlePoll, s.policy.Lease/3))
 	for _, t := range w.tasks {
 		s.serveTask(t, batch)
+	}
+	w.due = s.nextCall(w)
+}
+
+// nextCall returns when the worker next needs a call.
+func (s *State) nextCall(w *worker) structs.Timestamp {
+	next := s.now.Add(min(idlePoll, s.policy.Lease/3))
+	if len(w.acks) > 0 {
+		next = s.now.Add(ackWithin)
+	}
+	for _, t := range w.tasks {
 		next = min(next, s.nextLook(t))
 	}
-	w.due = next
+	return next
+}
+
+// replan moves the next call of a worker that has just reported.
+func (s *State) replan(w *worker) {
+	if w.down == 0 {
+		w.due = s.nextCall(w)
+		heap.Fix(&s.due, w.pos)
+	}
 }
 
 // serveTask adds what the attempt needs to the batch.
@@ -164,11 +191,15 @@
 // nextLook returns when the attempt next needs a call to its worker.
 func (s *State) nextLook(t *task) structs.Timestamp {
 	a := t.live
-	if !a.running || a.stop != stopNone || a.preempt != 0 {
+	switch {
+	case !a.sent:
+		return forever
+	case a.preempt != 0 && a.stop == stopNone:
 		return s.now.Add(fastPoll)
-	}
-	if t.job.Spec.Kind == structs.KindService {
-		return s.now.Add(s.policy.Lease / 3)
+	case !a.running || a.stop != stopNone:
+		return s.now.Add(resendAfter)
+	case t.job.Spec.Kind == structs.KindService:
+		return forever
 	}
 	expected := a.since.Add(s.runTimeOf(t.job))
 	if expected.After(s.now) {
@@ -176,7 +207,7 @@
 	}
 	// An attempt past its estimate is looked at less often as it grows older,
 	// which bounds the calls and keeps the delay a small part of its run time.
-	late := s.now.Sub(a.since) / 16
+	late := s.now.Sub(a.since) / lateLooks
 	return s.now.Add(max(late, fastPoll))
 }
 
