scheduler: compare repeated jobs by encoding, bound the ended jobs

Cause: a job submitted again after a restart conflicted with itself if it had an empty list; ended jobs were kept for the retention without a bound, about 4 million at 1,200 one-task jobs a second. Change: compare canonical encodings; keep at most 20,000 ended jobs and remove at most 500 a tick.

--- a/scheduler/driver_test.go
+++ b/scheduler/driver_test.go
@@ -139,7 +139,9 @@
 }
 
 func (c *cell) tick() {
-	c.send(HorizonExtended{Until: c.now.Add(75 * time.Minute)})
+	if c.tableUp {
+		c.send(HorizonExtended{Until: c.now.Add(75 * time.Minute)})
+	}
 	c.send(Tick{})
 	c.after(tickEvery, c.tick)
 }
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -233,3 +233,99 @@
 		t.Errorf("%d completions were not acknowledged", n)
 	}
 }
+
+// Guards against leases that end, and completions that are lost, while the
+// store is down for an hour.
+func TestTasksSurviveAnHourWithoutTheStore(t *testing.T) {
+	c := newCell(1, testPolicy(), fleet(2, cores(8)))
+	c.submit(batch("long", "normal", 4, cores(1), 2*time.Hour))
+	c.submit(batch("short", "normal", 4, cores(1), time.Minute))
+	c.advance(10 * time.Second)
+	c.setTable(false)
+	c.advance(time.Hour)
+	if len(c.active) != 4 {
+		t.Errorf("%d tasks run after an hour, want the 4 long ones", len(c.active))
+	}
+	c.setTable(true)
+	c.advance(10 * time.Second)
+	if st := c.status(t, "short"); st.Succeeded != 4 || len(c.runs) != 8 {
+		t.Errorf("%d short tasks succeeded in %d attempts of all, want 4 in 8", st.Succeeded, len(c.runs))
+	}
+	c.mustHold(t)
+}
+
+// Guards against a lease that an owner grants past its durable horizon.
+func TestNoLeasePastTheHorizon(t *testing.T) {
+	c := newCell(1, testPolicy(), fleet(1, cores(8)))
+	c.submit(batch("long", "normal", 4, cores(1), 3*time.Hour))
+	c.advance(10 * time.Second)
+	horizon := c.s.horizon
+	c.onEffect = func(eff structs.Effect) {
+		b, ok := eff.(SendBatch)
+		for i := 0; ok && i < len(b.Batch.Renewals); i++ {
+			if end := b.Batch.Renewals[i].LeaseEnd; end > horizon {
+				t.Fatalf("a lease was granted %v past the horizon", end.Sub(horizon))
+			}
+		}
+	}
+	c.setTable(false)
+	c.advance(80 * time.Minute)
+	if len(c.active) != 0 {
+		t.Errorf("%d tasks run past the horizon", len(c.active))
+	}
+}
+
+// Guards against an operator's word that has no effect, or that lets a start
+// under way run beside its successor.
+func TestConfirmStoppedReleasesTasks(t *testing.T) {
+	c := newCell(1, testPolicy(), fleet(2, cores(4)))
+	c.submit(batch("a", "normal", 1, cores(4), 10*time.Minute))
+	c.advance(10 * time.Second)
+	cut := c.active["a/0"]
+	c.restart()
+	c.kill(cut)
+	c.advance(time.Minute)
+	if len(c.runs) != 1 {
+		t.Fatalf("%d attempts before the confirmation, want 1", len(c.runs))
+	}
+	c.send(ConfirmStopped{Call: 9, Worker: cut})
+	c.advance(2 * time.Second)
+	if err, ok := c.replies[9]; !ok || err != nil || len(c.runs) != 2 {
+		t.Errorf("answer %v %v, %d attempts; want 2", ok, err, len(c.runs))
+	}
+}
+
+// Guards against a repeated submission that conflicts with itself because the
+// job passed through a snapshot or came with an empty list.
+func TestRepeatedSubmissionAfterRestart(t *testing.T) {
+	c := newCell(1, testPolicy(), fleet(1, cores(4)))
+	job := batch("a", "normal", 1, cores(1), time.Second)
+	job.Constraint.Regions = []structs.Region{}
+	c.submit(job)
+	c.advance(time.Second)
+	snapshot, err := c.s.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.s, err = Restore(c.cfg, snapshot, nil); err != nil {
+		t.Fatal(err)
+	}
+	c.send(SubmitJob{Call: 5, Job: job})
+	if err, ok := c.replies[5]; !ok || err != nil {
+		t.Errorf("answer %v %v, want success", ok, err)
+	}
+}
+
+// Guards against ended jobs that are kept for ever.
+func TestEndedJobsAreRemoved(t *testing.T) {
+	policy := testPolicy()
+	policy.Retention = time.Minute
+	c := newCell(1, policy, fleet(1, cores(4)))
+	c.submit(batch("a", "normal", 1, cores(1), time.Second))
+	c.advance(30 * time.Second)
+	c.status(t, "a")
+	c.advance(time.Minute)
+	if _, ok := c.s.Job("a"); ok {
+		t.Error("the job is still known a minute after its retention")
+	}
+}
--- a/scheduler/submit.go
+++ b/scheduler/submit.go
@@ -1,15 +1,23 @@
 package scheduler
 
 import (
-	"reflect"
+	"bytes"
 
 	"github.com/mangodrum/mangodrum/errs"
 	"github.com/mangodrum/mangodrum/queue"
 	"github.com/mangodrum/mangodrum/structs"
 )
 
-// maxCount bounds the tasks of one job; a larger array is split by its caller.
-const maxCount = 100_000
+const (
+	// maxCount bounds the tasks of one job; a larger array is split by its
+	// caller.
+	maxCount = 100_000
+	// maxEndedJobs bounds the ended jobs kept for repeated submissions, about
+	// 1 KB each.
+	maxEndedJobs = 20_000
+	// maxRemoved bounds the removals of one tick.
+	maxRemoved = 500
+)
 
 func (s *State) submit(e SubmitJob) {
 	if err := s.validate(&e.Job); err != nil {
@@ -74,10 +82,14 @@
 	s.requeuePending(j)
 }
 
-// sameJob compares what the caller chooses.
+// sameJob compares what the caller chooses. It compares encodings, in which an
+// empty list equals an absent one, because a restored job has passed through
+// one.
 func sameJob(a, b structs.Job) bool {
 	a.Accepted, b.Accepted = 0, 0
-	return reflect.DeepEqual(a, b)
+	x, errX := encoding.Marshal(a)
+	y, errY := encoding.Marshal(b)
+	return errX == nil && errY == nil && bytes.Equal(x, y)
 }
 
 func (s *State) validate(j *structs.Job) error {
@@ -189,13 +201,17 @@
 	}
 }
 
+// removeEndedJobs forgets ended jobs after the retention, or the oldest ones
+// if there are too many to keep.
 func (s *State) removeEndedJobs() {
-	n := 0
-	for n < len(s.ended) && s.now.Sub(s.ended[n].at) > s.policy.Retention && !s.stalled() {
-		if s.jobs[s.ended[n].id] != nil {
-			s.record(Record{JobRemoved: &JobRemoved{Job: s.ended[n].id}})
+	for n := 0; n < maxRemoved && len(s.ended) > 0 && !s.stalled(); n++ {
+		first := s.ended[0]
+		if s.now.Sub(first.at) <= s.policy.Retention && len(s.ended) <= maxEndedJobs {
+			return
+		}
+		s.ended = s.ended[1:]
+		if s.jobs[first.id] != nil {
+			s.record(Record{JobRemoved: &JobRemoved{Job: first.id}})
 		}
-		n++
 	}
-	s.ended = s.ended[n:]
 }
