Leave headroom also when the most urgent class floods

Cause: a flooding class within its share left no headroom, so a flood of urgent requests raised the p99 wait of normal ones from 0 to 71 ms.

--- a/router/queue.go
+++ b/router/queue.go
@@ -238,27 +238,16 @@
 	return free > reserved
 }
 
-// isFlooding reports whether a class uses more than its share and would use
-// the whole service: deferrable ones always, others with a long queue.
+// isFlooding reports whether a class is above its floor and would use the
+// whole service: deferrable ones always, others with a long queue.
 func (s *State) isFlooding(svc *service, class int) bool {
 	queue := &svc.queues[class]
-	if !svc.isAboveShare(queue) {
+	if queue.inflight <= svc.held*queue.floor/100 {
 		return false
 	}
 	return s.policy.Classes[class].Urgency == structs.Deferrable || queue.queued > svc.held
 }
 
-// isAboveShare reports whether a class holds more slots than its weight and
-// floor entitle it to.
-func (svc *service) isAboveShare(queue *classQueue) bool {
-	total := uint64(0)
-	for i := range svc.queues {
-		total += svc.queues[i].weight
-	}
-	share := max(svc.held*int(queue.weight)/int(total), svc.held*queue.floor/100)
-	return queue.inflight > share
-}
-
 // headroomDeviations is how many standard deviations of the other classes'
 // use are left free for them by a class that floods. Independent arrivals
 // vary by about the square root of the slots in use; three deviations are
