--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -22,7 +22,7 @@
 	if sentAt >= send.Deadline || c.gone.Load() {
 		return c.failed(send, router.NotSent)
 	}
-	conn, err := c.g.pools.get(send.Address).take(!c.req.Idempotent)
+	conn, err := c.g.pools.get(send.Executor, send.Address).take(!c.req.Idempotent)
 	if err != nil {
 		return c.failed(send, router.NotSent)
 	}
--- a/gateway/fault_test.go
+++ b/gateway/fault_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -217,8 +218,19 @@
 	}
 }
 
-// Guards against bodies that are held in memory as a whole or changed.
-func TestLongBodiesStreamBothWays(t *testing.T) {
+// Guards against an executor that gets no connections after it moved.
+func TestExecutorThatMovesIsServedAtItsNewAddress(t *testing.T) {
+	old, moved := startFake(t, "e1", answerOK), startFake(t, "e1", answerOK)
+	f := newFixture(t, nil, old)
+	f.send("GET", "/", "")
+	f.list(moved)
+	if r := f.send("GET", "/", ""); r.outcome != "answered" || moved.requests.Load() != 1 {
+		t.Errorf("reply = %d %s, %d requests at the new address", r.status, r.outcome, moved.requests.Load())
+	}
+}
+
+// Guards against long bodies that are changed by the change of framing.
+func TestLongBodiesArriveUnchanged(t *testing.T) {
 	const size = 8 << 20
 	e := startFake(t, "e1", func(r *http.Request, body string, w net.Conn) bool {
 		_, _ = io.WriteString(w, head200+r.Header.Get(HeaderRequestID)+"\r\nTransfer-Encoding: chunked\r\n\r\n800000\r\n"+body+"\r\n0\r\n\r\n")
@@ -230,3 +242,51 @@
 		t.Errorf("got %d bytes, error %v", len(r.body), r.err)
 	}
 }
+
+// Guards against bodies that are held in memory as a whole: each side sends
+// its second part only after the other one has received the first.
+func TestBodiesStreamBothWays(t *testing.T) {
+	part := strings.Repeat("x", 2*maxBuffered)
+	requestSeen, answerSeen := make(chan struct{}), make(chan struct{})
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_ = http.NewResponseController(w).EnableFullDuplex()
+		_, _ = io.ReadFull(r.Body, make([]byte, maxBuffered))
+		close(requestSeen)
+		rest, _ := io.Copy(io.Discard, r.Body)
+		w.Header().Set(HeaderRequestID, r.Header.Get(HeaderRequestID))
+		_, _ = io.WriteString(w, part)
+		_ = http.NewResponseController(w).Flush()
+		<-answerSeen
+		_, _ = io.WriteString(w, strconv.FormatInt(rest, 10))
+	})}
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = server.Serve(listener) }()
+	defer func() { _ = server.Close() }()
+	f := newFixture(t, nil, &fakeExecutor{info: structs.Executor{
+		ID: "e1", Service: "svc", Address: listener.Addr().String(), Slots: 8, Connections: 64, State: structs.Live,
+	}})
+	body, sender := io.Pipe()
+	request, _ := http.NewRequest("PUT", f.url+"/v1/services/svc/x", body)
+	request.Header.Set(HeaderTeam, "/team")
+	go func() {
+		_, _ = io.WriteString(sender, part)
+		<-requestSeen
+		_, _ = io.WriteString(sender, part)
+		_ = sender.Close()
+	}()
+	transport := &http.Transport{DisableKeepAlives: true}
+	response, err := transport.RoundTrip(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	_, _ = io.ReadFull(response.Body, make([]byte, len(part)))
+	close(answerSeen)
+	rest, err := io.ReadAll(response.Body)
+	if want := strconv.Itoa(2*len(part) - maxBuffered); err != nil || string(rest) != want {
+		t.Errorf("the executor read %s bytes after the first part, want %s; error %v", rest, want, err)
+	}
+}
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -2,11 +2,15 @@
 
 import (
 	"bufio"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
+
+	"github.com/mangodrum/mangodrum/structs"
 )
 
 // execConn is a connection to an executor.
@@ -33,30 +37,38 @@
 	idle    []*execConn
 }
 
+// poolKey tells pools apart: two executors may share an address, and one may
+// move to another address.
+type poolKey struct {
+	executor structs.ExecutorID
+	address  string
+}
+
 type poolSet struct {
 	mu     sync.Mutex
 	limits Limits
-	pools  map[string]*pool
+	pools  map[poolKey]*pool
 }
 
 func newPoolSet(limits Limits) *poolSet {
-	return &poolSet{limits: limits, pools: map[string]*pool{}}
+	return &poolSet{limits: limits, pools: map[poolKey]*pool{}}
 }
 
-func (s *poolSet) get(address string) *pool {
+func (s *poolSet) get(executor structs.ExecutorID, address string) *pool {
+	key := poolKey{executor, address}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	p := s.pools[address]
+	p := s.pools[key]
 	if p == nil {
 		p = &pool{address: address, limits: s.limits}
-		s.pools[address] = p
+		s.pools[key] = p
 	}
 	return p
 }
 
 // setLimit changes the number of connections and closes idle ones beyond it.
-func (s *poolSet) setLimit(address string, limit int) {
-	p := s.get(address)
+func (s *poolSet) setLimit(executor structs.ExecutorID, address string, limit int) {
+	p := s.get(executor, address)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.limit = limit
@@ -68,18 +80,15 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.pools, address)
+	delete(s.pools, poolKey{executor, address})
 }
 
 func (s *poolSet) close() {
 	s.mu.Lock()
-	pools := make([]*pool, 0, len(s.pools))
-	for _, p := range s.pools {
-		pools = append(pools, p)
-	}
+	keys := slices.Collect(maps.Keys(s.pools))
 	s.mu.Unlock()
-	for _, p := range pools {
-		s.setLimit(p.address, 0)
+	for _, key := range keys {
+		s.setLimit(key.executor, key.address, 0)
 	}
 }
 
--- a/router/executor.go
+++ b/router/executor.go
@@ -171,6 +171,9 @@
 	clear(s.order[len(kept):])
 	s.order = kept
 	s.rebuildServices()
+	for _, e := range s.order {
+		s.setHolding(e, e.held, e.until)
+	}
 	s.applyAlone()
 	s.recountHeld()
 	s.holdingsChanged()
@@ -187,6 +190,7 @@
 	}
 	if e.info.Address != info.Address && e.info.Address != "" {
 		s.emit(ConnectionsChanged{Executor: info.ID, Address: e.info.Address})
+		e.connections = 0 // none at the new address yet
 	}
 	e.info = info
 	e.listed = true
