--- a/instance/instruments.go
+++ b/instance/instruments.go
@@ -26,6 +26,7 @@
 	directoryErrors *metrics.Counter
 	malformed       *metrics.Counter
 	peerBytes       *metrics.Counter
+	dropped         *metrics.Counter
 	calls           atomic.Int64 // asynchronous effects that run
 
 	mu    sync.Mutex
@@ -40,6 +41,7 @@
 		directoryErrors: set.NewCounter("mangodrum_directory_errors_total"),
 		malformed:       set.NewCounter("mangodrum_peer_malformed_messages_total"),
 		peerBytes:       set.NewCounter("mangodrum_peer_received_bytes_total"),
+		dropped:         set.NewCounter("mangodrum_inbox_dropped_total"),
 		teams:           map[structs.TeamID]bool{},
 	}
 	set.NewGauge("mangodrum_effects_running", func() float64 { return float64(m.calls.Load()) })
--- a/instance/loop.go
+++ b/instance/loop.go
@@ -67,6 +67,16 @@
 	}
 }
 
+// tryPost queues an event unless the inbox is full. It is for messages that may
+// be lost and that the loop itself can cause: post would block the loop.
+func (i *Instance) tryPost(event structs.Event) {
+	select {
+	case i.inbox <- message{event: event}:
+	default:
+		i.metrics.dropped.Inc()
+	}
+}
+
 // query runs f between two events. It returns false if the instance stopped.
 func (i *Instance) query(f func(now structs.Timestamp, state *core.State)) bool {
 	m := message{query: f, done: make(chan struct{})}
--- a/instance/receive.go
+++ b/instance/receive.go
@@ -97,8 +97,9 @@
 }
 
 // requestCredits takes a message of the gateway to the owner of the executors.
+// A grant that the loop delivers can cause one.
 func (i *Instance) requestCredits(message credits.Message) {
-	i.post(core.CreditsReceived{Message: message})
+	i.tryPost(core.CreditsReceived{Message: message})
 }
 
 // sendCredits delivers a message about credits; To may be this instance.
