--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -2,11 +2,15 @@
 
 import (
 	"bufio"
+	"maps"
 	"net"
+	"slices"
 	"sync"
-	"syscall"
 
 	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/mangodrum/mangodrum/structs"
 )
 
 // execConn is a connection to an executor.
@@ -15,6 +19,8 @@
 	pool   *pool
 	reader *bufio.Reader
 	writer *bufio.Writer
+	socket *socketPeeker
+	head   fasthttp.ResponseHeader // of the current answer
 	// echoes: every answer so far carried the identifier of its request.
 	echoes bool
 	used   bool
@@ -31,30 +37,38 @@
 	idle    []*execConn
 }
 
+// poolKey tells pools apart: two executors may share an address, and one may
+// move to another address.
+type poolKey struct {
+	executor structs.ExecutorID
+	address  string
+}
+
 type poolSet struct {
 	mu     sync.Mutex
 	limits Limits
-	pools  map[string]*pool
+	pools  map[poolKey]*pool
 }
 
 func newPoolSet(limits Limits) *poolSet {
-	return &poolSet{limits: limits, pools: map[string]*pool{}}
+	return &poolSet{limits: limits, pools: map[poolKey]*pool{}}
 }
 
-func (s *poolSet) get(address string) *pool {
+func (s *poolSet) get(executor structs.ExecutorID, address string) *pool {
+	key := poolKey{executor, address}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	p := s.pools[address]
+	p := s.pools[key]
 	if p == nil {
 		p = &pool{address: address, limits: s.limits}
-		s.pools[address] = p
+		s.pools[key] = p
 	}
 	return p
 }
 
 // setLimit changes the number of connections and closes idle ones beyond it.
-func (s *poolSet) setLimit(address string, limit int) {
-	p := s.get(address)
+func (s *poolSet) setLimit(executor structs.ExecutorID, address string, limit int) {
+	p := s.get(executor, address)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.limit = limit
@@ -66,18 +80,15 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.pools, address)
+	delete(s.pools, poolKey{executor, address})
 }
 
 func (s *poolSet) close() {
 	s.mu.Lock()
-	pools := make([]*pool, 0, len(s.pools))
-	for _, p := range s.pools {
-		pools = append(pools, p)
-	}
+	keys := slices.Collect(maps.Keys(s.pools))
 	s.mu.Unlock()
-	for _, p := range pools {
-		s.setLimit(p.address, 0)
+	for _, key := range keys {
+		s.setLimit(key.executor, key.address, 0)
 	}
 }
 
@@ -126,7 +137,7 @@
 		return nil, err
 	}
 	return &execConn{
-		Conn: conn, pool: p, echoes: true,
+		Conn: conn, pool: p, echoes: true, socket: newSocketPeeker(conn),
 		reader: bufio.NewReaderSize(conn, p.limits.MaxHeaderBytes),
 		writer: bufio.NewWriterSize(conn, 4<<10),
 	}, nil
@@ -156,40 +167,5 @@
 // isQuiet reports whether an idle connection is open and has no bytes that
 // nobody asked for.
 func (c *execConn) isQuiet() bool {
-	return c.reader.Buffered() == 0 && peekSocket(c.Conn) == socketQuiet
-}
-
-type socketState int
-
-const (
-	socketQuiet  socketState = iota // open, nothing to read
-	socketData                      // bytes to read
-	socketClosed                    // the peer closed it, or it failed
-)
-
-// peekSocket looks at a connection without reading from it or blocking.
-func peekSocket(conn net.Conn) socketState {
-	raw, ok := conn.(syscall.Conn)
-	if !ok {
-		return socketQuiet
-	}
-	rc, err := raw.SyscallConn()
-	if err != nil {
-		return socketQuiet // not a socket
-	}
-	state := socketClosed
-	err = rc.Control(func(fd uintptr) {
-		var buf [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		switch {
-		case err == syscall.EAGAIN || err == syscall.EINTR:
-			state = socketQuiet
-		case err == nil && n > 0:
-			state = socketData
-		}
-	})
-	if err != nil {
-		return socketClosed
-	}
-	return state
+	return c.reader.Buffered() == 0 && c.socket.peek() == socketQuiet
 }
