scheduler: put batch jobs of teams with wrong declarations on probation

Cause: all tasks of a job started at once with the declared size; where that was too small, each was stopped and started again with the learned size. Change: the part of a team's recent jobs that used more than declared is kept as a moving average; above a tenth, its next batch jobs that are not urgent run two tasks until their usage is known.

--- a/scheduler/learn.go
+++ b/scheduler/learn.go
@@ -57,6 +57,7 @@
 		if a.running {
 			j.estimate.observe(s.now.Sub(a.since))
 		}
+		s.observeDeclaration(j, false)
 		j.health = jobHealth{successes: j.health.successes + 1}
 		s.workerSucceeded(w, t)
 	case platform.RunFailed:
@@ -126,8 +127,12 @@
 func (s *State) observeUsage(w *worker, t *task, used structs.Resources) {
 	a, j := t.live, t.job
 	if used.Fits(a.reserved) {
+		if s.now.Sub(a.since) >= usageLag {
+			s.observeDeclaration(j, false)
+		}
 		return
 	}
+	s.observeDeclaration(j, true)
 	j.estimate.peak = atMost(maxOf(j.estimate.peak, roundUp(used)), w.info.Capacity)
 	want := maxOf(a.reserved, used)
 	if s.growReservation(w, t, want) {
--- a/scheduler/load_test.go
+++ b/scheduler/load_test.go
@@ -3,10 +3,12 @@
 import (
 	"fmt"
 	"math/rand"
+	"slices"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/mangodrum/mangodrum/platform"
 	"github.com/mangodrum/mangodrum/structs"
 )
 
@@ -254,3 +256,64 @@
 		}
 	}
 }
+
+// percentile returns the p-th percentile of waits.
+func percentile(waits []time.Duration, p float64) time.Duration {
+	if len(waits) == 0 {
+		return 0
+	}
+	sorted := slices.Sorted(slices.Values(waits))
+	return sorted[min(int(p*float64(len(sorted))), len(sorted)-1)]
+}
+
+// Guards against declared sizes and run times that are off by up to ten times:
+// no worker may be overloaded, and few tasks may be started in vain.
+func TestWrongDeclarations(t *testing.T) {
+	for _, seed := range []int64{1, 2} {
+		c := newCell(seed, testPolicy(), fleet(20, cores(32)))
+		factor := map[structs.JobID]float64{}
+		c.uses = func(task structs.TaskID, _ structs.Resources) structs.Resources {
+			return structs.Resources{MilliCPU: 1000, MemoryBytes: int64(gib * factor[jobOf(task)])}
+		}
+		for n := range 360 {
+			c.after(time.Duration(n)*time.Second/2, func() {
+				j := batch(fmt.Sprint("j", n), "normal", 10, cores(1), time.Duration(5+c.rng.Intn(10))*time.Second)
+				factor[j.ID] = []float64{0.1, 0.3, 1, 3, 10}[c.rng.Intn(5)]
+				j.RunTime = time.Duration(10 * float64(time.Second) * factor[j.ID])
+				c.submit(j)
+			})
+		}
+		overloaded, samples := 0, 0
+		for range 1800 {
+			c.advance(100 * time.Millisecond)
+			samples += len(c.workers)
+			overloaded += c.overloaded()
+		}
+		starts, stopped := len(c.runs), int(c.s.Counters().Oversized)
+		t.Logf("seed %d: %d of %d samples overloaded; %d of %d starts stopped for their size; %d completed",
+			seed, overloaded, samples, stopped, starts, c.completed["normal"])
+		if overloaded*1000 > samples {
+			t.Errorf("a worker was overloaded in %d of %d samples", overloaded, samples)
+		}
+		if stopped*10 > starts {
+			t.Errorf("%d of %d starts were stopped for their size", stopped, starts)
+		}
+	}
+}
+
+// overloaded counts workers whose tasks use more memory than there is.
+func (c *cell) overloaded() int {
+	n := 0
+	for _, w := range c.workers {
+		var used structs.Resources
+		for _, r := range w.runs {
+			if r.report.Status == platform.RunRunning {
+				used = used.Add(r.report.Used)
+			}
+		}
+		if used.MemoryBytes > w.info.Capacity.MemoryBytes {
+			n++
+		}
+	}
+	return n
+}
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -94,6 +94,10 @@
 		s.queue.Hold(it, until)
 		return
 	}
+	if j.isOnProbation() && j.placed >= probationTasks {
+		s.queue.Hold(it, s.now.Add(fastPoll))
+		return
+	}
 	size := s.itemSize(j)
 	if !s.quota.admits(j.Spec.Team, size) {
 		s.skipForQuota(it, j, size)
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -39,6 +39,7 @@
 	planned      map[structs.JobID]plannedGang // gangs with a reservation
 	plannedAt    structs.Timestamp
 	plannedOn    map[structs.WorkerID]bool // workers with a part in a reservation
+	distrust     map[structs.TeamID]int    // part of recent jobs that used more than declared, in parts per million
 	probes       []structs.WorkerID        // quarantined workers that are due for a probe
 	victims      []*task                   // of preemptions that wait for a checkpoint
 	preempted    structs.Timestamp         // time of the last search for victims
@@ -112,6 +113,7 @@
 		index:      placement.New(),
 		quota:      newLedger(cfg.Policy),
 	}
+	s.distrust = map[structs.TeamID]int{}
 	s.claims.init()
 	s.reservations = placement.NewReservations(s.index, runTimePadding)
 	s.planned = map[structs.JobID]plannedGang{}
--- a/scheduler/submit.go
+++ b/scheduler/submit.go
@@ -165,6 +165,7 @@
 	if j.held != "" {
 		return
 	}
+	s.decideProbation(j)
 	if j.Spec.Kind == structs.KindGang {
 		s.enqueueGang(j)
 		return
