Hedge late urgent idempotent requests in the router

Change: an urgent idempotent request whose first attempt takes three mean run times gets a second one if a slot is free, nobody queues and the retry budget has a token; the first answer wins. Conclusion: kept in the router; the gateway does not mark requests as replayable yet, so nothing is hedged.

--- a/router/events.go
+++ b/router/events.go
@@ -82,6 +82,9 @@
 	// MayRetry: a 5xx answer is read completely and reported as Buffered
 	// before anything is passed on.
 	MayRetry bool
+	// Hedge: the attempt runs beside an earlier one that takes long. The
+	// first that answers wins.
+	Hedge bool
 }
 
 // Refuse answers the caller without an executor's answer.
--- a/router/executor.go
+++ b/router/executor.go
@@ -25,7 +25,6 @@
 	connections int
 	until       structs.Timestamp
 	inflight    int
-	lastUsed    structs.Timestamp
 	listed      bool
 
 	limit     float64 // concurrency limit that follows latency and failures
@@ -51,10 +50,7 @@
 
 func (e *executor) isOpen() bool { return e.listed && e.info.State == structs.Live }
 
-func (e *executor) begin(now structs.Timestamp) {
-	e.inflight++
-	e.lastUsed = now
-}
+func (e *executor) begin() { e.inflight++ }
 
 // capacity returns how many attempts may run here at once.
 func (e *executor) capacity() int { return min(e.held, max(1, int(e.limit))) }
@@ -81,15 +77,11 @@
 }
 
 // observeAttempt updates the health and limit of e after an attempt.
-func (s *State) observeAttempt(e *executor, svc *service, r *request, res *Result) {
-	if res.Kind == Cancelled {
+func (s *State) observeAttempt(e *executor, svc *service, began structs.Timestamp, res *Result) {
+	if res.Kind == Cancelled || res.Kind == Superseded {
 		return // says nothing about the executor
 	}
-	held := s.now.Sub(e.lastUsed)
-	if r.attempt == 1 {
-		held = s.now.Sub(r.started)
-	}
-	svc.runTime = smooth(svc.runTime, held)
+	svc.runTime = smooth(svc.runTime, s.now.Sub(began))
 	if res.Kind == Completed && res.Status < 500 || res.Kind == Buffered && !isRetriableStatus(res.Status) {
 		s.observeSuccess(e, svc, res.HeadLatency)
 		return
--- a/router/holdings.go
+++ b/router/holdings.go
@@ -135,9 +135,8 @@
 	}
 	for _, ref := range slices.Sorted(maps.Keys(s.long)) {
 		r := s.requests[ref]
-		s.emit(ExtendAttempt{Ref: ref, Attempt: r.attempt, Deadline: s.attemptDeadline(r, r.executor)})
-		if r.req.Deadline <= r.executor.until {
-			delete(s.long, ref)
+		for _, running := range r.runs {
+			s.emit(ExtendAttempt{Ref: ref, Attempt: running.attempt, Deadline: s.attemptDeadline(r, running.executor)})
 		}
 	}
 }
--- a/router/retry.go
+++ b/router/retry.go
@@ -29,17 +29,28 @@
 // attemptEnded settles an attempt and retries, delivers or refuses.
 func (s *State) attemptEnded(ev *AttemptEnded) {
 	r := s.requests[ev.Ref]
-	if r == nil || r.phase != phaseRunning || r.attempt != ev.Attempt {
+	i := -1
+	if r != nil {
+		i = slices.IndexFunc(r.runs, func(running run) bool { return running.attempt == ev.Attempt })
+	}
+	if i < 0 {
+		s.orphanEnded(attemptKey{ev.Ref, ev.Attempt})
 		return
 	}
-	e, svc := r.executor, r.service
-	s.releaseSlot(r)
-	s.observeAttempt(e, svc, r, &ev.Result)
-	r.executor = nil
+	ended := r.runs[i]
+	r.runs = slices.Delete(r.runs, i, i+1)
+	if len(r.runs) == 0 {
+		delete(s.long, r.ref)
+	}
+	svc := r.service
+	s.releaseSlot(ended.executor, svc, r.class)
+	s.observeAttempt(ended.executor, svc, ended.began, &ev.Result)
 	if ev.Result.Kind != NotSent {
 		r.maybeRan = true
 	}
-	s.settleAttempt(r, &ev.Result)
+	if !s.waitsForOther(r, &ev.Result) {
+		s.settleAttempt(r, &ev.Result)
+	}
 	s.dispatch(svc)
 }
 
--- a/router/service.go
+++ b/router/service.go
@@ -52,7 +52,12 @@
 		case phaseQueued:
 			svc.queues[r.class].push(r)
 		case phaseRunning:
-			svc.queues[r.class].inflight++
+			svc.queues[r.class].inflight += len(r.runs)
+		}
+	}
+	for _, o := range s.orphans {
+		if o.service == svc {
+			svc.queues[o.class].inflight++
 		}
 	}
 }
@@ -110,17 +115,23 @@
 
 // start sends r to e.
 func (s *State) start(r *request, e *executor) {
-	svc := r.service
 	r.phase = phaseRunning
-	r.executor = e
-	r.attempt++
-	r.tried = append(r.tried, e.info.ID)
-	if r.attempt == 1 {
+	if r.attempt == 0 {
 		r.started = s.now
 		s.counts.FirstAttempts++
 		s.budgets[r.class].earn(s.policy.Classes[r.class].RetryPercent)
+		s.planHedge(r)
 	}
-	e.begin(s.now)
+	s.begin(r, e, false)
+}
+
+// begin takes a slot of e for the next attempt of r.
+func (s *State) begin(r *request, e *executor, hedge bool) {
+	svc := r.service
+	r.attempt++
+	r.tried = append(r.tried, e.info.ID)
+	r.runs = append(r.runs, run{r.attempt, e, s.now})
+	e.begin()
 	svc.inflight++
 	svc.queues[r.class].inflight++
 	if r.req.Deadline > e.until {
@@ -128,7 +139,7 @@
 	}
 	s.emit(Send{
 		Ref: r.ref, Attempt: r.attempt, Executor: e.info.ID, Address: e.info.Address,
-		Deadline: s.attemptDeadline(r, e),
+		Deadline: s.attemptDeadline(r, e), Hedge: hedge,
 		MayRetry: r.req.Idempotent && r.attempt < s.policy.MaxAttempts,
 	})
 }
@@ -145,14 +156,12 @@
 	return min(deadline, max(half, s.now.Add(usualTimes*r.service.latency)))
 }
 
-// releaseSlot ends the use of a slot by the running attempt of r.
-func (s *State) releaseSlot(r *request) {
-	e := r.executor
+// releaseSlot ends the use of a slot by an attempt.
+func (s *State) releaseSlot(e *executor, svc *service, class int) {
 	if e.inflight > e.held {
 		s.slotReturnable(e)
 	}
 	e.inflight--
-	r.service.inflight--
-	r.service.queues[r.class].inflight--
-	delete(s.long, r.ref)
+	svc.inflight--
+	svc.queues[class].inflight--
 }
--- a/router/sim_test.go
+++ b/router/sim_test.go
@@ -1,6 +1,7 @@
 package router_test
 
 import (
+	"cmp"
 	"container/heap"
 	"maps"
 	"math"
@@ -113,10 +114,15 @@
 	isolated bool // its messages to and from owners are lost
 	skew     time.Duration
 	owners   map[structs.Region]*simOwner // as this instance knows them
-	running  map[router.Ref]*simAttempt
+	running  map[attemptID]*simAttempt
 	nextRef  router.Ref
 }
 
+type attemptID struct {
+	ref     router.Ref
+	attempt int
+}
+
 type simAttempt struct {
 	executor *simExecutor
 	send     router.Send
@@ -136,6 +142,8 @@
 	attempts  int
 	meanRun   time.Duration
 	onMessage func(message any) // sees every credit message
+	hedge     bool
+	totalTime map[structs.ClassName][]time.Duration
 }
 
 // simOwner is one ownership of a region's shard. An owner that lost the
@@ -173,7 +181,7 @@
 		in := &simInstance{
 			sim: s, id: structs.InstanceID([]byte{'i', byte('0' + i)}),
 			location: structs.Location{Region: region, FailureDomain: structs.FailureDomain(string(region) + []string{"a", "b", "c"}[i/regions%3])},
-			running:  map[router.Ref]*simAttempt{}, owners: maps.Clone(s.owners),
+			running:  map[attemptID]*simAttempt{}, owners: maps.Clone(s.owners),
 		}
 		in.state = router.New(router.Config{
 			Instance: in.id, Location: in.location, Seed: seed + uint64(i), Policy: policy, Alone: alone,
@@ -321,7 +329,9 @@
 	for _, a := range in.running {
 		all = append(all, a)
 	}
-	slices.SortFunc(all, func(a, b *simAttempt) int { return int(a.send.Ref) - int(b.send.Ref) })
+	slices.SortFunc(all, func(a, b *simAttempt) int {
+		return cmp.Or(cmp.Compare(a.send.Ref, b.send.Ref), cmp.Compare(a.send.Attempt, b.send.Attempt))
+	})
 	return all
 }
 
@@ -329,7 +339,7 @@
 func (in *simInstance) arrive(class structs.ClassName, idempotent bool, deadline time.Duration) {
 	in.deliver(func() {
 		in.nextRef++
-		req := router.Request{ID: "x", Team: "/t", Class: class, Service: simService, Idempotent: idempotent}
+		req := router.Request{ID: "x", Team: "/t", Class: class, Service: simService, Idempotent: idempotent, Replayable: in.sim.hedge}
 		if deadline > 0 {
 			req.Deadline = in.now().Add(deadline)
 		}
@@ -352,9 +362,14 @@
 			request := &credits.RequestReceived{Request: e.Request}
 			in.sim.after(in.sim.delay(in.location.Region, e.Region), func() { owner.receive(request) })
 		case router.ExtendAttempt:
-			if a := in.running[e.Ref]; a != nil {
+			if a := in.running[attemptID{e.Ref, e.Attempt}]; a != nil {
 				a.send.Deadline = e.Deadline
 			}
+		case router.CancelAttempt:
+			if a := in.running[attemptID{e.Ref, e.Attempt}]; a != nil {
+				// The answers to this event are handled first.
+				in.sim.after(0, func() { in.deliver(func() { in.end(a, router.Result{Kind: router.Superseded}) }) })
+			}
 		case router.Refuse:
 			in.sim.refused[e.Reason]++
 		case router.RequestObserved:
@@ -371,6 +386,9 @@
 	s.perClass[e.Class][e.Outcome]++
 	if e.Outcome == router.Answered {
 		s.waits[e.Class] = append(s.waits[e.Class], e.Wait)
+		if s.totalTime != nil {
+			s.totalTime[e.Class] = append(s.totalTime[e.Class], e.Total)
+		}
 	}
 }
 
@@ -379,7 +397,7 @@
 	x.begin()
 	in.sim.attempts++
 	a := &simAttempt{executor: x, send: e}
-	in.running[e.Ref] = a
+	in.running[attemptID{e.Ref, e.Attempt}] = a
 	run, result := in.sim.exponential(in.sim.meanRun), router.Result{Kind: router.Completed, Status: 200}
 	if x.behave != nil {
 		run, result = x.behave()
@@ -403,9 +421,7 @@
 }
 
 func (in *simInstance) forget(a *simAttempt) {
-	if in.running[a.send.Ref] == a {
-		delete(in.running, a.send.Ref)
-	}
+	delete(in.running, attemptID{a.send.Ref, a.send.Attempt})
 }
 
 // end closes the connection of an attempt.
--- a/router/state.go
+++ b/router/state.go
@@ -40,7 +40,8 @@
 	started  structs.Timestamp // of the first attempt
 	wakeAt   structs.Timestamp // end of a backoff
 	attempt  int
-	executor *executor // of the running attempt
+	runs     []run // attempts in flight, at most two
+	hedgeAt  structs.Timestamp
 	tried    []structs.ExecutorID
 	service  *service
 	claimed  bool
@@ -50,6 +51,13 @@
 	claimKey claimKey
 }
 
+// run is an attempt in flight.
+type run struct {
+	attempt  int
+	executor *executor
+	began    structs.Timestamp
+}
+
 // State is the reducer for the requests of one instance. It is not safe for
 // concurrent use.
 type State struct {
@@ -67,6 +75,7 @@
 	requests  map[Ref]*request
 	holders   map[claimKey]Ref
 	timers    timerHeap
+	orphans   map[attemptKey]orphan
 	long      map[Ref]struct{} // running attempts that end at their credit's end unless it is renewed
 	credit    creditState
 	counts    Counts
@@ -90,6 +99,7 @@
 		requests:  map[Ref]*request{},
 		holders:   map[claimKey]Ref{},
 		long:      map[Ref]struct{}{},
+		orphans:   map[attemptKey]orphan{},
 	}
 	s.credit.init(cfg)
 	s.setPolicy(cfg.Policy)
@@ -174,6 +184,10 @@
 			s.refuse(r, NotRun, ReasonUnknownClass, 0)
 		}
 	}
+	for key, o := range s.orphans {
+		o.class = s.classes[o.className] // 0, the most urgent, if it is gone
+		s.orphans[key] = o
+	}
 	for _, svc := range s.sortedServices() {
 		svc.rebuildQueues(s)
 	}
@@ -207,6 +221,7 @@
 
 func (s *State) timerDue(r *request) {
 	if r.phase == phaseRunning {
+		s.hedgeIfDue(r)
 		return // the shell ends attempts at their deadline
 	}
 	if s.now >= r.req.Deadline {
@@ -314,7 +329,9 @@
 	r.gone = true
 	switch r.phase {
 	case phaseRunning:
-		s.emit(CancelAttempt{Ref: ref, Attempt: r.attempt})
+		for _, running := range r.runs {
+			s.emit(CancelAttempt{Ref: ref, Attempt: running.attempt})
+		}
 	case phaseClaiming: // ends with ClaimEnded
 	default:
 		s.finish(r, "", StoredAnswer{})
@@ -356,7 +373,7 @@
 	if n := len(s.pool); n > 0 {
 		r := s.pool[n-1]
 		s.pool = s.pool[:n-1]
-		*r = request{tried: r.tried[:0], waiters: r.waiters[:0]}
+		*r = request{tried: r.tried[:0], waiters: r.waiters[:0], runs: r.runs[:0]}
 		return r
 	}
 	return &request{}
--- a/router/types.go
+++ b/router/types.go
@@ -29,6 +29,9 @@
 	Service    string
 	Deadline   structs.Timestamp
 	Idempotent bool
+	// Replayable: the whole body is held, so a second attempt can run beside
+	// the first.
+	Replayable bool
 }
 
 // ClassPolicy is the policy of one class of requests.
@@ -138,6 +141,8 @@
 	CutMidAnswer
 	// Cancelled: the caller left.
 	Cancelled
+	// Superseded: another attempt of the request answered first.
+	Superseded
 )
 
 // Result is the end of an attempt.
