Hedge late urgent idempotent requests in the gateway

Cause: the router plans hedges, but the gateway could run only one attempt of a request at a time. Change: a second attempt runs in a goroutine of its own that touches neither request nor response of the caller's connection; the first accepted head wins and the other connection is closed. An attempt that was not tried for a reason of the instance no longer counts against the executor.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/mangodrum/mangodrum/router"
+	"github.com/mangodrum/mangodrum/structs"
 )
 
 // maxBuffered bounds the answers that are read completely before they are
@@ -20,32 +21,60 @@
 func (c *call) attempt(send router.Send) bool {
 	sentAt := c.g.opts.Now()
 	if sentAt >= send.Deadline || c.gone.Load() {
-		return c.failed(send, router.NotSent)
+		return c.failed(send, router.NotTried)
 	}
 	conn, err := c.g.pools.get(send.Executor, send.Address).take(!c.req.Idempotent)
 	if err != nil {
-		return c.failed(send, router.NotSent)
+		return c.failed(send, notSentKind(err))
 	}
-	c.attach(conn, send.Deadline)
+	c.flights[0].attach(conn, &send)
 	if c.gone.Load() || c.g.opts.Now() >= send.Deadline {
-		return c.abort(conn, send, router.NotSent)
+		return c.abort(conn, send, router.NotTried)
 	}
-	if err := c.body.writeRequest(conn.writer, c.ctx, send.Address, c.req, send.Deadline.Sub(sentAt)); err != nil {
+	if err := c.exchange(conn, &send, sentAt); err != nil {
 		return c.abort(conn, send, router.Broken)
 	}
-	head := &conn.head
-	if err := readHead(conn, head); err != nil {
-		return c.abort(conn, send, router.Broken)
+	if !(send.MayRetry && isRetriable(&conn.head)) && !c.win(&send) {
+		return c.abort(conn, send, router.Superseded)
 	}
-	if !conn.acceptIdentifier(head, c.req.ID) {
-		return c.abort(conn, send, router.Broken)
+	return c.pass(conn, send, &conn.head, c.g.opts.Now().Sub(sentAt))
+}
+
+// notSentKind tells a failed dial, which counts against the executor, from a
+// lack of connections here.
+func notSentKind(err error) router.ResultKind {
+	if errors.Is(err, errNoConnection) {
+		return router.NotTried
 	}
-	return c.pass(conn, send, head, c.g.opts.Now().Sub(sentAt))
+	return router.NotSent
+}
+
+var errIdentifier = errors.New("the executor's answer is for another request")
+
+// exchange sends the request and reads the head of its answer.
+func (c *call) exchange(conn *execConn, send *router.Send, sentAt structs.Timestamp) error {
+	if err := c.body.writeRequest(conn.writer, *c.head, send.Address, send.Deadline.Sub(sentAt)); err != nil {
+		return err
+	}
+	if err := readHead(conn, &conn.head); err != nil {
+		return err
+	}
+	if !conn.acceptIdentifier(&conn.head, c.req.ID) {
+		return errIdentifier
+	}
+	return nil
+}
+
+// isRetriable reports whether an answer can be dropped for that of another
+// attempt.
+func isRetriable(head *fasthttp.ResponseHeader) bool {
+	length := head.ContentLength()
+	return router.IsRetriableStatus(head.StatusCode()) && length >= 0 && length <= maxBuffered
 }
 
 // abort closes the attempt's connection and reports how the attempt ended.
 func (c *call) abort(conn *execConn, send router.Send, kind router.ResultKind) bool {
-	c.detach()
+	c.flightOf(&send).detach()
 	conn.pool.discard(conn)
 	return c.failed(send, kind)
 }
@@ -54,8 +83,13 @@
 // follows unless the caller left.
 func (c *call) failed(send router.Send, kind router.ResultKind) bool {
 	gone := c.gone.Load()
-	if gone && kind != router.NotSent {
+	switch {
+	case kind == router.NotSent || kind == router.NotTried:
+	case gone:
 		kind = router.Cancelled
+	case c.winner.CompareAndSwap(int32(send.Attempt), 0): // another attempt may win now
+	case c.winner.Load() != 0:
+		kind = router.Superseded
 	}
 	c.attemptEnded(send.Attempt, router.Result{Kind: kind, Replayable: c.body.replayable()}, gone)
 	if gone {
@@ -141,7 +175,7 @@
 			Body:        append([]byte(nil), c.ctx.Response.Body()...),
 		}
 	}
-	conn.finish(c.detach(), head.ConnectionClose())
+	conn.finish(c.flightOf(&send).detach(), head.ConnectionClose())
 	if status >= 500 && send.MayRetry {
 		result.Kind = router.Buffered
 		c.attemptEnded(send.Attempt, result, false)
@@ -167,7 +201,7 @@
 	c.setOutcome(head.StatusCode())
 	length := head.ContentLength()
 	s := &answerStream{
-		call: c, conn: conn, attempt: send.Attempt,
+		call: c, conn: conn, flight: c.flightOf(&send), attempt: send.Attempt,
 		result: router.Result{
 			Kind: router.Completed, Status: head.StatusCode(), HeadLatency: latency,
 			Stored: router.StoredAnswer{ContentType: string(head.ContentType())},
@@ -184,6 +218,7 @@
 type answerStream struct {
 	call    *call
 	conn    *execConn
+	flight  *flight
 	attempt int
 	result  router.Result
 	keep    bool // the start of the body, for repeats
@@ -235,7 +270,7 @@
 // on, or when either side failed.
 func (s *answerStream) Close() error {
 	s.probe()
-	cancelled := s.call.detach()
+	cancelled := s.flight.detach()
 	switch {
 	case s.ended:
 		s.conn.finish(cancelled, s.close)
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -9,8 +9,6 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
-
-	"github.com/mangodrum/mangodrum/router"
 )
 
 // requestBody is a caller's body: the start that was read before the request
@@ -75,8 +73,8 @@
 func (b *requestBody) replayable() bool { return !b.consumed }
 
 // writeRequest sends the head and the body to an executor.
-func (b *requestBody) writeRequest(w *bufio.Writer, ctx *fasthttp.RequestCtx, host string, req router.Request, left time.Duration) error {
-	writeHead(w, ctx, host, req, left, b.length)
+func (b *requestBody) writeRequest(w *bufio.Writer, head []byte, host string, left time.Duration) error {
+	writeHead(w, head, host, left)
 	if b.rest != nil {
 		return b.stream(w)
 	}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -9,7 +9,6 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/mangodrum/mangodrum/router"
-	"github.com/mangodrum/mangodrum/structs"
 )
 
 type actionKind int
@@ -20,6 +19,7 @@
 	actDeliver
 	actReplay
 	actGone
+	actHedged // another attempt's answer has begun
 )
 
 // action is an effect for the goroutine that serves a call.
@@ -28,6 +28,7 @@
 	send   router.Send
 	refuse router.Refuse
 	stored router.StoredAnswer
+	answer begunAnswer
 }
 
 // maxPendingActions covers the actions that a call can have unread: one send
@@ -47,12 +48,12 @@
 	req     router.Request
 	body    requestBody
 	actions chan action
-	until   atomic.Int64 // deadline of the running attempt
-	gone    atomic.Bool  // the caller left
+	gone    atomic.Bool // the caller left
 
-	mu        sync.Mutex
-	conn      *execConn
-	cancelled bool // the running attempt
+	head    *[]byte      // start of the request to executors, from headPool
+	hedged  bool         // a second attempt was started; guarded by the gateway's lock
+	flights [2]flight    // the attempt of this goroutine, and the hedge
+	winner  atomic.Int32 // the attempt whose answer is passed on; 0 for none
 }
 
 func (g *Gateway) newCall(ctx *fasthttp.RequestCtx, req router.Request) *call {
@@ -61,12 +62,12 @@
 		ref:     router.Ref(g.nextRef.Add(1)),
 		actions: actionPool.Get().(chan action),
 	}
-	c.until.Store(math.MaxInt64)
+	for i := range c.flights {
+		c.flights[i].until.Store(math.MaxInt64)
+	}
 	return c
 }
 
-func (c *call) deadline() structs.Timestamp { return structs.Timestamp(c.until.Load()) }
-
 // admit registers the call and lets the router decide about it.
 func (c *call) admit() {
 	g := c.g
@@ -92,9 +93,14 @@
 	}
 	delete(g.calls, c.ref)
 	for len(c.actions) > 0 {
-		<-c.actions
+		if a := <-c.actions; a.kind == actHedged {
+			c.dropAnswer(a.answer)
+		}
 	}
 	actionPool.Put(c.actions)
+	if c.head != nil && !c.hedged {
+		headPool.Put(c.head)
+	}
 	if len(g.calls) == 0 && g.idle != nil {
 		select {
 		case <-g.idle:
@@ -104,36 +110,6 @@
 	}
 }
 
-// attach makes conn the connection of the running attempt.
-func (c *call) attach(conn *execConn, until structs.Timestamp) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.conn = conn
-	c.cancelled = false
-	c.until.Store(int64(until))
-}
-
-// detach ends the attempt's hold on its connection and reports whether the
-// attempt was cancelled.
-func (c *call) detach() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.conn = nil
-	c.until.Store(math.MaxInt64)
-	return c.cancelled
-}
-
-// cancel closes the connection of the running attempt.
-func (c *call) cancel() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.conn == nil || c.cancelled {
-		return
-	}
-	c.cancelled = true
-	_ = c.conn.Close()
-}
-
 // callerLeft reports whether the caller closed its connection.
 func (c *call) callerLeft() bool {
 	conn, ok := c.caller.(*callerConn)
@@ -143,6 +119,16 @@
 // closeCaller cuts the caller's connection.
 func (c *call) closeCaller() { _ = c.caller.Close() }
 
+// dropAnswer ends a hedge whose answer nobody waits for any more. The
+// gateway's lock is held.
+func (c *call) dropAnswer(answer begunAnswer) {
+	c.flightOf(&answer.send).detach()
+	answer.conn.pool.discard(answer.conn)
+	c.g.reduceLocked(&router.AttemptEnded{
+		Ref: c.ref, Attempt: answer.send.Attempt, Result: router.Result{Kind: router.Cancelled},
+	})
+}
+
 // attemptEnded reports the end of an attempt to the router. last ends the
 // call with it.
 func (c *call) attemptEnded(attempt int, result router.Result, last bool) {
@@ -172,6 +158,8 @@
 	switch a.kind {
 	case actSend:
 		return c.attempt(a.send)
+	case actHedged:
+		return c.pass(a.answer.conn, a.answer.send, &a.answer.conn.head, a.answer.latency)
 	case actRefuse:
 		c.ctx.Response.Reset()
 		c.closeIfBodyUnread()
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -63,7 +63,7 @@
 	}
 	calls := g.runningCalls()
 	for _, c := range calls {
-		c.cancel()
+		c.cancelAll()
 		g.callerGone(c)
 		c.closeCaller()
 	}
@@ -76,6 +76,13 @@
 	g.once.Do(func() {
 		g.ready.Store(false)
 		close(g.stop)
+		g.mu.Lock()
+		g.closing = true
+		for _, c := range g.calls {
+			c.flights[1].cancel()
+		}
+		g.mu.Unlock()
+		g.hedges.Wait()
 		g.loops.Wait()
 		g.pools.close()
 	})
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -38,11 +38,15 @@
 	idle   chan struct{} // closed when a drain finds no calls left
 	closed bool          // no listener is served any more
 
+	closing bool // no hedge starts any more
+
 	listeners []net.Listener
 
 	stop  chan struct{}
 	once  sync.Once
 	loops conc.WaitGroup
+	// hedges has one goroutine per second attempt.
+	hedges conc.WaitGroup
 }
 
 // New returns a gateway with its background loops running. Close or Drain
@@ -104,9 +108,7 @@
 	g.claims.expire(now)
 	look := g.opts.TickInterval < 0 || g.ticks.Add(1)%ticksPerLook == 0
 	for _, c := range g.runningCalls() {
-		if now >= c.deadline() {
-			c.cancel()
-		}
+		c.cancelLate(now)
 		if look && c.callerLeft() {
 			g.callerGone(c)
 		}
@@ -218,6 +220,10 @@
 func (g *Gateway) carryOut(effect structs.Effect) {
 	switch e := effect.(type) {
 	case router.Send:
+		if e.Hedge {
+			g.startHedge(e)
+			return
+		}
 		g.act(e.Ref, action{kind: actSend, send: e})
 	case router.Refuse:
 		g.act(e.Ref, action{kind: actRefuse, refuse: e})
@@ -227,11 +233,11 @@
 		g.act(e.Ref, action{kind: actReplay, stored: e.Stored})
 	case router.CancelAttempt:
 		if c := g.calls[e.Ref]; c != nil {
-			c.cancel()
+			c.cancelAttempt(e.Attempt)
 		}
 	case router.ExtendAttempt:
 		if c := g.calls[e.Ref]; c != nil {
-			c.until.Store(int64(e.Deadline))
+			c.extend(e.Attempt, e.Deadline)
 		}
 	case router.WriteClaim:
 		g.claims.claim(e)
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -83,6 +83,8 @@
 		g.reject(ctx, req.ID, bodyProblem(err))
 		return
 	}
+	c.req.Replayable = c.body.rest == nil
+	c.buildHead()
 	c.admit()
 	c.serve()
 }
--- a/gateway/headers.go
+++ b/gateway/headers.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -46,51 +47,61 @@
 	return false
 }
 
-// writeHead writes the head of the request to an executor. Errors surface
-// when the writer is flushed.
-func writeHead(w *bufio.Writer, ctx *fasthttp.RequestCtx, host string, req router.Request, left time.Duration, length int) {
-	_, _ = w.Write(ctx.Method())
-	_ = w.WriteByte(' ')
-	_, _ = w.Write(executorPath(ctx))
+// headPool holds buffers for appendHead.
+var headPool = sync.Pool{New: func() any { b := make([]byte, 0, 1024); return &b }}
+
+// buildHead prepares what the heads of all attempts have in common. Attempts
+// read it at the same time.
+func (c *call) buildHead() {
+	c.head = headPool.Get().(*[]byte)
+	*c.head = appendHead((*c.head)[:0], c.ctx, c.req, c.body.length)
+}
+
+// appendHead appends the head of the request to an executor, but for what
+// writeHead adds.
+func appendHead(dst []byte, ctx *fasthttp.RequestCtx, req router.Request, length int) []byte {
+	dst = append(dst, ctx.Method()...)
+	dst = append(dst, ' ')
+	dst = append(dst, executorPath(ctx)...)
 	if query := ctx.URI().QueryString(); len(query) > 0 {
-		_ = w.WriteByte('?')
-		_, _ = w.Write(query)
+		dst = append(dst, '?')
+		dst = append(dst, query...)
 	}
-	_, _ = w.WriteString(" HTTP/1.1\r\n")
-	writeLine(w, "Host", host)
+	dst = append(dst, " HTTP/1.1\r\n"...)
 	connection := ctx.Request.Header.Peek("Connection")
 	for key, value := range ctx.Request.Header.All() {
 		if isHopByHop(key) || isOwnRequestHeader(key) || isNamedIn(connection, key) {
 			continue
 		}
-		_, _ = w.Write(key)
-		_, _ = w.WriteString(": ")
-		_, _ = w.Write(value)
-		_, _ = w.WriteString("\r\n")
+		dst = append(dst, key...)
+		dst = append(dst, ": "...)
+		dst = append(dst, value...)
+		dst = append(dst, "\r\n"...)
 	}
-	writeLine(w, HeaderRequestID, req.ID)
-	writeNumber(w, HeaderDeadline, max(1, left.Milliseconds()))
+	dst = append(dst, HeaderRequestID+": "...)
+	dst = append(dst, req.ID...)
+	dst = append(dst, "\r\n"...)
 	switch {
 	case length < 0:
-		writeLine(w, "Transfer-Encoding", "chunked")
+		dst = append(dst, "Transfer-Encoding: chunked\r\n"...)
 	case length > 0 || mayHaveBody(ctx):
-		writeNumber(w, "Content-Length", int64(length))
+		dst = append(dst, "Content-Length: "...)
+		dst = strconv.AppendInt(dst, int64(length), 10)
+		dst = append(dst, "\r\n"...)
 	}
-	_, _ = w.WriteString("\r\n")
-}
-
-func writeLine(w *bufio.Writer, key, value string) {
-	_, _ = w.WriteString(key)
-	_, _ = w.WriteString(": ")
-	_, _ = w.WriteString(value)
-	_, _ = w.WriteString("\r\n")
+	return dst
 }
 
-func writeNumber(w *bufio.Writer, key string, n int64) {
-	_, _ = w.WriteString(key)
-	_, _ = w.WriteString(": ")
-	_, _ = w.Write(strconv.AppendInt(w.AvailableBuffer(), n, 10))
-	_, _ = w.WriteString("\r\n")
+// writeHead writes the head for one attempt: what all attempts share, the
+// executor's address and the time left. Errors surface when the writer is
+// flushed.
+func writeHead(w *bufio.Writer, head []byte, host string, left time.Duration) {
+	_, _ = w.Write(head)
+	_, _ = w.WriteString("Host: ")
+	_, _ = w.WriteString(host)
+	_, _ = w.WriteString("\r\n" + HeaderDeadline + ": ")
+	_, _ = w.Write(strconv.AppendInt(w.AvailableBuffer(), max(1, left.Milliseconds()), 10))
+	_, _ = w.WriteString("\r\n\r\n")
 }
 
 func isOwnRequestHeader(key []byte) bool {
--- a/router/executor.go
+++ b/router/executor.go
@@ -78,15 +78,15 @@
 
 // observeAttempt updates the health and limit of e after an attempt.
 func (s *State) observeAttempt(e *executor, svc *service, began structs.Timestamp, res *Result) {
-	if res.Kind == Cancelled || res.Kind == Superseded {
+	if res.Kind == Cancelled || res.Kind == Superseded || res.Kind == NotTried {
 		return // says nothing about the executor
 	}
 	svc.runTime = smooth(svc.runTime, s.now.Sub(began))
-	if res.Kind == Completed && res.Status < 500 || res.Kind == Buffered && !isRetriableStatus(res.Status) {
+	if res.Kind == Completed && res.Status < 500 || res.Kind == Buffered && !IsRetriableStatus(res.Status) {
 		s.observeSuccess(e, svc, res.HeadLatency)
 		return
 	}
-	if res.Kind == Completed && !isRetriableStatus(res.Status) {
+	if res.Kind == Completed && !IsRetriableStatus(res.Status) {
 		s.observeSuccess(e, svc, res.HeadLatency)
 		return
 	}
--- a/router/hedge.go
+++ b/router/hedge.go
@@ -70,7 +70,7 @@
 	case r.gone:
 		return true // finish with the last attempt
 	case res.Kind == Completed, res.Kind == CutMidAnswer, res.Kind == Cancelled:
-	case res.Kind == Buffered && !isRetriableStatus(res.Status):
+	case res.Kind == Buffered && !IsRetriableStatus(res.Status):
 	default:
 		return true
 	}
--- a/router/retry.go
+++ b/router/retry.go
@@ -45,7 +45,7 @@
 	svc := r.service
 	s.releaseSlot(ended.executor, svc, r.class)
 	s.observeAttempt(ended.executor, svc, ended.began, &ev.Result)
-	if ev.Result.Kind != NotSent {
+	if !ev.Result.Kind.neverSent() {
 		r.maybeRan = true
 	}
 	if !s.waitsForOther(r, &ev.Result) {
@@ -74,7 +74,7 @@
 }
 
 func (s *State) settleBuffered(r *request, res *Result) {
-	if isRetriableStatus(res.Status) && s.retry(r, res) {
+	if IsRetriableStatus(res.Status) && s.retry(r, res) {
 		return
 	}
 	s.emit(Deliver{Ref: r.ref})
@@ -92,14 +92,14 @@
 	s.finish(r, outcome, stored)
 }
 
-// isRetriableStatus reports whether another executor may do better: 502, 503
+// IsRetriableStatus reports whether another executor may do better: 502, 503
 // and 504 tell of the executor, other 5xx of the request.
-func isRetriableStatus(status int) bool { return status >= 502 && status <= 504 }
+func IsRetriableStatus(status int) bool { return status >= 502 && status <= 504 }
 
 // retry schedules another attempt if the request, the policy, the deadline
 // and the budget allow it.
 func (s *State) retry(r *request, res *Result) bool {
-	if !res.Replayable && res.Kind != NotSent {
+	if !res.Replayable && !res.Kind.neverSent() {
 		return false
 	}
 	if !r.req.Idempotent && r.maybeRan {
--- a/router/types.go
+++ b/router/types.go
@@ -135,6 +135,8 @@
 	Buffered
 	// NotSent: no byte of the request reached the executor.
 	NotSent
+	// NotTried: like NotSent, for a reason that is not the executor's.
+	NotTried
 	// Broken: the request was sent and no answer was passed on.
 	Broken
 	// CutMidAnswer: the answer was cut after its head was passed on.
@@ -166,6 +168,9 @@
 	Truncated   bool    `json:"truncated,omitempty"` // the body exceeded MaxStoredBody
 }
 
+// neverSent reports whether certainly no byte reached the executor.
+func (k ResultKind) neverSent() bool { return k == NotSent || k == NotTried }
+
 // MaxStoredBody bounds the answer body that is kept for repeats.
 const MaxStoredBody = 64 << 10
 
