Keep no more idle connections to an executor than slots

Change: ConnectionsChanged names the slots, the pool keeps that many idle. Figures: the new test opens 6 connections and keeps at most 2 at 2 slots.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -249,7 +249,7 @@
 		request := e.Request
 		g.outbox = append(g.outbox, credits.Message{Region: e.Region, Request: &request})
 	case router.ConnectionsChanged:
-		g.pools.setLimit(e.Executor, e.Address, e.Connections)
+		g.pools.setLimit(e)
 	case router.RequestObserved:
 		g.metrics.observe(e)
 	case router.ExecutorChanged:
--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -98,6 +98,23 @@
 	}
 }
 
+// Guards against connections of non-idempotent requests, each on a new one,
+// that stay open without use.
+func TestIdleConnectionsFollowSlots(t *testing.T) {
+	e := startFake(t, "e1", answerOK)
+	e.info.Slots = 2
+	f := newFixture(t, nil, e)
+	for i := range 6 {
+		f.send("POST", "/", "a", HeaderRequestID, strconv.Itoa(i))
+	}
+	p := f.pools.get("e1", e.info.Address)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.open != len(p.idle) || p.open > 2 {
+		t.Errorf("%d connections are open and %d idle at an executor with 2 slots", p.open, len(p.idle))
+	}
+}
+
 // Guards against a drain that cuts a running or a queued request, and against
 // an instance that looks ready while it drains.
 func TestDrainEndsRunningAndQueuedRequests(t *testing.T) {
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/mangodrum/mangodrum/router"
 	"github.com/mangodrum/mangodrum/structs"
 )
 
@@ -33,6 +34,7 @@
 	limits  Limits
 	address string
 	limit   int
+	keep    int // idle connections beyond this number serve nothing
 	open    int
 	idle    []*execConn
 }
@@ -67,20 +69,21 @@
 }
 
 // setLimit changes the number of connections and closes idle ones beyond it.
-func (s *poolSet) setLimit(executor structs.ExecutorID, address string, limit int) {
-	p := s.get(executor, address)
+func (s *poolSet) setLimit(e router.ConnectionsChanged) {
+	p := s.get(e.Executor, e.Address)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.limit = limit
+	p.limit = e.Connections
+	p.keep = e.Slots
 	for p.open > p.limit && len(p.idle) > 0 {
 		p.closeIdleLocked()
 	}
-	if limit > 0 || p.open > 0 {
+	if p.limit > 0 || p.open > 0 {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.pools, poolKey{executor, address})
+	delete(s.pools, poolKey{e.Executor, e.Address})
 }
 
 func (s *poolSet) close() {
@@ -88,7 +91,7 @@
 	keys := slices.Collect(maps.Keys(s.pools))
 	s.mu.Unlock()
 	for _, key := range keys {
-		s.setLimit(key.executor, key.address, 0)
+		s.setLimit(router.ConnectionsChanged{Executor: key.executor, Address: key.address})
 	}
 }
 
@@ -147,7 +150,7 @@
 func (p *pool) put(conn *execConn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !conn.echoes || conn.reader.Buffered() > 0 || p.open > p.limit {
+	if !conn.echoes || conn.reader.Buffered() > 0 || p.open > p.limit || len(p.idle) >= p.keep {
 		p.open--
 		_ = conn.Close()
 		return
--- a/router/events.go
+++ b/router/events.go
@@ -154,6 +154,7 @@
 	Executor    structs.ExecutorID
 	Address     string
 	Connections int
+	Slots       int // how many can be in use at a time; more idle ones serve nothing
 }
 
 // RequestObserved is for counters and histograms.
--- a/router/holdings.go
+++ b/router/holdings.go
@@ -73,10 +73,11 @@
 	}
 	e.held = slots
 	e.until = until
-	allowed := credits.ConnectionsFor(e.info, max(slots, e.inflight))
+	inUse := max(slots, e.inflight)
+	allowed := credits.ConnectionsFor(e.info, inUse)
 	if allowed != e.connections {
 		e.connections = allowed
-		s.emit(ConnectionsChanged{Executor: e.info.ID, Address: e.info.Address, Connections: allowed})
+		s.emit(ConnectionsChanged{Executor: e.info.ID, Address: e.info.Address, Connections: allowed, Slots: inUse})
 	}
 }
 
