--- a/faulttest/faults_test.go
+++ b/faulttest/faults_test.go
@@ -60,7 +60,7 @@
 	warmUp     = 8 * time.Second
 	faultsOver = 45 * time.Second // start of the last fault, at the latest
 	longest    = 12 * time.Second
-	horizon    = 20 * time.Second                   // shorter than in production, so that schedules cross it
+	horizon    = 20 * time.Second                 // shorter than in production, so that schedules cross it
 	settled    = faultsOver + longest + 3*horizon // a task that grew to a whole worker waits and then runs for up to 18 s
 )
 
--- a/faulttest/sim_test.go
+++ b/faulttest/sim_test.go
@@ -42,6 +42,7 @@
 type options struct {
 	core.Tuning
 	cancellations bool // check that acknowledged cancellations are durable
+	tooLarge      bool // check that all feasible jobs end also if others fit nowhere
 }
 
 func newSim(seed uint64, instances, shards, workers int, opts options) *sim {
