--- a/journal/commit_test.go
+++ b/journal/commit_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"go.uber.org/goleak"
+
 	"github.com/mangodrum/mangodrum/errs"
 	"github.com/mangodrum/mangodrum/platform"
 	"github.com/mangodrum/mangodrum/platform/standin"
@@ -244,6 +246,7 @@
 // Guards against a Writer that loses appends between goroutines, leaks its
 // goroutine or does not report a fence.
 func TestWriter(t *testing.T) {
+	defer goleak.VerifyNone(t)
 	r := newRig(t, Config{})
 	done := make(chan Committed, 100)
 	fenced := make(chan struct{})
