--- a/placement/domain.go
+++ b/placement/domain.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/mangodrum/mangodrum/structs"
@@ -11,6 +12,10 @@
 	domain structs.FailureDomain
 }
 
+func (k domainKey) compare(o domainKey) int {
+	return cmp.Or(cmp.Compare(k.region, o.region), cmp.Compare(k.domain, o.domain))
+}
+
 type domain struct {
 	domainKey
 	usage Usage       // of the listed workers, including those that take no new work
@@ -21,6 +26,7 @@
 type domainTable struct {
 	byLocation map[domainKey]int32
 	list       []domain
+	order      []int32 // numbers in order of region and name
 }
 
 func (t *domainTable) intern(key domainKey) int32 {
@@ -30,6 +36,8 @@
 	n := int32(len(t.list))
 	t.list = append(t.list, domain{domainKey: key})
 	t.byLocation[key] = n
+	t.order = append(t.order, n)
+	slices.SortFunc(t.order, func(a, b int32) int { return t.list[a].compare(t.list[b].domainKey) })
 	return n
 }
 
@@ -44,17 +52,11 @@
 // order of region and name. It includes workers that take no new work.
 func (x *Index) Domains() []DomainUsage {
 	var list []DomainUsage
-	for i := range x.domains.list {
+	for _, i := range x.domains.order {
 		d := &x.domains.list[i]
 		if d.usage.Workers > 0 {
 			list = append(list, DomainUsage{d.region, d.domain, d.usage})
 		}
 	}
-	slices.SortFunc(list, func(a, b DomainUsage) int {
-		if c := compareStrings(a.Region, b.Region); c != 0 {
-			return c
-		}
-		return compareStrings(a.FailureDomain, b.FailureDomain)
-	})
 	return list
 }
--- a/placement/find.go
+++ b/placement/find.go
@@ -20,8 +20,12 @@
 	// compared.
 	candidateLimit = 4
 	// spreadLimit is the number of fitting workers looked at for one that
-	// runs no task of the spread key yet.
-	spreadLimit = 64
+	// runs no task of the spread key yet. It keeps such a search within a
+	// tenth of a full scan at 2,100 workers.
+	spreadLimit = 192
+	// largeService is the number of tasks of a spread key in a domain from
+	// which domains are searched one by one.
+	largeService = 16
 )
 
 // choice is the best worker found so far.
@@ -39,6 +43,7 @@
 	key      int32 // number of the spread key, or none
 	eligible []bool
 	allowed  []int32 // domains of the current pass, all of them eligible
+	level    int32   // tasks of the spread key in each allowed domain
 	scale    proportion
 	best     choice
 	fitting  int
@@ -118,40 +123,63 @@
 func (x *Index) bestEligible() choice {
 	s := &x.search
 	s.best = choice{slot: none}
-	level := int32(-1)
-	for {
-		var ok bool
-		level, ok = x.allowNextLevel(level)
-		if !ok {
-			return s.best
-		}
+	s.level = none
+	for x.allowNext() {
 		x.searchAllowed()
 		if s.best.slot != none {
-			return s.best
+			break
 		}
 	}
+	return s.best
+}
+
+// allowNext allows the eligible domains that have the fewest tasks of the
+// spread key and were not searched yet. It returns false if there are none.
+// Domains with many tasks are searched one by one, which leaves fewer workers
+// to look through for one without a task.
+func (x *Index) allowNext() bool {
+	s := &x.search
+	previous := none
+	if s.level >= largeService {
+		previous = s.allowed[0]
+	}
+	if previous == none || !x.allowLevel(s.level, previous) {
+		next := x.nextLevel()
+		return next != none && x.allowLevel(next, none)
+	}
+	return true
 }
 
-// allowNextLevel allows the eligible domains whose number of tasks of the
-// spread key is the smallest above level.
-func (x *Index) allowNextLevel(level int32) (int32, bool) {
+// nextLevel returns the smallest number of tasks of the spread key above the
+// current level in any eligible domain, or none.
+func (x *Index) nextLevel() int32 {
 	s := &x.search
-	next := int32(-1)
+	next := none
 	for i, ok := range s.eligible {
-		if n := x.tasksInDomain(int32(i)); ok && n > level && (next < 0 || n < next) {
+		if n := x.tasksInDomain(int32(i)); ok && n > s.level && (next == none || n < next) {
 			next = n
 		}
 	}
-	if next < 0 {
-		return level, false
-	}
+	return next
+}
+
+// allowLevel allows the eligible domains of the level, or one of them if the
+// level is that of a large service: the first after the previous one.
+func (x *Index) allowLevel(level, previous int32) bool {
+	s := &x.search
+	s.level = level
 	s.allowed = s.allowed[:0]
-	for i, ok := range s.eligible {
-		if ok && x.tasksInDomain(int32(i)) == next {
-			s.allowed = append(s.allowed, int32(i))
+	reached := previous == none
+	for _, i := range x.domains.order {
+		if reached && s.eligible[i] && x.tasksInDomain(i) == level {
+			s.allowed = append(s.allowed, i)
+			if level >= largeService {
+				break
+			}
 		}
+		reached = reached || i == previous
 	}
-	return next, true
+	return len(s.allowed) > 0
 }
 
 func (x *Index) tasksInDomain(domain int32) int32 {
--- a/placement/index.go
+++ b/placement/index.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/mangodrum/mangodrum/structs"
@@ -188,7 +189,7 @@
 			list = append(list, x.workers[i].Worker)
 		}
 	}
-	slices.SortFunc(list, func(a, b structs.Worker) int { return compareStrings(a.ID, b.ID) })
+	slices.SortFunc(list, func(a, b structs.Worker) int { return cmp.Compare(a.ID, b.ID) })
 	return list
 }
 
@@ -355,13 +356,3 @@
 	}
 	return h
 }
-
-func compareStrings[S ~string](a, b S) int {
-	if a < b {
-		return -1
-	}
-	if a > b {
-		return 1
-	}
-	return 0
-}
--- a/placement/index_test.go
+++ b/placement/index_test.go
@@ -60,6 +60,10 @@
 		if !x.Reserve("a", res(4, 1, 0), "") {
 			t.Errorf("%s: refused after the release", name)
 		}
+		x.Release("a", res(16, 16, 0), "")
+		if free, _ := x.Free("a"); free.MilliCPU > w.Capacity.MilliCPU {
+			t.Errorf("%s: %s are free after a repeated release", name, free)
+		}
 	}
 }
 
--- a/placement/walk.go
+++ b/placement/walk.go
@@ -22,7 +22,10 @@
 		a, surplus = columns, -surplus
 	}
 	for _, k := range [...]kind{plainGrid, sharedGrid} {
-		if x.pass(k, a, surplus) || x.pass(k, a, 0) || x.pass(k, a, anySurplus) {
+		s.fitting = 0
+		// A service that has tasks in these domains needs a worker without
+		// one more than a balanced one, and every pass looks at all workers.
+		if s.level == 0 && (x.pass(k, a, surplus) || x.pass(k, a, 0)) || x.pass(k, a, anySurplus) {
 			return
 		}
 	}
@@ -36,7 +39,6 @@
 // resource.
 func (x *Index) pass(k kind, a axis, surplus int64) bool {
 	s := &x.search
-	s.fitting = 0
 	need := s.scale.positionIn(k, s.req.Resources)
 	first, low := need.row, need.column
 	if a == columns {
