--- a/placement/bench_test.go
+++ b/placement/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/mangodrum/mangodrum/placement/internal/baseline"
 	"github.com/mangodrum/mangodrum/structs"
@@ -69,3 +70,37 @@
 		r.Clear()
 	}
 }
+
+// BenchmarkRatios compares times that are taken in turn, each as the best of
+// many short runs, so that other load on the machine does not count: the full
+// scan against Find at 2,100 workers, and Find at 2,100 against 50 workers.
+func BenchmarkRatios(b *testing.B) {
+	small := newLoad(&baseline.Fleets[0], 50, 3, "plain")
+	large := newLoad(&baseline.Fleets[0], 2100, 3, "plain")
+	for i := range large.b.Free {
+		large.b.Free[i], _ = large.x.Free(large.b.Workers[i].ID)
+	}
+	find := func(l *load) func(i int) {
+		return func(i int) { l.x.Find(&l.reqs[i%len(l.reqs)]) }
+	}
+	scan := func(i int) { large.b.FullScan(large.reqs[i%len(large.reqs)].Resources) }
+	var best [3]time.Duration
+	for range max(b.N, 20) {
+		for k, call := range []func(int){find(small), find(large), scan} {
+			if d := timeOf(call); best[k] == 0 || d < best[k] {
+				best[k] = d
+			}
+		}
+	}
+	b.ReportMetric(float64(best[2])/float64(best[1]), "scan/find")
+	b.ReportMetric(float64(best[1])/float64(best[0]), "find2100/find50")
+	b.ReportMetric(float64(best[1])/1000, "ns/find2100")
+}
+
+func timeOf(call func(i int)) time.Duration {
+	start := time.Now()
+	for i := range 1000 {
+		call(i)
+	}
+	return time.Since(start)
+}
--- a/placement/find.go
+++ b/placement/find.go
@@ -45,6 +45,7 @@
 	allowed  []int32 // domains of the current pass, all of them eligible
 	level    int32   // tasks of the spread key in each allowed domain
 	scale    proportion
+	cells    [buckets]uint64 // of the lines of this pass, without those searched
 	best     choice
 	fitting  int
 	visits   int // lines of cells and workers looked at by the last Find
--- a/placement/walk.go
+++ b/placement/walk.go
@@ -24,8 +24,11 @@
 	for _, k := range [...]kind{plainGrid, sharedGrid} {
 		s.fitting = 0
 		// A service that has tasks in these domains needs a worker without
-		// one more than a balanced one, and every pass looks at all workers.
-		if s.level == 0 && (x.pass(k, a, surplus) || x.pass(k, a, 0)) || x.pass(k, a, anySurplus) {
+		// one more than a balanced one.
+		if s.level > 0 {
+			surplus = anySurplus
+		}
+		if x.pass(k, a, surplus) {
 			return
 		}
 	}
@@ -33,10 +36,10 @@
 
 // pass looks for a worker in the grids of the kind and reports whether one
 // fits. It takes the lines of the axis in ascending order of the resource of
-// which the task needs more than of the other, and in them the cells with at
-// least the given surplus of it. A task thus goes to workers that it brings
-// closer to balance first, and among them to the one with the least of the
-// resource.
+// which the task needs more than of the other, first the cells with at least
+// the given surplus of it, then those with any surplus, then the others. A
+// task thus goes to workers that it brings closer to balance first, and among
+// them to the one with the least of the resource.
 func (x *Index) pass(k kind, a axis, surplus int64) bool {
 	s := &x.search
 	need := s.scale.positionIn(k, s.req.Resources)
@@ -44,22 +47,62 @@
 	if a == columns {
 		first, low = need.column, need.row
 	}
+	var withSurplus, others uint64 // lines with cells that were not searched
 	for lines := x.occupied(k, a) >> first << first; lines != 0; lines &= lines - 1 {
 		line := bits.TrailingZeros64(lines)
 		s.visits++
 		cells := x.line(k, a, line) >> low << low
+		preferred := cells
 		if surplus != anySurplus {
-			cells &= upTo(middleOf(line) - surplus)
+			preferred &= upTo(middles[line] - surplus)
+		}
+		if x.searchLine(k, a, line, preferred) {
+			return true
+		}
+		s.cells[line] = cells &^ preferred
+		if s.cells[line]&balanced[line] != 0 {
+			withSurplus |= 1 << line
+		}
+		if s.cells[line] != 0 {
+			others |= 1 << line
+		}
+	}
+	return x.searchRest(k, a, withSurplus, others)
+}
+
+// searchRest looks through the cells that the search for the full surplus
+// left out.
+func (x *Index) searchRest(k kind, a axis, withSurplus, others uint64) bool {
+	s := &x.search
+	for ; withSurplus != 0; withSurplus &= withSurplus - 1 {
+		line := bits.TrailingZeros64(withSurplus)
+		s.visits++
+		if x.searchLine(k, a, line, s.cells[line]&balanced[line]) {
+			return true
 		}
-		for ; cells != 0; cells &= cells - 1 {
-			if x.searchCell(k, a, line, bits.TrailingZeros64(cells)) {
-				return true
-			}
+		s.cells[line] &^= balanced[line]
+	}
+	for ; others != 0; others &= others - 1 {
+		line := bits.TrailingZeros64(others)
+		s.visits++
+		if x.searchLine(k, a, line, s.cells[line]) {
+			return true
 		}
 	}
 	return s.best.slot != none
 }
 
+// searchLine looks through the given cells of a line. It returns true when no
+// better worker needs to be looked for.
+func (x *Index) searchLine(k kind, a axis, line int, cells uint64) bool {
+	for ; cells != 0; cells &= cells - 1 {
+		if x.searchCell(k, a, line, bits.TrailingZeros64(cells)) {
+			return true
+		}
+	}
+	return false
+}
+
 // upTo returns the buckets up to that of the amount.
 func upTo(ppm int64) uint64 {
 	if ppm < 0 {
@@ -68,6 +111,18 @@
 	return math.MaxUint64 >> (buckets - 1 - bucketOf(ppm))
 }
 
+// middles holds the middle of every bucket, and balanced the cells of every
+// line whose other resource is not above that of the line.
+var middles, balanced = lineTables()
+
+func lineTables() (middles [buckets]int64, balanced [buckets]uint64) {
+	for line := range buckets {
+		middles[line] = middleOf(line)
+		balanced[line] = upTo(middles[line])
+	}
+	return middles, balanced
+}
+
 // occupied returns the lines that hold workers in any allowed domain.
 func (x *Index) occupied(k kind, a axis) uint64 {
 	var lines uint64
