scheduler: wait for all records before acknowledging a cancellation; skip work that the fleet cannot take

Cause: both found by the fault driver. A cancellation of a job whose last task had just ended was acknowledged although the TaskEnded record was not durable; after a takeover the job was open again. A gang larger than the fleet was refused by capacity, but treated as a team over its quota, so the team's other work waited behind it for good. Change: the answer waits for the last record; a refusal by capacity holds the job if it can never run, and otherwise sets only this item aside.

--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -100,7 +100,7 @@
 	}
 	size := s.itemSize(j)
 	if !s.quota.admits(j.Spec.Team, size) {
-		s.skipForQuota(it, j, size)
+		s.skipForQuota(p, it, j, size)
 		return
 	}
 	placed := false
@@ -121,13 +121,20 @@
 }
 
 // skipForQuota sets aside the work of a team that is at its limit, or holds a
-// job whose size grew above the limit.
-func (s *State) skipForQuota(it queue.Item, j *job, size structs.Resources) {
-	if !s.quota.couldAdmit(j.Spec.Team, size) {
+// job whose size grew above the limit. Work that only the capacity of the
+// fleet refuses is like work without a place: the team's other work goes on.
+func (s *State) skipForQuota(p *pass, it queue.Item, j *job, size structs.Resources) {
+	switch {
+	case !s.quota.couldAdmit(j.Spec.Team, size):
 		s.hold(j)
-		return
+	case s.quota.lacksCapacity(j.Spec.Team, size):
+		if !s.checkStillPossible(j) {
+			s.noteBlocked(p, it, j)
+			s.queue.Skip(it)
+		}
+	default:
+		s.queue.SkipTeam(it)
 	}
-	s.queue.SkipTeam(it)
 }
 
 func (s *State) tryTask(p *pass, it queue.Item, j *job) bool {
--- a/scheduler/quota.go
+++ b/scheduler/quota.go
@@ -76,6 +76,13 @@
 	return l.tree.Admit(id, r).Verdict != quota.Refused
 }
 
+// lacksCapacity reports whether the capacity of the fleet, and no team's limit,
+// refuses r in addition.
+func (l *ledger) lacksCapacity(id structs.TeamID, r structs.Resources) bool {
+	d := l.tree.Admit(id, r)
+	return d.Verdict == quota.Refused && d.Limit == ""
+}
+
 // reason explains in numbers why the team may not use r in addition.
 func (l *ledger) reason(id structs.TeamID, r structs.Resources) string {
 	return l.tree.Admit(id, r).Reason()
--- a/scheduler/submit.go
+++ b/scheduler/submit.go
@@ -131,7 +131,9 @@
 		}
 		s.cancelJob(j, "cancelled by its owner")
 	}
-	s.replyAfter(j.seq, Reply{Call: e.Call, Job: j.Spec})
+	// The end of the job's last task may be recorded and not durable yet; a new
+	// owner would open the job again.
+	s.replyAfter(max(j.seq, s.lastSequence()), Reply{Call: e.Call, Job: j.Spec})
 }
 
 // cancelJob ends the pending tasks of the job and stops the others. Its cost
