Run the fault and retry simulations with hedging

Cause: hedges were off in the simulations that check slots and amplification. Change: both mark requests as replayable.

--- a/router/fault_test.go
+++ b/router/fault_test.go
@@ -137,6 +137,7 @@
 func runFaults(seed uint64, length time.Duration) *faults {
 	f := &faults{routerSim: newRouterSim(seed, openPolicy("urgent", structs.Urgent), 1, false), counts: map[string]int{}}
 	f.meanRun = 400 * time.Millisecond
+	f.hedge = true
 	for _, x := range f.executors {
 		x.behave = f.sometimesHang
 	}
--- a/router/retry_test.go
+++ b/router/retry_test.go
@@ -14,6 +14,7 @@
 	policy := openPolicy("urgent", structs.Urgent)
 	policy.Classes[0].RetryPercent = retryPercent
 	s := newRouterSim(1, policy, 1, false)
+	s.hedge = true
 	for _, x := range s.executors {
 		x.behave = func() (time.Duration, router.Result) {
 			return 5 * time.Millisecond, router.Result{Kind: router.Broken}
