ownership, core: add shards that the first directory list lacked

Cause: core fixed the set of shards at the first list. Change: ownership takes ShardsListed and adds unknown shards; core sends it when a later list shows more regions. Conclusion: an incomplete list delays a shard at an instance, but not for good.

--- a/core/state.go
+++ b/core/state.go
@@ -169,6 +169,10 @@
 			Horizon: s.cfg.Tuning.Horizon, Defects: s.cfg.Tuning.Ownership,
 		})
 		effects = append(effects, s.membersChanged(now)...)
+	} else if shards := shardsOf(e.Workers); len(shards) > len(s.shardSet) {
+		// The first list lacked all workers of a region.
+		s.shardSet = shards
+		effects = append(effects, s.ownership(now, ownership.ShardsListed{Shards: shards})...)
 	}
 	for _, id := range s.ownedShards() {
 		effects = append(effects, s.listWorkers(now, s.shards[id])...)
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -43,12 +43,23 @@
 // New returns the state of a process that owns nothing.
 func New(cfg Config) *State {
 	s := &State{cfg: cfg.withDefaults(), shards: map[structs.ShardID]*shardState{}}
-	for _, shard := range cfg.Shards {
+	s.cfg.Shards = nil
+	s.addShards(cfg.Shards)
+	return s
+}
+
+// addShards adds unknown shards and ranks this instance for them.
+func (s *State) addShards(shards []Shard) {
+	for _, shard := range shards {
+		if s.shards[shard.ID] != nil {
+			continue
+		}
 		s.shards[shard.ID] = &shardState{shard: shard, rank: -1}
+		s.cfg.Shards = append(s.cfg.Shards, shard)
 		s.order = append(s.order, shard.ID)
 	}
 	slices.SortFunc(s.order, cmp.Compare[structs.ShardID])
-	return s
+	s.liveChanged(s.live)
 }
 
 // Reduce applies ev and returns the resulting effects.
@@ -56,6 +67,8 @@
 	switch e := ev.(type) {
 	case LiveChanged:
 		s.liveChanged(e.Instances)
+	case ShardsListed:
+		s.addShards(e.Shards)
 	case RowRead:
 		return s.onShard(e.Shard, func(x *shardState) []structs.Effect { return s.rowRead(now, x, e) })
 	case WriteEnded:
--- a/ownership/ownership_test.go
+++ b/ownership/ownership_test.go
@@ -250,6 +250,17 @@
 	}
 }
 
+// Guards against a shard that stays unknown because the first list lacked it.
+func TestShardListedLaterIsOwned(t *testing.T) {
+	c := newCell(1, Defects{})
+	c.run(time.Second)
+	c.send(c.procs[0], ShardsListed{Shards: []Shard{{ID: "later"}, {ID: shard}}})
+	c.run(time.Second)
+	if got := c.procs[0].Owned(); len(got) != 2 {
+		t.Fatalf("owned = %v, want both shards", got)
+	}
+}
+
 // Guards against two processes of one instance that own the same epoch, and
 // against a process that resumes the epoch of its predecessor.
 func TestRestartedProcessWaits(t *testing.T) {
--- a/ownership/types.go
+++ b/ownership/types.go
@@ -59,6 +59,10 @@
 // LiveChanged carries the live instances in this instance's view.
 type LiveChanged struct{ Instances []structs.InstanceInfo }
 
+// ShardsListed adds the shards that are not known yet. None is removed: a list
+// can be incomplete.
+type ShardsListed struct{ Shards []Shard }
+
 // RowRead answers ReadRow. ErrKind is empty if Row and Version are valid,
 // errs.NotFound if the row is absent, errs.InvalidInput if it is malformed.
 type RowRead struct {
@@ -93,6 +97,9 @@
 // Kind implements structs.Event.
 func (LiveChanged) Kind() string { return "live-changed" }
 
+// Kind implements structs.Event.
+func (ShardsListed) Kind() string { return "shards-listed" }
+
 // Kind implements structs.Event.
 func (RowRead) Kind() string { return "row-read" }
 
