scheduler: end claims that are not used, do not preempt in a flood

Cause: with 390 teams, most of what runs is borrowed, so each urgent task of a flood preempted; its claims kept up to 40 of 50 workers free for a class that was held to its floor, and nothing used them. 1,000 of 1,600 cores were idle. Change: a class preempts only if its backlog is below its floor or it occupies less than half the floor; claims end after six waiting times, or when their class is in a flood; classes that go first claim after 0.5 s instead of 1 s. TestFloodWithManyTeams plays the floods with 390 teams and any size.

--- a/queue/pass.go
+++ b/queue/pass.go
@@ -203,6 +203,17 @@
 	return c != nil && c.tier(q.capacity) <= tierFlood
 }
 
+// IsShort reports whether the class may take room from others: it goes first
+// with a backlog smaller than its floor, or occupies less than half its floor.
+func (q *Queue) IsShort(name structs.ClassName) bool {
+	c := q.byName[name]
+	if c == nil {
+		return false
+	}
+	half := float64(c.cfg.FloorPPM) / million * float64(q.capacity) / 2
+	return c.tier(q.capacity) == tierFloor || float64(c.usage) < half
+}
+
 // IsFlooded reports whether the class is above its floor with a backlog that
 // grows beyond it.
 func (q *Queue) IsFlooded(name structs.ClassName) bool {
--- a/scheduler/claim.go
+++ b/scheduler/claim.go
@@ -15,9 +15,12 @@
 	// claimUses is how many tasks of a job one claim serves before the worker
 	// returns to all.
 	claimUses = 8
+	// claimTurns is how many times the waiting time before a claim the claim
+	// itself lasts.
+	claimTurns = 6
 	// claimSooner divides the waiting time before a claim for a class that
 	// goes first, whose room other classes would fill with small tasks.
-	claimSooner = 10
+	claimSooner = 20
 )
 
 // claim keeps a worker free for a task that found no place for long. Other
@@ -26,6 +29,7 @@
 	job      *job
 	workers  []structs.WorkerID
 	ready    structs.Timestamp // estimated time at which the workers have room
+	made     structs.Timestamp
 	uses     int
 	preempts bool // tasks on the workers were asked to make room
 }
@@ -58,10 +62,12 @@
 	}
 }
 
-// dropIdle ends the claims of jobs that wait for nothing.
+// dropIdle ends the claims of jobs that wait for nothing, that are not served
+// because their class is in a flood, or that have not used their claim in time.
 func (c *claims) dropIdle(s *State) {
 	for _, cl := range slices.Clone(c.list) {
-		if cl.job.placed >= cl.job.Open || cl.job.held != "" {
+		unused := s.now.Sub(cl.made) > claimTurns*s.policy.Gang.ReserveAfter
+		if unused || cl.job.placed >= cl.job.Open || cl.job.held != "" || s.queue.IsFlooded(cl.job.Spec.Class) {
 			c.drop(s, cl.job)
 		}
 	}
@@ -132,6 +138,7 @@
 
 func (s *State) claimWorkers(cl *claim) {
 	cl.ready = s.now
+	cl.made = s.now
 	s.claims.list = append(s.claims.list, cl)
 	s.claims.byJob[cl.job] = cl
 	for _, id := range cl.workers {
--- a/scheduler/load_test.go
+++ b/scheduler/load_test.go
@@ -28,6 +28,7 @@
 	workers int
 	length  time.Duration
 	loads   map[structs.ClassName]float64
+	many    bool              // 390 teams and any size between 0.5 and 4.5 cores, instead of two teams and four sizes
 	flood   structs.ClassName // arrives at ten times the fleet's rate in the middle half
 }
 
@@ -41,6 +42,7 @@
 	meanRun    = 10 * time.Second
 	meanCores  = 2.5 // of 1, 2, 3 and 4 cores
 	workerSize = 32
+	manyTeams  = 390
 )
 
 // trace returns the arrivals of all classes in the order of time.
@@ -67,13 +69,37 @@
 			break
 		}
 		out = append(out, arrival{
-			at: at, class: class, count: 1 + rng.Intn(array), size: cores(int64(1 + rng.Intn(4))), flood: flood,
+			at: at, class: class, count: 1 + rng.Intn(array), size: tr.size(rng), flood: flood,
 			runTime: time.Duration((0.1 + 0.9*rng.ExpFloat64()) * float64(meanRun)),
 		})
 	}
 	return out
 }
 
+func (tr traffic) size(rng *rand.Rand) structs.Resources {
+	if !tr.many {
+		return cores(int64(1 + rng.Intn(4)))
+	}
+	milli := 500 + rng.Int63n(4000)
+	return structs.Resources{MilliCPU: milli, MemoryBytes: milli * gib / 1000}
+}
+
+// policy lets the many teams borrow most of what they use.
+func (tr traffic) policy() Policy {
+	p := testPolicy()
+	for i := 0; tr.many && i < manyTeams; i++ {
+		p.Teams[structs.TeamID(fmt.Sprint("/t", i))] = TeamPolicy{Guaranteed: cores(4), BorrowAll: true}
+	}
+	return p
+}
+
+func (tr traffic) team(i int) structs.TeamID {
+	if tr.many {
+		return structs.TeamID(fmt.Sprint("/t", i%manyTeams))
+	}
+	return []structs.TeamID{"/a", "/b"}[i%2]
+}
+
 // outcome is what a run gave each class, without the flood itself.
 type outcome struct {
 	waits map[structs.ClassName][]time.Duration
@@ -92,12 +118,12 @@
 const floodClass = "flood"
 
 // runScheduler plays the trace through the reducer.
-func (tr traffic) runScheduler(policy Policy) outcome {
-	c := newCell(tr.seed, policy, fleet(tr.workers, cores(workerSize)))
+func (tr traffic) runScheduler() outcome {
+	c := newCell(tr.seed, tr.policy(), fleet(tr.workers, cores(workerSize)))
 	for i, a := range tr.trace() {
 		c.after(a.at, func() {
 			job := batch(fmt.Sprintf("j%d", i), a.class, a.count, a.size, a.runTime)
-			job.Team = []structs.TeamID{"/a", "/b"}[i%2]
+			job.Team = tr.team(i)
 			c.submit(job)
 			if a.flood {
 				c.classOf[job.ID] = floodClass
@@ -197,12 +223,12 @@
 
 // pool plays the traffic of all seeds and joins the outcomes. The runs are
 // independent of each other.
-func pool(flood structs.ClassName, run func(traffic) outcome) outcome {
+func pool(flood structs.ClassName, many bool, run func(traffic) outcome) outcome {
 	parts := make([]outcome, len(loadSeeds))
 	var wg sync.WaitGroup
 	for i, seed := range loadSeeds {
 		tr := ordinary(seed)
-		tr.flood = flood
+		tr.flood, tr.many = flood, many
 		wg.Go(func() { parts[i] = run(tr) })
 	}
 	wg.Wait()
@@ -216,12 +242,10 @@
 	return all
 }
 
-func runOurs(tr traffic) outcome { return tr.runScheduler(testPolicy()) }
-
 // Guards against urgent work that waits behind other work. The target is a
 // quarter of the wait in one FIFO queue with first fit.
 func TestUrgentWaitAgainstFIFO(t *testing.T) {
-	ours, base := pool("", runOurs), pool("", traffic.runFIFO)
+	ours, base := pool("", false, traffic.runScheduler), pool("", false, traffic.runFIFO)
 	for _, class := range classNames {
 		t.Logf("%-10s p50 %6d ms p99 %6d ms done %d; FIFO p50 %6d ms p99 %6d ms done %d", class,
 			ours.p(class, 0.5).Milliseconds(), ours.p(class, 0.99).Milliseconds(), ours.done[class],
@@ -234,10 +258,16 @@
 
 // Guards against a flood of one class that costs the others completions or
 // waiting time.
-func TestFloodLeavesOtherClassesAlone(t *testing.T) {
-	calm, calmFIFO := pool("", runOurs), pool("", traffic.runFIFO)
+func TestFloodLeavesOtherClassesAlone(t *testing.T) { checkFloods(t, false) }
+
+// Guards against the same with many teams that borrow and with sizes that
+// share no line of the queue.
+func TestFloodWithManyTeams(t *testing.T) { checkFloods(t, true) }
+
+func checkFloods(t *testing.T, many bool) {
+	calm, calmFIFO := pool("", many, traffic.runScheduler), pool("", many, traffic.runFIFO)
 	for _, flooded := range []structs.ClassName{"deferrable", "urgent"} {
-		ours, base := pool(flooded, runOurs), pool(flooded, traffic.runFIFO)
+		ours, base := pool(flooded, many, traffic.runScheduler), pool(flooded, many, traffic.runFIFO)
 		for _, class := range classNames {
 			if class == flooded {
 				continue
--- a/scheduler/preempt.go
+++ b/scheduler/preempt.go
@@ -14,6 +14,10 @@
 // at every running task.
 const preemptEvery = 250 * time.Millisecond
 
+// preemptedPart is the part of the workers, as a divisor, above which claims
+// stop further preemption.
+const preemptedPart = 4
+
 // maxPreempted bounds the tasks of one job for which room is made at a time.
 const maxPreempted = 8
 
@@ -29,7 +33,19 @@
 		if j == nil || j.Spec.Kind == structs.KindGang || s.isPreempting(j) {
 			continue
 		}
-		if s.quota.isGuaranteed(it.Team, j.need()) && 2*len(s.claims.byWorker) <= len(s.workers) {
+		// A flood of urgent work above half its floor takes nothing back, since
+		// that would break the floors of the other classes.
+		if !s.queue.IsShort(it.Class) {
+			return
+		}
+		claimed := len(s.claims.byWorker)
+		if own := s.claims.of(j); own != nil {
+			claimed -= len(own.workers)
+		}
+		if preemptedPart*claimed > len(s.workers) {
+			return
+		}
+		if s.quota.isGuaranteed(it.Team, j.need()) {
 			s.preempt(j)
 		}
 	}
