gateway: tick less often while idle; not ready before the settings

Cause: an idle instance took 2.0% of a core, half of it for 200 wake-ups a second of the gateway's tick loop (profile of an idle instance of three); the callers' /readyz answered ready before the settings were in force. Change: ten tick intervals pass between two ticks while there is no request, and a new request ends the wait; /readyz waits for the first policy.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -72,7 +72,7 @@
 func (c *call) admit() {
 	g := c.g
 	g.mu.Lock()
-	g.calls[c.ref] = c
+	g.add(c)
 	g.reduceLocked(&router.RequestArrived{Ref: c.ref, Request: c.req})
 	outbox := g.takeOutbox()
 	g.mu.Unlock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -35,6 +35,7 @@
 	state  *router.State
 	calls  map[router.Ref]*call
 	outbox []credits.Message
+	asleep bool          // the tick loop waits for the long interval
 	idle   chan struct{} // closed when a drain finds no calls left
 	closed bool          // no listener is served any more
 
@@ -43,6 +44,7 @@
 	listeners []net.Listener
 
 	stop  chan struct{}
+	wake  chan struct{} // a call was added while the tick loop was asleep
 	once  sync.Once
 	loops conc.WaitGroup
 	// hedges has one goroutine per second attempt.
@@ -59,6 +61,7 @@
 		metrics: newMeters(opts.Metrics),
 		calls:   map[router.Ref]*call{},
 		stop:    make(chan struct{}),
+		wake:    make(chan struct{}, 1),
 	}
 	g.state = router.New(router.Config{
 		Instance: opts.Instance, Location: opts.Location, Seed: opts.Seed,
@@ -68,7 +71,7 @@
 	g.claims = newClaimWriter(opts, g.claimEnded)
 	g.server = g.newServer()
 	g.setDefaultClass(opts.Policy)
-	g.ready.Store(true)
+	g.ready.Store(!opts.AwaitPolicy)
 	g.startLoops()
 	return g
 }
@@ -83,16 +86,47 @@
 	}
 }
 
+// idleTicks is how many tick intervals pass between two ticks while there is
+// no request: 200 wake-ups a second took half of an idle instance's processor
+// time.
+const idleTicks = 10
+
 func (g *Gateway) tickLoop() {
-	ticker := time.NewTicker(g.opts.TickInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(g.opts.TickInterval)
+	defer timer.Stop()
 	for {
 		select {
 		case <-g.stop:
 			return
-		case <-ticker.C:
+		case <-g.wake:
+		case <-timer.C:
 			g.Tick()
 		}
+		timer.Reset(g.tickAfter())
+	}
+}
+
+// tickAfter returns the time to the next tick.
+func (g *Gateway) tickAfter() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.asleep = len(g.calls) == 0
+	if g.asleep {
+		return g.opts.TickInterval * idleTicks
+	}
+	return g.opts.TickInterval
+}
+
+// add registers a call, and ends the long interval of an idle gateway.
+func (g *Gateway) add(c *call) {
+	g.calls[c.ref] = c
+	if !g.asleep {
+		return
+	}
+	g.asleep = false
+	select {
+	case g.wake <- struct{}{}:
+	default:
 	}
 }
 
@@ -135,6 +169,9 @@
 func (g *Gateway) SetPolicy(policy router.Policy) {
 	g.setDefaultClass(policy)
 	g.reduce(&router.PolicyChanged{Policy: policy})
+	if !g.draining.Load() {
+		g.ready.Store(true)
+	}
 }
 
 // setDefaultClass notes the class of requests that name none: the first one
--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -181,3 +181,24 @@
 }
 
 func routerTeam(i int) structs.TeamID { return structs.TeamID("/t" + strconv.Itoa(i)) }
+
+// Guards against an instance that the load balancer uses before it knows the
+// settings, and against one that turns ready again in a drain.
+func TestReadyWaitsForThePolicy(t *testing.T) {
+	g := New(Options{Instance: "i", AwaitPolicy: true, TickInterval: -1})
+	defer g.Close()
+	if g.Ready() {
+		t.Error("ready without a policy")
+	}
+	g.SetPolicy(router.DefaultPolicy())
+	if !g.Ready() {
+		t.Error("not ready with a policy")
+	}
+	if err := g.Drain(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	g.SetPolicy(router.DefaultPolicy())
+	if g.Ready() {
+		t.Error("ready again after a drain")
+	}
+}
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -42,6 +42,9 @@
 	Location structs.Location
 	Policy   router.Policy // router.DefaultPolicy() if it has no classes
 	Limits   Limits
+	// AwaitPolicy keeps /readyz at 503 until SetPolicy, so that the load
+	// balancer sends nothing before the settings are known.
+	AwaitPolicy bool
 
 	// Table holds the claims of non-idempotent requests. Without it they are
 	// refused.
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -117,7 +117,7 @@
 	i.gateway = gateway.New(gateway.Options{
 		Instance: i.options.Info.ID, Location: i.options.Info.Location, Limits: i.options.Limits,
 		Table: i.options.Table, Logger: i.log.Named("gateway"), Metrics: i.set,
-		SendCredits: i.requestCredits,
+		SendCredits: i.requestCredits, AwaitPolicy: true,
 	})
 	i.operators = operatorapi.NewServer(&backend{i}, operatorapi.Options{
 		Secret: i.options.OperatorSecret, Ready: i.checkReady, Metrics: i.set.WritePrometheus,
