Serve a metric for every guarantee and fill the operators' lists

Cause: /metrics had counters of the shell only, docs had no page of metrics, queue list had no waiting times, worker list no usage, instance list no store health. Right after the start of a cell, a call from an instance that its peer had not read from the directory yet was executed and its reply dropped, so the operator saw "no reply" after 5 s. Replies wait until the caller is a known peer, and dev is ready when all instances know each other.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -38,6 +38,7 @@
 		return c.abort(conn, send, router.Broken)
 	}
 	if !conn.acceptIdentifier(&head, c.req.ID) {
+		c.g.metrics.mismatched.Inc()
 		return c.abort(conn, send, router.Broken)
 	}
 	return c.pass(conn, send, &head, c.g.opts.Now().Sub(sentAt))
@@ -248,6 +249,7 @@
 	case s.ended:
 	case s.failed && !s.call.gone.Load():
 		s.result.Kind = router.CutMidAnswer
+		s.call.g.metrics.responsesCut.Inc()
 	default:
 		s.call.gone.Store(true)
 		s.result.Kind = router.Cancelled
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -17,6 +17,7 @@
 		return errs.New(errs.Conflict, "wait for the first drain", "the gateway is draining already")
 	}
 	g.ready.Store(false)
+	g.metrics.drains.Inc()
 	g.opts.Logger.Info("drain started")
 	wait(ctx, g.opts.DrainDelay)
 	cut := g.waitForCalls(ctx)
@@ -62,6 +63,7 @@
 	case <-ctx.Done():
 	}
 	calls := g.runningCalls()
+	g.metrics.drainCut.Add(len(calls))
 	for _, c := range calls {
 		c.cancel()
 		g.callerGone(c)
--- a/gateway/meters.go
+++ b/gateway/meters.go
@@ -33,6 +33,10 @@
 	set                 *metrics.Set
 	rejected            *metrics.Counter
 	rejectedConnections *metrics.Counter
+	drains              *metrics.Counter
+	drainCut            *metrics.Counter
+	responsesCut        *metrics.Counter
+	mismatched          *metrics.Counter
 
 	mu       sync.Mutex
 	outcomes map[classOutcome]*metrics.Counter
@@ -45,6 +49,10 @@
 		set:                 set,
 		rejected:            set.GetOrCreateCounter("mangodrum_requests_rejected_total"),
 		rejectedConnections: set.GetOrCreateCounter("mangodrum_connections_rejected_total"),
+		drains:              set.GetOrCreateCounter("mangodrum_drains_total"),
+		drainCut:            set.GetOrCreateCounter("mangodrum_drain_cut_requests_total"),
+		responsesCut:        set.GetOrCreateCounter("mangodrum_responses_cut_total"),
+		mismatched:          set.GetOrCreateCounter("mangodrum_responses_mismatched_total"),
 		outcomes:            map[classOutcome]*metrics.Counter{},
 		teams:               map[structs.TeamID]struct{}{},
 		times:               map[teamClass]histograms{},
--- a/instance/backend.go
+++ b/instance/backend.go
@@ -149,11 +149,18 @@
 // Queues implements operatorapi.Backend.
 func (b *backend) Queues(ctx context.Context) (operatorapi.QueueList, error) {
 	all, err := fromAllShards[operatorapi.QueueStatus](ctx, b.Instance, methodQueues)
+	if err != nil {
+		return operatorapi.QueueList{}, err
+	}
+	waits, err := fromAllShards[classWaits](ctx, b.Instance, methodWaits)
+	return operatorapi.QueueList{Queues: all, Classes: mergeWaits(waits), Store: b.storeStatus()}, err
+}
+
+func (b *backend) storeStatus() operatorapi.StoreHealth {
 	down, since, lastErr := b.storeHealth.read()
-	return operatorapi.QueueList{
-		Queues: all,
-		Store:  operatorapi.StoreHealth{Reachable: !down, LastError: lastErr, Since: structs.TimestampOf(since)},
-	}, err
+	status := operatorapi.StoreHealth{Reachable: !down, LastError: lastErr, Since: structs.TimestampOf(since)}
+	b.query(func(_ structs.Timestamp, state *core.State) { status.Pending = state.JournalBacklog() })
+	return status
 }
 
 // Instances implements operatorapi.Backend.
@@ -174,6 +181,7 @@
 	status := operatorapi.InstanceStatus{
 		Info: b.options.Info, Health: operatorapi.InstanceLive, Incarnation: b.incarnation,
 		SettingsVersion: version, InFlight: b.gateway.Stats().Requests, Self: true, Draining: b.draining.Load(),
+		Store: storeState(b.storeHealth.isHealthy()),
 	}
 	if status.Draining {
 		status.Health = operatorapi.InstanceLeaving
@@ -189,7 +197,10 @@
 	beat := b.peerView.get(info.ID)
 	status := operatorapi.InstanceStatus{
 		Info: info, Health: healthOf(state.Members().Status(info.ID)), Incarnation: beat.Incarnation,
-		SettingsVersion: beat.SettingsVersion, InFlight: int(beat.InFlight),
+		SettingsVersion: beat.SettingsVersion, InFlight: int(beat.InFlight), Store: operatorapi.StoreUnknown,
+	}
+	if beat.Incarnation != 0 {
+		status.Store = storeState(beat.StoreHealthy)
 	}
 	status.Draining = status.Health == operatorapi.InstanceLeaving
 	for id := range beat.Shards {
@@ -199,6 +210,13 @@
 	return status
 }
 
+func storeState(healthy bool) operatorapi.StoreState {
+	if healthy {
+		return operatorapi.StoreReachable
+	}
+	return operatorapi.StoreUnreachable
+}
+
 func healthOf(status membership.Status) operatorapi.InstanceHealth {
 	switch status {
 	case membership.Live:
--- a/instance/background.go
+++ b/instance/background.go
@@ -70,6 +70,7 @@
 		i.metrics.directoryErrors.Inc()
 		return
 	}
+	i.metrics.directoryRead.Store(int64(i.now()))
 	i.gateway.SetExecutors(executors)
 	i.post(core.DirectoryRead{Instances: instances, Workers: workers, Executors: executors})
 }
@@ -98,8 +99,9 @@
 		beat.Phase = string(membership.Leaving)
 	}
 	var peers []structs.InstanceInfo
-	i.query(func(_ structs.Timestamp, state *core.State) {
+	i.query(func(now structs.Timestamp, state *core.State) {
 		beat.SettingsVersion, _ = state.Settings().Current()
+		i.settingsLag.observe(now, beat.SettingsVersion, state.Settings().Target())
 		beat.Shards = state.OwnedEpochs()
 		peers = state.Members().Peers()
 	})
--- a/instance/effects.go
+++ b/instance/effects.go
@@ -79,6 +79,7 @@
 		i.replies.deliver(uint64(effect.Call), effect)
 	case scheduler.WaitObserved:
 		i.metrics.observeWait(effect.Team, effect.Class, effect.Wait)
+		i.waits.observe(i.now(), e.Shard, effect.Class, effect.Wait)
 	}
 }
 
@@ -100,6 +101,7 @@
 		i.post(core.ToShard{Shard: shard, Event: scheduler.WorkerUnreachable{Worker: worker}})
 		return
 	}
+	i.reports.note(&report)
 	i.post(core.ToShard{Shard: shard, Event: scheduler.WorkerReported{Report: report}})
 }
 
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -78,6 +78,9 @@
 	ready       atomic.Bool
 	draining    atomic.Bool
 	storeHealth storeHealth
+	reports     *reportWatch
+	waits       waitRecorder
+	settingsLag lagClock // owned by the loop
 }
 
 // New returns an instance that does nothing until Run.
@@ -85,6 +88,7 @@
 	if options.DrainTimeout == 0 {
 		options.DrainTimeout = defaultDrainTimeout
 	}
+	metrics.ExposeMetadata(true)
 	ctx, cancel := context.WithCancel(context.Background())
 	i := &Instance{
 		options:     options,
@@ -98,11 +102,14 @@
 		inbox:       make(chan message, inboxSize),
 		set:         metrics.NewSet(),
 	}
-	i.options.Table = &watchedTable{Table: options.Table, health: &i.storeHealth}
+	storeCalls := newStoreCalls(i.set)
+	i.options.Table = &watchedTable{Table: options.Table, health: &i.storeHealth, calls: storeCalls}
+	i.options.Objects = &watchedObjects{Objects: options.Objects, calls: storeCalls}
+	i.reports = newReportWatch(i.set)
 	i.counters = telemetry.NewReducer(i.set)
 	i.metrics = newInstruments(i.set)
 	i.state = core.New(core.Config{Self: options.Info, Incarnation: i.incarnation, Seed: i.incarnation})
-	i.store = settings.NewStore(i.options.Table, options.Objects, i.now, nil)
+	i.store = settings.NewStore(i.options.Table, i.options.Objects, i.now, nil)
 	i.dispatcher = newDispatcher(ctx, options.Workers, i.workerAnswered)
 	i.connect()
 	return i
@@ -120,7 +127,7 @@
 		SendCredits: i.requestCredits,
 	})
 	i.operators = operatorapi.NewServer(&backend{i}, operatorapi.Options{
-		Secret: i.options.OperatorSecret, Ready: i.checkReady, Metrics: i.set.WritePrometheus,
+		Secret: i.options.OperatorSecret, Ready: i.checkReady, Metrics: i.writeMetrics,
 	})
 }
 
@@ -231,6 +238,13 @@
 // Ready reports whether the instance takes work.
 func (i *Instance) Ready() bool { return i.checkReady() == nil }
 
+// Peers returns the number of other instances that this one knows.
+func (i *Instance) Peers() int {
+	count := 0
+	i.query(func(_ structs.Timestamp, state *core.State) { count = len(state.Members().Peers()) })
+	return count
+}
+
 // Serving reports whether the instance takes work and every shard of the cell
 // has an owner that has loaded it.
 func (i *Instance) Serving() bool {
--- a/instance/instruments.go
+++ b/instance/instruments.go
@@ -26,7 +26,11 @@
 	directoryErrors *metrics.Counter
 	malformed       *metrics.Counter
 	peerBytes       *metrics.Counter
+	reverts         *metrics.Counter
+	settingsChanges *metrics.Counter
 	calls           atomic.Int64 // asynchronous effects that run
+	directoryRead   atomic.Int64 // time of the newest complete lists
+	settings        uint64       // highest version that was in force; owned by the loop
 
 	mu    sync.Mutex
 	teams map[structs.TeamID]bool
@@ -40,6 +44,8 @@
 		directoryErrors: set.NewCounter("mangodrum_directory_errors_total"),
 		malformed:       set.NewCounter("mangodrum_peer_malformed_messages_total"),
 		peerBytes:       set.NewCounter("mangodrum_peer_received_bytes_total"),
+		reverts:         set.NewCounter("mangodrum_settings_reverts_total"),
+		settingsChanges: set.NewCounter("mangodrum_settings_changes_total"),
 		teams:           map[structs.TeamID]bool{},
 	}
 	set.NewGauge("mangodrum_effects_running", func() float64 { return float64(m.calls.Load()) })
@@ -63,3 +69,22 @@
 	}
 	return string(team)
 }
+
+// noteSettings counts a version that came into force, and a step back.
+func (m *instruments) noteSettings(number uint64) {
+	m.settingsChanges.Inc()
+	if number < m.settings {
+		m.reverts.Inc()
+	}
+	m.settings = max(m.settings, number)
+}
+
+// directoryAge returns the age of the platform's lists in use, or 0 before the
+// first ones.
+func (m *instruments) directoryAge(now structs.Timestamp) time.Duration {
+	read := structs.Timestamp(m.directoryRead.Load())
+	if read == 0 {
+		return 0
+	}
+	return now.Sub(read)
+}
--- a/instance/operations.go
+++ b/instance/operations.go
@@ -22,6 +22,7 @@
 	methodWorkers  = "workers"
 	methodAct      = "act"
 	methodQueues   = "queues"
+	methodWaits    = "waits"
 	methodVersions = "versions"
 	methodTree     = "tree"
 	methodDrain    = "drain"
@@ -60,6 +61,8 @@
 		return withArgument(call, func(act workerAct) (any, error) { return i.actOnWorker(ctx, call.Shard, act) })
 	case methodQueues:
 		return i.listQueues(call.Shard)
+	case methodWaits:
+		return i.listWaits(call.Shard)
 	case methodVersions:
 		return withArgument(call, func(after uint64) (any, error) { return i.store.Versions(ctx, after, maxVersions) })
 	case methodTree:
@@ -187,6 +190,9 @@
 	if err != nil {
 		return operatorapi.WorkerStatus{}, err
 	}
+	if act.Action == operatorapi.WorkerConfirmStopped {
+		i.reports.forget(act.Worker)
+	}
 	workers, err := i.listWorkers(shard)
 	if err != nil {
 		return operatorapi.WorkerStatus{}, err
--- a/instance/receive.go
+++ b/instance/receive.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/mangodrum/mangodrum/core"
 	"github.com/mangodrum/mangodrum/membership"
@@ -92,7 +93,21 @@
 	result, err := i.execute(ctx, call)
 	body, encodeErr := peer.Encode(peer.ReplyTo(result, err))
 	if encodeErr == nil {
-		i.node.Send(to, peer.Message{Kind: peer.KindReply, Ref: ref, Body: body})
+		i.sendReply(ctx, to, peer.Message{Kind: peer.KindReply, Ref: ref, Body: body})
+	}
+}
+
+// sendReply sends until the caller is a known peer or ctx ends. An instance
+// that just started calls others before they have read it from the directory.
+func (i *Instance) sendReply(ctx context.Context, to structs.InstanceID, reply peer.Message) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for !i.node.Send(to, reply) {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
 	}
 }
 
--- /dev/null
+++ b/instance/reports_test.go
@@ -0,0 +1,131 @@
+package instance
+
+import (
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/mangodrum/mangodrum/platform"
+	"github.com/mangodrum/mangodrum/structs"
+)
+
+func at(seconds float64) structs.Timestamp {
+	return structs.Timestamp(1e18).Add(time.Duration(seconds * float64(time.Second)))
+}
+
+func report(worker structs.WorkerID, seconds float64, tasks ...platform.TaskReport) *platform.WorkerReport {
+	return &platform.WorkerReport{Worker: worker, At: at(seconds), Tasks: tasks}
+}
+
+func running(task structs.TaskID, until float64) platform.TaskReport {
+	return platform.TaskReport{Task: task, Attempt: 1, Status: platform.RunRunning, LeaseEnd: at(until)}
+}
+
+// Guards against a metric that misses a task on two workers, and against one
+// that takes a task which moved for two runs.
+func TestReportWatchCountsDoubleRuns(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		reports []*platform.WorkerReport
+		forget  structs.WorkerID
+		want    uint64
+	}{
+		{"two leases at once", []*platform.WorkerReport{report("a", 0, running("t", 30)), report("b", 1, running("t", 31))}, "", 1},
+		{"counted once", []*platform.WorkerReport{
+			report("a", 0, running("t", 30)), report("b", 1, running("t", 31)), report("a", 2, running("t", 30)), report("b", 3, running("t", 31)),
+		}, "", 1},
+		{"moved after its end", []*platform.WorkerReport{
+			report("a", 0, running("t", 30)), report("a", 1), report("b", 2, running("t", 32)),
+		}, "", 0},
+		{"moved after the lease end", []*platform.WorkerReport{report("a", 0, running("t", 30)), report("b", 31, running("t", 60))}, "", 0},
+		{"late report", []*platform.WorkerReport{
+			report("a", 5), report("b", 6, running("t", 36)), report("a", 4, running("t", 34)),
+		}, "", 0},
+		{"confirmed as stopped", []*platform.WorkerReport{report("a", 0, running("t", 30)), report("b", 1, running("t", 31))}, "a", 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			w := newReportWatch(metrics.NewSet())
+			for n, r := range test.reports {
+				if n == 1 && test.forget != "" {
+					w.forget(test.forget)
+				}
+				w.note(r)
+			}
+			if got := w.twice.Get(); got != test.want {
+				t.Errorf("%d tasks reported twice, want %d", got, test.want)
+			}
+		})
+	}
+}
+
+// Guards against a refused start that counts with every report until it is
+// acknowledged.
+func TestReportWatchCountsRefusedStartsOnce(t *testing.T) {
+	w := newReportWatch(metrics.NewSet())
+	refused := platform.TaskReport{Task: "t", Attempt: 1, Status: platform.RunRefused}
+	w.note(report("a", 0, refused))
+	w.note(report("a", 1, refused))
+	refused.Attempt = 2
+	w.note(report("a", 2, refused))
+	if got := w.refused.Get(); got != 2 {
+		t.Errorf("%d refused starts, want 2", got)
+	}
+}
+
+// Guards against quantiles that are off by more than a bucket, that never
+// forget, or that mix shards.
+func TestWaitsAreRecentAndMerged(t *testing.T) {
+	var r waitRecorder
+	for n := range 100 {
+		r.observe(at(0), "s1", "urgent", time.Duration(n+1)*time.Millisecond)
+	}
+	r.observe(at(1), "s2", "urgent", time.Hour)
+	merged := mergeWaits(append(r.of(at(2), "s1"), r.of(at(2), "s2")...))
+	if len(merged) != 1 || merged[0].Count != 101 {
+		t.Fatalf("merged: %+v, want 101 starts of one class", merged)
+	}
+	for _, check := range []struct{ got, exact time.Duration }{{merged[0].P50, 51 * time.Millisecond}, {merged[0].P99, 100 * time.Millisecond}} {
+		if check.got < check.exact || float64(check.got) > float64(check.exact)*waitGrowth {
+			t.Errorf("quantile %v, want at least %v and at most a tenth more", check.got, check.exact)
+		}
+	}
+	if left := mergeWaits(r.of(at(301), "s1")); len(left) != 1 {
+		t.Errorf("waits of the previous period are gone: %+v", left)
+	}
+	if left := mergeWaits(r.of(at(700), "s1")); len(left) != 0 {
+		t.Errorf("waits are kept for ever: %+v", left)
+	}
+}
+
+// Guards against team labels without a bound.
+func TestTeamLabelsAreBounded(t *testing.T) {
+	m := newInstruments(metrics.NewSet())
+	labels := map[string]bool{}
+	for n := range 3 * maxTeamLabels {
+		labels[m.teamLabel(structs.TeamID("/t"+time.Duration(n).String()))] = true
+	}
+	if len(labels) != maxTeamLabels+1 || !labels[otherTeams] {
+		t.Errorf("%d labels, want %d and %q", len(labels), maxTeamLabels, otherTeams)
+	}
+}
+
+// Guards against a settings version that goes back without a sign, and a lag
+// that is never reset.
+func TestSettingsMetrics(t *testing.T) {
+	m := newInstruments(metrics.NewSet())
+	for _, number := range []uint64{1, 2, 1, 3} {
+		m.noteSettings(number)
+	}
+	if got := m.reverts.Get(); got != 1 {
+		t.Errorf("%d reverts, want 1", got)
+	}
+	var lag lagClock
+	lag.observe(at(0), 1, 2)
+	if got := lag.observe(at(4), 1, 3); got != 4*time.Second {
+		t.Errorf("lag %v, want 4s", got)
+	}
+	if got := lag.observe(at(5), 3, 3); got != 0 {
+		t.Errorf("lag %v after the change, want 0", got)
+	}
+}
--- a/instance/settings.go
+++ b/instance/settings.go
@@ -23,6 +23,7 @@
 	case settings.FetchTree:
 		i.async(loadTimeout, func(ctx context.Context) { i.fetchTree(ctx, e) })
 	case settings.InForce:
+		i.metrics.noteSettings(e.Number)
 		i.log.Info("settings in force", "version", e.Number, "changes", len(e.Changes))
 		i.gateway.SetPolicy(core.RouterPolicy(e.Tree))
 	case settings.BecameReady:
--- a/instance/storehealth.go
+++ b/instance/storehealth.go
@@ -1,12 +1,10 @@
 package instance
 
 import (
-	"context"
 	"sync"
 	"time"
 
 	"github.com/mangodrum/mangodrum/errs"
-	"github.com/mangodrum/mangodrum/platform"
 )
 
 // storeHealth remembers whether the platform's table answers.
@@ -44,30 +42,3 @@
 	defer h.mu.Unlock()
 	return h.down, h.since, h.lastErr
 }
-
-// watchedTable notes the health of every call.
-type watchedTable struct {
-	platform.Table
-	health *storeHealth
-}
-
-// Get implements platform.Table.
-func (t *watchedTable) Get(ctx context.Context, key string) (platform.Row, error) {
-	row, err := t.Table.Get(ctx, key)
-	t.health.note(err)
-	return row, err
-}
-
-// Scan implements platform.Table.
-func (t *watchedTable) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
-	rows, err := t.Table.Scan(ctx, prefix, after, limit)
-	t.health.note(err)
-	return rows, err
-}
-
-// Commit implements platform.Table.
-func (t *watchedTable) Commit(ctx context.Context, txn platform.Txn) (platform.TxnResult, error) {
-	result, err := t.Table.Commit(ctx, txn)
-	t.health.note(err)
-	return result, err
-}
--- a/instance/views.go
+++ b/instance/views.go
@@ -93,9 +93,12 @@
 	return read(i, shard, func(_ structs.Timestamp, s *scheduler.State) ([]operatorapi.WorkerStatus, error) {
 		var list []operatorapi.WorkerStatus
 		for _, w := range s.Workers() {
+			used, at := i.reports.used(w.Worker.ID)
 			list = append(list, operatorapi.WorkerStatus{
-				Worker: w.Worker, Shard: shard, Reserved: w.Reserved, Tasks: w.Tasks,
-				Draining: w.Drained, Quarantined: w.Quarantined != 0, Unreachable: w.DownSince != 0,
+				Worker: w.Worker, Shard: shard, Reserved: w.Reserved, Used: used, ReportedAt: at,
+				Tasks: w.Tasks, Unconfirmed: w.Unconfirmed,
+				Draining: w.Drained, Quarantined: w.Quarantined != 0, Reason: w.Reason,
+				Unreachable: w.DownSince != 0, DownSince: w.DownSince,
 			})
 		}
 		return list, nil
@@ -114,3 +117,7 @@
 		return list, nil
 	})
 }
+
+func (i *Instance) listWaits(shard structs.ShardID) ([]classWaits, error) {
+	return i.waits.of(i.now(), shard), nil
+}
--- a/internal/daemon/dev.go
+++ b/internal/daemon/dev.go
@@ -195,7 +195,8 @@
 	c.group.Go(func() { m.done <- i.Run(ctx) })
 }
 
-// waitReady returns true once every instance takes work.
+// waitReady returns true once every instance takes work and knows the others,
+// so that a call to one reaches the owner of a shard.
 func (c *devCell) waitReady(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
@@ -204,7 +205,7 @@
 	for {
 		ready := true
 		for _, m := range c.members {
-			ready = ready && m.instance.Serving()
+			ready = ready && m.instance.Serving() && m.instance.Peers() == len(c.members)-1
 		}
 		if ready {
 			return true
--- a/operatorapi/server.go
+++ b/operatorapi/server.go
@@ -69,12 +69,20 @@
 	backend Backend
 	options Options
 	timeout time.Duration
+	set     *metrics.Set
+	faults  *metrics.Counter // calls that ended with a panic of the backend
+	denied  *metrics.Counter // calls without the shared secret
 }
 
 // NewServer returns an app that serves the backend. The caller serves it with
 // Serve and ends it with app.ShutdownWithTimeout.
 func NewServer(backend Backend, options Options) *fiber.App {
-	s := &server{backend: backend, options: options, timeout: orDefault(options.CallTimeout, 15*time.Second)}
+	s := &server{
+		backend: backend, options: options, timeout: orDefault(options.CallTimeout, 15*time.Second),
+		set: metrics.NewSet(),
+	}
+	s.faults = s.set.NewCounter("mangodrum_operator_api_faults_total")
+	s.denied = s.set.NewCounter("mangodrum_operator_api_denied_total")
 	app := fiber.New(options.config())
 	app.Get("/healthz", func(c fiber.Ctx) error { return c.SendString("ok\n") })
 	app.Get("/readyz", s.readyz)
@@ -102,7 +110,8 @@
 
 func (s *server) metrics(c fiber.Ctx) error {
 	var out bytes.Buffer
-	metrics.WritePrometheus(&out, true)
+	metrics.WriteProcessMetrics(&out)
+	s.set.WritePrometheus(&out)
 	if s.options.Metrics != nil {
 		s.options.Metrics(&out)
 	}
@@ -119,6 +128,7 @@
 	want := sha256.Sum256([]byte(s.options.Secret))
 	have := sha256.Sum256([]byte(c.Get(SecretHeader)))
 	if subtle.ConstantTimeCompare(want[:], have[:]) != 1 {
+		s.denied.Inc()
 		return errs.New(errs.Denied, "give the operators' secret with --secret-file", "the shared secret is missing or wrong")
 	}
 	return c.Next()
@@ -135,9 +145,6 @@
 	return c.Status(StatusOf(err)).JSON(BodyOf(err))
 }
 
-// faults counts calls that ended with a panic of the backend.
-var faults = metrics.NewCounter("mangodrum_operator_api_faults_total")
-
 // call runs one call of the backend within the time limit and sends its
 // result. A panic fails the call and not the instance, which serves callers as
 // well.
@@ -147,7 +154,7 @@
 	var result T
 	var err error
 	if fault := panics.Try(func() { result, err = run(ctx) }); fault != nil {
-		faults.Inc()
+		s.faults.Inc()
 		return errs.New(errs.Failed, "report this fault with the call", "internal fault in %s %s: %v", c.Method(), c.Path(), fault.Value)
 	}
 	if err != nil {
--- a/operatorapi/types.go
+++ b/operatorapi/types.go
@@ -174,7 +174,9 @@
 	Unconfirmed int               `json:"unconfirmed"` // tasks that may run and are not confirmed
 	Draining    bool              `json:"draining,omitempty"`
 	Quarantined bool              `json:"quarantined,omitempty"`
+	Reason      string            `json:"reason,omitempty"` // why it is quarantined
 	Unreachable bool              `json:"unreachable,omitempty"`
+	DownSince   structs.Timestamp `json:"down_since,omitempty"` // start of the time without an answer
 	ReportedAt  structs.Timestamp `json:"reported_at"`
 }
 
@@ -193,8 +195,19 @@
 	InFlight        int                  `json:"in_flight"`        // requests
 	Self            bool                 `json:"self,omitempty"`
 	Draining        bool                 `json:"draining,omitempty"`
+	Store           StoreState           `json:"store"` // as the instance reports it
 }
 
+// StoreState is the state of the platform's store as an instance reports it.
+type StoreState string
+
+// Store states.
+const (
+	StoreReachable   StoreState = "reachable"
+	StoreUnreachable StoreState = "unreachable"
+	StoreUnknown     StoreState = "unknown" // the instance has not reported
+)
+
 // InstanceList answers GET /v1/instances, sorted by identifier.
 type InstanceList struct {
 	Instances []InstanceStatus `json:"instances"`
@@ -211,7 +224,8 @@
 	Floor     float64           `json:"floor"`
 }
 
-// ClassWait is the waiting time of a class from acceptance to start.
+// ClassWait is the waiting time of a class from acceptance to start, over the
+// tasks that started in the last 5 to 10 minutes.
 type ClassWait struct {
 	Class structs.ClassName `json:"class"`
 	P50   time.Duration     `json:"p50_ns"`
@@ -223,8 +237,8 @@
 type StoreHealth struct {
 	Reachable bool              `json:"reachable"`
 	LastError string            `json:"last_error,omitempty"`
-	Since     structs.Timestamp `json:"since"` // start of this state
-	Pending   int               `json:"pending"`
+	Since     structs.Timestamp `json:"since"`   // start of this state
+	Pending   int               `json:"pending"` // journal records that wait at the answering instance
 }
 
 // QueueList answers GET /v1/queues.
--- a/router/holdings.go
+++ b/router/holdings.go
@@ -161,6 +161,7 @@
 	dropped := false
 	for _, e := range s.order {
 		if e.held > 0 && s.now >= e.until {
+			s.counts.CreditsLapsed += uint64(e.held)
 			s.setHolding(e, 0, e.until)
 			dropped = true
 		}
--- a/router/state.go
+++ b/router/state.go
@@ -78,6 +78,7 @@
 	FirstAttempts uint64
 	Retries       uint64
 	Refused       uint64
+	CreditsLapsed uint64 // slots whose credit ended without a renewal
 }
 
 // New returns a state without executors.
--- /dev/null
+++ b/router/stats.go
@@ -0,0 +1,53 @@
+package router
+
+import (
+	"time"
+
+	"github.com/mangodrum/mangodrum/structs"
+)
+
+// QueueKey names the queued requests of one team and class.
+type QueueKey struct {
+	Team  structs.TeamID
+	Class structs.ClassName
+}
+
+// QueueStat is the state of the queued requests of one team and class.
+type QueueStat struct {
+	Depth  int
+	Oldest time.Duration // age of the oldest request
+}
+
+// Stats are numbers about the present state, for metrics.
+type Stats struct {
+	Queues      map[QueueKey]QueueStat
+	SlotsHeld   int // credits for slots of executors
+	SlotsUsed   int
+	Claiming    int // requests that wait for the write of their claim
+	LeavingUsed int // slots in use at executors that take no new work
+}
+
+// Stats counts the queued requests and the slots at now.
+func (s *State) Stats(now structs.Timestamp) Stats {
+	st := Stats{Queues: map[QueueKey]QueueStat{}}
+	for _, r := range s.requests {
+		switch r.phase {
+		case phaseClaiming:
+			st.Claiming++
+		case phaseQueued:
+			key := QueueKey{Team: r.req.Team, Class: r.req.Class}
+			q := st.Queues[key]
+			q.Depth++
+			q.Oldest = max(q.Oldest, now.Sub(r.arrived))
+			st.Queues[key] = q
+		}
+	}
+	for _, e := range s.order {
+		st.SlotsHeld += e.held
+		st.SlotsUsed += e.inflight
+		if !e.isOpen() {
+			st.LeavingUsed += e.inflight
+		}
+	}
+	return st
+}
--- a/scheduler/query.go
+++ b/scheduler/query.go
@@ -37,6 +37,8 @@
 	Claimed     bool              // kept free for work that waited for long
 	Tasks       int
 	Reserved    structs.Resources
+	Unconfirmed int    // tasks that may run while the worker does not answer
+	Reason      string // why it is quarantined
 }
 
 // Job returns the state of a job and its tasks.
@@ -80,15 +82,33 @@
 		st := WorkerStatus{
 			Worker: w.info, Listed: w.listed, Drained: s.drained[w.id], Quarantined: s.quarantine[w.id].Until,
 			DownSince: w.down, Claimed: claimed, Tasks: len(w.tasks),
+			Reason: s.quarantineReason(w.id),
 		}
 		for _, t := range w.tasks {
 			st.Reserved = st.Reserved.Add(t.live.reserved)
+			if t.live.unknown {
+				st.Unconfirmed++
+			}
 		}
 		out = append(out, st)
 	}
 	return out
 }
 
+// quarantineReason tells why a worker is quarantined, or "".
+func (s *State) quarantineReason(id structs.WorkerID) string {
+	q, ok := s.quarantine[id]
+	switch {
+	case !ok:
+		return ""
+	case q.Until.After(s.now):
+		return fmt.Sprintf("quarantine %d: tasks of %d jobs, or a probe, failed on it in a row; next probe at %s",
+			q.Strikes, quarantineJobs, q.Until.Time().Format(time.RFC3339))
+	}
+	return fmt.Sprintf("quarantine %d: tasks of %d jobs, or a probe, failed on it in a row; %d of %d probes passed",
+		q.Strikes, quarantineJobs, s.workers[id].health.passed, probesToPass)
+}
+
 // Queues returns depth, oldest age, share and floor by class and team.
 func (s *State) Queues(now structs.Timestamp) []queue.Stat { return s.queue.Stats(now) }
 
