--- a/core/state.go
+++ b/core/state.go
@@ -1,9 +1,12 @@
 package core
 
 import (
+	"cmp"
 	"slices"
+	"time"
 
 	"github.com/mangodrum/mangodrum/errs"
+	"github.com/mangodrum/mangodrum/journal"
 	"github.com/mangodrum/mangodrum/membership"
 	"github.com/mangodrum/mangodrum/ownership"
 	"github.com/mangodrum/mangodrum/scheduler"
@@ -16,6 +19,17 @@
 	Self        structs.InstanceInfo
 	Incarnation uint64 // grows with every process of Self
 	Seed        uint64
+	Tuning      Tuning
+}
+
+// Tuning shortens times and switches mechanisms off for tests under faults.
+// Production code leaves it zero.
+type Tuning struct {
+	Horizon       time.Duration // of leases; the default of package ownership if zero
+	SnapshotRows  uint64        // journal rows between two snapshots; 500 if zero
+	Ownership     ownership.Defects
+	Journal       journal.Defects
+	IgnoreHorizon bool // a new owner does not wait for the previous horizon
 }
 
 // State is the state of one instance. It is not safe for concurrent use.
@@ -86,6 +100,14 @@
 	return owner
 }
 
+// Standing tells what this process may do for a shard at now.
+func (s *State) Standing(now structs.Timestamp, id structs.ShardID) ownership.Standing {
+	if s.owners == nil {
+		return ownership.NotOwner
+	}
+	return s.owners.Standing(now, id)
+}
+
 // OwnedEpochs returns the owned shards and their epochs.
 func (s *State) OwnedEpochs() map[structs.ShardID]structs.Epoch {
 	epochs := make(map[structs.ShardID]structs.Epoch, len(s.shards))
@@ -137,16 +159,14 @@
 }
 
 func (s *State) directoryRead(now structs.Timestamp, e DirectoryRead) []structs.Effect {
+	e.Workers = s.keepAbsent(e.Workers)
 	s.directory = e
-	s.workers = make(map[structs.WorkerID]structs.Worker, len(e.Workers))
-	for _, worker := range e.Workers {
-		s.workers[worker.ID] = worker
-	}
 	effects := s.membership(now, membership.DirectoryListed{Instances: e.Instances})
 	if s.owners == nil && len(e.Workers) > 0 {
 		s.shardSet = shardsOf(e.Workers)
 		s.owners = ownership.New(ownership.Config{
 			Self: s.cfg.Self, Incarnation: s.cfg.Incarnation, Shards: s.shardSet,
+			Horizon: s.cfg.Tuning.Horizon, Defects: s.cfg.Tuning.Ownership,
 		})
 		effects = append(effects, s.membersChanged(now)...)
 	}
@@ -157,6 +177,27 @@
 	return effects
 }
 
+// keepAbsent returns the listed workers and those that an earlier list had.
+// A list can be wrong, and without an address the leases of the tasks on an
+// absent worker could not be renewed; only the state gone ends a worker.
+func (s *State) keepAbsent(listed []structs.Worker) []structs.Worker {
+	if s.workers == nil {
+		s.workers = make(map[structs.WorkerID]structs.Worker, len(listed))
+	}
+	for _, worker := range listed {
+		s.workers[worker.ID] = worker
+	}
+	if len(s.workers) == len(listed) {
+		return listed
+	}
+	all := make([]structs.Worker, 0, len(s.workers))
+	for _, worker := range s.workers {
+		all = append(all, worker)
+	}
+	slices.SortFunc(all, func(a, b structs.Worker) int { return cmp.Compare(a.ID, b.ID) })
+	return all
+}
+
 // shardsOf returns one shard for each region that has workers.
 func shardsOf(workers []structs.Worker) []ownership.Shard {
 	seen := map[structs.Region]bool{}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -26,6 +26,7 @@
 	ready    atomic.Bool
 	draining atomic.Bool
 	nextRef  atomic.Uint64
+	ticks    atomic.Uint64
 	open     atomic.Int64 // callers' connections
 
 	defaultClass atomic.Pointer[structs.ClassName]
@@ -91,16 +92,22 @@
 	}
 }
 
+// ticksPerLook spaces the looks at callers' sockets, a system call each: with
+// thousands of queued requests a look at every tick would cost a quarter of a
+// core.
+const ticksPerLook = 10
+
 // Tick applies what is due: deadlines, retries, leases, callers that left.
 func (g *Gateway) Tick() {
 	now := g.opts.Now()
 	g.reduce(&router.Tick{})
 	g.claims.expire(now)
+	look := g.opts.TickInterval < 0 || g.ticks.Add(1)%ticksPerLook == 0
 	for _, c := range g.runningCalls() {
 		if now >= c.deadline() {
 			c.cancel()
 		}
-		if c.callerLeft() {
+		if look && c.callerLeft() {
 			g.callerGone(c)
 		}
 	}
@@ -183,10 +190,20 @@
 func (g *Gateway) reduce(ev structs.Event) {
 	g.mu.Lock()
 	g.reduceLocked(ev)
+	outbox := g.takeOutbox()
+	g.mu.Unlock()
+	g.sendCredits(outbox)
+}
+
+func (g *Gateway) takeOutbox() []credits.Message {
 	outbox := g.outbox
 	g.outbox = nil
-	g.mu.Unlock()
-	for _, message := range outbox {
+	return outbox
+}
+
+// sendCredits runs without the lock: the function may deliver a reply at once.
+func (g *Gateway) sendCredits(messages []credits.Message) {
+	for _, message := range messages {
 		g.opts.SendCredits(message)
 	}
 }
@@ -226,7 +243,7 @@
 		request := e.Request
 		g.outbox = append(g.outbox, credits.Message{Region: e.Region, Request: &request})
 	case router.ConnectionsChanged:
-		g.pools.setLimit(e.Address, e.Connections)
+		g.pools.setLimit(e.Executor, e.Address, e.Connections)
 	case router.RequestObserved:
 		g.metrics.observe(e)
 	case router.ExecutorChanged:
@@ -247,11 +264,12 @@
 	if c.gone.Swap(true) {
 		return
 	}
-	g.reduce(&router.CallerGone{Ref: c.ref})
-	select {
-	case c.actions <- action{kind: actGone}:
-	default:
-	}
+	g.mu.Lock()
+	g.reduceLocked(&router.CallerGone{Ref: c.ref})
+	g.act(c.ref, action{kind: actGone})
+	outbox := g.takeOutbox()
+	g.mu.Unlock()
+	g.sendCredits(outbox)
 }
 
 // Stats are numbers for the operators.
--- a/instance/instruments.go
+++ b/instance/instruments.go
@@ -28,6 +28,7 @@
 	peerBytes       *metrics.Counter
 	reverts         *metrics.Counter
 	settingsChanges *metrics.Counter
+	dropped         *metrics.Counter
 	calls           atomic.Int64 // asynchronous effects that run
 	directoryRead   atomic.Int64 // time of the newest complete lists
 	settings        uint64       // highest version that was in force; owned by the loop
@@ -46,6 +47,7 @@
 		peerBytes:       set.NewCounter("mangodrum_peer_received_bytes_total"),
 		reverts:         set.NewCounter("mangodrum_settings_reverts_total"),
 		settingsChanges: set.NewCounter("mangodrum_settings_changes_total"),
+		dropped:         set.NewCounter("mangodrum_inbox_dropped_total"),
 		teams:           map[structs.TeamID]bool{},
 	}
 	set.NewGauge("mangodrum_effects_running", func() float64 { return float64(m.calls.Load()) })
