--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -65,7 +65,7 @@
 	calls := g.runningCalls()
 	g.metrics.drainCut.Add(len(calls))
 	for _, c := range calls {
-		c.cancel()
+		c.cancelAll()
 		g.callerGone(c)
 		c.closeCaller()
 	}
@@ -78,6 +78,13 @@
 	g.once.Do(func() {
 		g.ready.Store(false)
 		close(g.stop)
+		g.mu.Lock()
+		g.closing = true
+		for _, c := range g.calls {
+			c.flights[1].cancel()
+		}
+		g.mu.Unlock()
+		g.hedges.Wait()
 		g.loops.Wait()
 		g.pools.close()
 	})
--- a/internal/daemon/dev.go
+++ b/internal/daemon/dev.go
@@ -122,11 +122,16 @@
 			Logger: log.Named(string(info.ID)),
 		}))
 	}
-	if cell.waitReady(ctx) {
+	var failure error
+	switch {
+	case cell.waitReady(ctx):
 		printReady(options.out, options.example, infos, p.Address, time.Since(started))
+		<-ctx.Done()
+	case ctx.Err() == nil:
+		failure = errs.New(errs.Failed, "start it again when the machine is less busy, or with --log-level info to see why",
+			"the cell was not ready after %s", readyTimeout)
 	}
-	<-ctx.Done()
-	return errors.CombineErrors(cell.stop(), p.Close())
+	return errors.CombineErrors(failure, errors.CombineErrors(cell.stop(), p.Close()))
 }
 
 func printReady(out io.Writer, example string, infos []structs.InstanceInfo, platform string, took time.Duration) {
--- a/operatorapi/client.go
+++ b/operatorapi/client.go
@@ -49,6 +49,12 @@
 			return errs.Wrap(err, errs.InvalidInput, "correct the input", "encode the body")
 		}
 	}
+	if len(data) > defaultMaxBody {
+		// The server closes the connection before it has read such a body, so
+		// the client might see a reset connection instead of the answer.
+		return errs.New(errs.InvalidInput, remedyOf(fasthttp.StatusRequestEntityTooLarge),
+			"%s %s: the body has %d bytes, the limit is %d", method, path, len(data), defaultMaxBody)
+	}
 	response, err := httpcall.Do(ctx, c.http, defaultTimeout, func(request *fasthttp.Request) {
 		c.fill(request, method, path, query, data)
 	})
--- a/operatorapi/server.go
+++ b/operatorapi/server.go
@@ -19,6 +19,9 @@
 	"github.com/mangodrum/mangodrum/errs"
 )
 
+// defaultMaxBody bounds the bodies of calls, in bytes.
+const defaultMaxBody = 4 << 20
+
 // Options configures the operators' listener. Zero values stand for the
 // defaults.
 type Options struct {
@@ -49,7 +52,7 @@
 func (o Options) config() fiber.Config {
 	return fiber.Config{
 		AppName:                      "mangodrum",
-		BodyLimit:                    orDefault(o.MaxBody, 4<<20),
+		BodyLimit:                    orDefault(o.MaxBody, defaultMaxBody),
 		ReadBufferSize:               orDefault(o.MaxHeader, 16<<10), // fasthttp limits headers by this buffer
 		Concurrency:                  orDefault(o.MaxConnections, 256),
 		ReadTimeout:                  orDefault(o.ReadTimeout, 10*time.Second),
@@ -134,12 +137,23 @@
 	return c.Next()
 }
 
+// remedyOf returns the remedy for a request that no endpoint handled.
+func remedyOf(status int) string {
+	switch status {
+	case fiber.StatusRequestEntityTooLarge:
+		return "send a shorter body, for example fewer jobs or branches at a time"
+	case fiber.StatusRequestHeaderFieldsTooLarge:
+		return "send fewer or shorter headers"
+	}
+	return "see docs/cli.md for the endpoints and limits"
+}
+
 // writeError sends an error as an ErrorBody.
 func writeError(c fiber.Ctx, err error) error {
 	var routing *fiber.Error
 	if errors.As(err, &routing) {
 		kind := kindOf(routing.Code)
-		err = errs.New(kind, "see docs/cli.md for the endpoints and limits", "%s %s: %s", c.Method(), c.Path(), routing.Message)
+		err = errs.New(kind, remedyOf(routing.Code), "%s %s: %s", c.Method(), c.Path(), routing.Message)
 		return c.Status(routing.Code).JSON(BodyOf(err))
 	}
 	return c.Status(StatusOf(err)).JSON(BodyOf(err))
--- a/router/events.go
+++ b/router/events.go
@@ -82,6 +82,9 @@
 	// MayRetry: a 5xx answer is read completely and reported as Buffered
 	// before anything is passed on.
 	MayRetry bool
+	// Hedge: the attempt runs beside an earlier one that takes long. The
+	// first that answers wins.
+	Hedge bool
 }
 
 // Refuse answers the caller without an executor's answer.
@@ -151,6 +154,7 @@
 	Executor    structs.ExecutorID
 	Address     string
 	Connections int
+	Slots       int // how many can be in use at a time; more idle ones serve nothing
 }
 
 // RequestObserved is for counters and histograms.
--- a/router/retry.go
+++ b/router/retry.go
@@ -29,17 +29,28 @@
 // attemptEnded settles an attempt and retries, delivers or refuses.
 func (s *State) attemptEnded(ev *AttemptEnded) {
 	r := s.requests[ev.Ref]
-	if r == nil || r.phase != phaseRunning || r.attempt != ev.Attempt {
+	i := -1
+	if r != nil {
+		i = slices.IndexFunc(r.runs, func(running run) bool { return running.attempt == ev.Attempt })
+	}
+	if i < 0 {
+		s.orphanEnded(attemptKey{ev.Ref, ev.Attempt})
 		return
 	}
-	e, svc := r.executor, r.service
-	s.releaseSlot(r)
-	s.observeAttempt(e, svc, r, &ev.Result)
-	r.executor = nil
-	if ev.Result.Kind != NotSent {
+	ended := r.runs[i]
+	r.runs = slices.Delete(r.runs, i, i+1)
+	if len(r.runs) == 0 {
+		delete(s.long, r.ref)
+	}
+	svc := r.service
+	s.releaseSlot(ended.executor, svc, r.class)
+	s.observeAttempt(ended.executor, svc, ended.began, &ev.Result)
+	if !ev.Result.Kind.neverSent() {
 		r.maybeRan = true
 	}
-	s.settleAttempt(r, &ev.Result)
+	if !s.waitsForOther(r, &ev.Result) {
+		s.settleAttempt(r, &ev.Result)
+	}
 	s.dispatch(svc)
 }
 
@@ -63,7 +74,7 @@
 }
 
 func (s *State) settleBuffered(r *request, res *Result) {
-	if isRetriableStatus(res.Status) && s.retry(r, res) {
+	if IsRetriableStatus(res.Status) && s.retry(r, res) {
 		return
 	}
 	s.emit(Deliver{Ref: r.ref})
@@ -81,14 +92,14 @@
 	s.finish(r, outcome, stored)
 }
 
-// isRetriableStatus reports whether another executor may do better: 502, 503
+// IsRetriableStatus reports whether another executor may do better: 502, 503
 // and 504 tell of the executor, other 5xx of the request.
-func isRetriableStatus(status int) bool { return status >= 502 && status <= 504 }
+func IsRetriableStatus(status int) bool { return status >= 502 && status <= 504 }
 
 // retry schedules another attempt if the request, the policy, the deadline
 // and the budget allow it.
 func (s *State) retry(r *request, res *Result) bool {
-	if !res.Replayable && res.Kind != NotSent {
+	if !res.Replayable && !res.Kind.neverSent() {
 		return false
 	}
 	if !r.req.Idempotent && r.maybeRan {
--- a/router/types.go
+++ b/router/types.go
@@ -29,6 +29,9 @@
 	Service    string
 	Deadline   structs.Timestamp
 	Idempotent bool
+	// Replayable: the whole body is held, so a second attempt can run beside
+	// the first.
+	Replayable bool
 }
 
 // ClassPolicy is the policy of one class of requests.
@@ -132,12 +135,16 @@
 	Buffered
 	// NotSent: no byte of the request reached the executor.
 	NotSent
+	// NotTried: like NotSent, for a reason that is not the executor's.
+	NotTried
 	// Broken: the request was sent and no answer was passed on.
 	Broken
 	// CutMidAnswer: the answer was cut after its head was passed on.
 	CutMidAnswer
 	// Cancelled: the caller left.
 	Cancelled
+	// Superseded: another attempt of the request answered first.
+	Superseded
 )
 
 // Result is the end of an attempt.
@@ -161,6 +168,9 @@
 	Truncated   bool    `json:"truncated,omitempty"` // the body exceeded MaxStoredBody
 }
 
+// neverSent reports whether certainly no byte reached the executor.
+func (k ResultKind) neverSent() bool { return k == NotSent || k == NotTried }
+
 // MaxStoredBody bounds the answer body that is kept for repeats.
 const MaxStoredBody = 64 << 10
 
