--- a/peer/link.go
+++ b/peer/link.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"time"
 
 	"github.com/fasthttp/websocket"
 
+	"github.com/mangodrum/mangodrum/errs"
 	"github.com/mangodrum/mangodrum/structs"
 )
 
@@ -28,6 +30,7 @@
 // maintain dials the peer again whenever the connection breaks.
 func (n *Node) maintain(ctx context.Context, l *link) {
 	connected := false
+	refusal := "" // the last one that was logged
 	for ctx.Err() == nil {
 		conn, err := n.dial(ctx, l.address)
 		if err != nil {
@@ -35,6 +38,10 @@
 				n.options.Logger.Info("peer disconnected", "peer", l.id, "error", err)
 				connected = false
 			}
+			if text := err.Error(); errs.Is(err, errs.Denied) && text != refusal {
+				n.options.Logger.Warn("peer refused the connection", "peer", l.id, "error", text)
+				refusal = text
+			}
 			l.drop()
 			sleep(ctx, redialInterval)
 			continue
@@ -68,8 +75,14 @@
 		header.Set("Authorization", "Bearer "+n.options.Secret)
 	}
 	conn, response, err := dialer.DialContext(ctx, "ws://"+address+path, header)
-	if response != nil && response.Body != nil {
-		_ = response.Body.Close()
+	if response == nil || response.Body == nil {
+		return conn, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if err != nil && response.StatusCode == http.StatusForbidden {
+		const maxRefusal = 512 // bytes of the peer's text
+		text, _ := io.ReadAll(io.LimitReader(response.Body, maxRefusal))
+		return nil, errs.New(errs.Denied, "", "%s", text)
 	}
 	return conn, err
 }
