--- a/operatorapi/page/status.js
+++ b/operatorapi/page/status.js
@@ -60,19 +60,34 @@
     i.info.location.failure_domain,
     state(i.health + (i.draining ? ", draining" : ""), i.health === "live"),
     state("version " + i.settings_version, i.settings_version >= head),
+    state(i.store, i.store === "reachable"),
     i.in_flight,
     (i.shards || []).join(", ") || "-",
   ]);
-  fillTable("instances", ["instance", "failure domain", "health", "settings", "in flight", "shards"], rows);
+  fillTable("instances", ["instance", "failure domain", "health", "settings", "store", "in flight", "shards"], rows);
+}
+
+function percent(share) {
+  return (share * 100).toFixed(1) + " %";
+}
+
+// keptText tells whether a class floods the shard, or what is kept for it.
+function keptText(q) {
+  if (q.team) return "";
+  if (q.depth > 0 && q.share > q.floor) return state("more work than its floor; others keep theirs", false);
+  if (q.depth > 0) return state("below its floor: goes first when due", true);
+  return percent(Math.max(q.floor - q.share, 0)) + " kept for it";
 }
 
 function showQueues(list) {
   const classes = (list.classes || []).map((c) => [c.class, c.count, formatDuration(c.p50_ns), formatDuration(c.p99_ns)]);
   fillTable("classes", ["class", "starts", "p50", "p99"], classes);
   const queues = (list.queues || []).slice().sort((a, b) => b.depth - a.depth);
-  const rows = queues.slice(0, MAX_QUEUES).map((q) => [q.shard, q.team, q.class, q.depth, formatDuration(q.oldest_age_ns)]);
+  const rows = queues.slice(0, MAX_QUEUES).map((q) => [
+    q.shard, q.team || "all teams", q.class, q.depth, formatDuration(q.oldest_age_ns), percent(q.share), percent(q.floor), keptText(q),
+  ]);
   if (queues.length > MAX_QUEUES) rows.push(["and " + (queues.length - MAX_QUEUES) + " more"]);
-  fillTable("queues", ["shard", "team", "class", "depth", "oldest"], rows);
+  fillTable("queues", ["shard", "team", "class", "waiting", "oldest", "occupies", "floor", "kept"], rows);
 }
 
 function sumDomains(workers) {
@@ -100,8 +115,16 @@
   fillTable("domains", ["failure domain", "workers", "unusable", "tasks", "unconfirmed", "CPU", "memory", "accelerators"], rows);
 }
 
-function showSummary(version, status, store) {
-  const parts = ["instance " + version.instance + ", " + version.version + ", settings version " + status.head + "; store "];
+// cellText describes the cell by what it consists of; it has no name.
+function cellText(instances, workers) {
+  const list = workers.workers || [];
+  const regions = new Set(list.map((w) => w.worker.location.region));
+  return "cell of " + (instances.instances || []).length + " instances and " + list.length + " workers in " +
+    [...regions].sort().join(", ") + "; ";
+}
+
+function showSummary(version, status, store, cell) {
+  const parts = [cell + "instance " + version.instance + ", " + version.version + ", settings version " + status.head + "; store "];
   parts.push(store.reachable ? state("reachable", true) : state("unreachable: " + (store.last_error || "no reply"), false));
   if (store.pending > 0) parts.push(", " + store.pending + " records wait");
   byId("summary").replaceChildren(...parts);
@@ -111,7 +134,7 @@
   try {
     const paths = ["/v1/version", "/v1/settings/status", "/v1/instances", "/v1/workers", "/v1/queues"];
     const [version, status, instances, workers, queues] = await Promise.all(paths.map(fetchJSON));
-    showSummary(version, status, queues.store);
+    showSummary(version, status, queues.store, cellText(instances, workers));
     showInstances(instances, status.head);
     showWorkers(workers);
     showQueues(queues);
