--- a/examples/examples.go
+++ b/examples/examples.go
@@ -31,7 +31,7 @@
 	full := path.Join(name, file)
 	data, err := files.ReadFile(full)
 	if err != nil {
-		return "", nil, errs.Wrap(err, errs.NotFound, "use one of: "+strings.Join(Names, ", "), "example %q", name)
+		return "", nil, errs.Wrap(err, errs.InvalidInput, "use one of: "+strings.Join(Names, ", "), "example %q", name)
 	}
 	return "examples/" + full, data, nil
 }
@@ -108,7 +108,7 @@
 func each(name, folder string, visit func(file string, data []byte) error) error {
 	entries, err := files.ReadDir(path.Join(name, folder))
 	if err != nil {
-		return errs.Wrap(err, errs.NotFound, "use one of: "+strings.Join(Names, ", "), "example %q", name)
+		return errs.Wrap(err, errs.InvalidInput, "use one of: "+strings.Join(Names, ", "), "example %q", name)
 	}
 	for _, entry := range entries {
 		file, data, err := read(name, path.Join(folder, entry.Name()))
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -60,6 +60,7 @@
 		return err
 	}
 	if !conn.acceptIdentifier(&conn.head, c.req.ID) {
+		c.g.metrics.mismatched.Inc()
 		return errIdentifier
 	}
 	return nil
@@ -281,6 +282,7 @@
 	case s.ended:
 	case s.failed && !s.call.gone.Load():
 		s.result.Kind = router.CutMidAnswer
+		s.call.g.metrics.responsesCut.Inc()
 	default:
 		s.call.gone.Store(true)
 		s.result.Kind = router.Cancelled
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -50,16 +50,17 @@
 // server.
 func badRequest(ctx *fasthttp.RequestCtx, err error) {
 	status := fasthttp.StatusBadRequest
-	remedy := "send a valid HTTP/1.1 request"
+	message, remedy := "cannot read the request: "+err.Error(), "send a valid HTTP/1.1 request"
 	if _, ok := err.(*fasthttp.ErrSmallBuffer); ok {
 		status = fasthttp.StatusRequestHeaderFieldsTooLarge
+		message = "the headers of the request are too long" // err quotes them
 		remedy = "send fewer or shorter headers"
 	}
 	if timeout, ok := err.(net.Error); ok && timeout.Timeout() {
 		status = fasthttp.StatusRequestTimeout
 		remedy = "send the whole request in time"
 	}
-	writeError(ctx, "", status, router.NotRun, errs.InvalidInput, "cannot read the request: "+err.Error(), remedy)
+	writeError(ctx, "", status, router.NotRun, errs.InvalidInput, message, remedy)
 	ctx.SetConnectionClose()
 }
 
--- a/instance/background.go
+++ b/instance/background.go
@@ -63,6 +63,7 @@
 		i.metrics.directoryErrors.Inc()
 		return known
 	}
+	i.metrics.directoryRead.Store(int64(i.now()))
 	if reflect.DeepEqual(read, known) {
 		return known
 	}
@@ -106,8 +107,9 @@
 		beat.Phase = string(membership.Leaving)
 	}
 	var peers []structs.InstanceInfo
-	i.query(func(_ structs.Timestamp, state *core.State) {
+	i.query(func(now structs.Timestamp, state *core.State) {
 		beat.SettingsVersion, _ = state.Settings().Current()
+		i.settingsLag.observe(now, beat.SettingsVersion, state.Settings().Target())
 		beat.Shards = state.OwnedEpochs()
 		peers = state.Members().Peers()
 	})
--- a/instance/settings.go
+++ b/instance/settings.go
@@ -20,6 +20,7 @@
 	case settings.FetchTree:
 		i.fetch(e, e.From)
 	case settings.InForce:
+		i.metrics.noteSettings(e.Number)
 		i.log.Info("settings in force", "version", e.Number, "changes", len(e.Changes))
 		i.gateway.SetPolicy(core.RouterPolicy(e.Tree))
 	case settings.BecameReady:
--- a/internal/cli/machines.go
+++ b/internal/cli/machines.go
@@ -61,17 +61,29 @@
 }
 
 func workerTable(workers []operatorapi.WorkerStatus) table {
-	t := table{header: []string{"WORKER", "DOMAIN", "RACK", "STATE", "CORES", "MEMORY", "ACCEL", "TASKS", "UNCONFIRMED"}}
+	t := table{header: []string{"WORKER", "DOMAIN", "RACK", "STATE", "CORES", "USED", "MEMORY", "USED", "ACCEL", "TASKS", "UNCONFIRMED", "NOTE"}}
 	for _, w := range workers {
 		capacity := w.Worker.Capacity
 		t.add(string(w.Worker.ID), string(w.Worker.Location.FailureDomain), orDash(string(w.Worker.Location.Rack)), workerState(w),
-			usage(cores(w.Reserved), cores(capacity)), usage(gib(w.Reserved), gib(capacity)),
+			usage(cores(w.Reserved), cores(capacity)), cores(w.Used), usage(gib(w.Reserved), gib(capacity)), gib(w.Used),
 			usage(strconv.FormatInt(w.Reserved.Accelerators, 10), strconv.FormatInt(capacity.Accelerators, 10)),
-			strconv.Itoa(w.Tasks), strconv.Itoa(w.Unconfirmed))
+			strconv.Itoa(w.Tasks), strconv.Itoa(w.Unconfirmed), workerNote(w))
 	}
 	return t
 }
 
+// workerNote tells why a worker takes no work.
+func workerNote(w operatorapi.WorkerStatus) string {
+	var notes []string
+	if w.Unreachable {
+		notes = append(notes, "no answer since "+timeText(w.DownSince))
+	}
+	if w.Quarantined {
+		notes = append(notes, w.Reason)
+	}
+	return orDash(strings.Join(notes, "; "))
+}
+
 func workerState(w operatorapi.WorkerStatus) string {
 	states := []string{string(w.Worker.State)}
 	if w.Draining {
@@ -119,13 +131,13 @@
 }
 
 func instanceTable(instances []operatorapi.InstanceStatus) table {
-	t := table{header: []string{"INSTANCE", "DOMAIN", "HEALTH", "SETTINGS", "IN FLIGHT", "SHARDS", "CALLERS", "OPERATORS"}}
+	t := table{header: []string{"INSTANCE", "DOMAIN", "HEALTH", "SETTINGS", "STORE", "IN FLIGHT", "SHARDS", "CALLERS", "OPERATORS"}}
 	for _, i := range instances {
 		health := string(i.Health)
 		if i.Draining {
 			health += ",draining"
 		}
-		t.add(string(i.Info.ID), string(i.Info.Location.FailureDomain), health, strconv.FormatUint(i.SettingsVersion, 10),
+		t.add(string(i.Info.ID), string(i.Info.Location.FailureDomain), health, strconv.FormatUint(i.SettingsVersion, 10), orDash(string(i.Store)),
 			strconv.Itoa(i.InFlight), joinIDs(i.Shards), i.Info.CallerAddress, i.Info.OperatorAddress)
 	}
 	return t
@@ -191,7 +203,9 @@
 		}
 		text += "\n" + classes.String()
 	}
-	if !list.Store.Reachable {
+	if list.Store.Reachable {
+		text += fmt.Sprintf("\nstore reachable since %s; %d records wait\n", timeText(list.Store.Since), list.Store.Pending)
+	} else {
 		text += fmt.Sprintf("\nstore unreachable since %s: %s; %d records wait\n",
 			timeText(list.Store.Since), orDash(list.Store.LastError), list.Store.Pending)
 	}
--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"runtime"
 	"runtime/debug"
 	"strings"
 	"time"
@@ -160,10 +161,27 @@
 	return c.Args().First(), nil
 }
 
-// buildVersion returns the version of the program from its build information.
+// buildVersion describes the build of the program: version, revision and its
+// time if they are known, Go version and platform.
 func buildVersion() string {
-	if info, ok := debug.ReadBuildInfo(); ok && info.Main.Version != "" {
-		return info.Main.Version
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "devel"
 	}
-	return "(devel)"
+	version := info.Main.Version
+	if version == "" || version == "(devel)" {
+		version = "devel"
+	}
+	parts := []string{info.GoVersion, runtime.GOOS + "/" + runtime.GOARCH}
+	for _, setting := range info.Settings {
+		switch {
+		case setting.Key == "vcs.revision":
+			parts = append(parts, "revision "+setting.Value)
+		case setting.Key == "vcs.time":
+			parts = append(parts, "of "+setting.Value)
+		case setting.Key == "vcs.modified" && setting.Value == "true":
+			parts = append(parts, "modified")
+		}
+	}
+	return version + " (" + strings.Join(parts, ", ") + ")"
 }
--- a/internal/daemon/dev.go
+++ b/internal/daemon/dev.go
@@ -122,11 +122,16 @@
 			Logger: log.Named(string(info.ID)),
 		}))
 	}
-	if cell.waitReady(ctx) {
+	var failure error
+	switch {
+	case cell.waitReady(ctx):
 		printReady(options.out, options.example, infos, p.Address, time.Since(started))
+		<-ctx.Done()
+	case ctx.Err() == nil:
+		failure = errs.New(errs.Failed, "start it again when the machine is less busy, or with --log-level info to see why",
+			"the cell was not ready after %s", readyTimeout)
 	}
-	<-ctx.Done()
-	return errors.CombineErrors(cell.stop(), p.Close())
+	return errors.CombineErrors(failure, errors.CombineErrors(cell.stop(), p.Close()))
 }
 
 func printReady(out io.Writer, example string, infos []structs.InstanceInfo, platform string, took time.Duration) {
@@ -195,7 +200,8 @@
 	c.group.Go(func() { m.done <- i.Run(ctx) })
 }
 
-// waitReady returns true once every instance takes work.
+// waitReady returns true once every instance takes work and knows the others,
+// so that a call to one reaches the owner of a shard.
 func (c *devCell) waitReady(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
@@ -204,7 +210,7 @@
 	for {
 		ready := true
 		for _, m := range c.members {
-			ready = ready && m.instance.Serving()
+			ready = ready && m.instance.Serving() && m.instance.Peers() == len(c.members)-1
 		}
 		if ready {
 			return true
--- a/scheduler/query.go
+++ b/scheduler/query.go
@@ -37,6 +37,8 @@
 	Claimed     bool              // kept free for work that waited for long
 	Tasks       int
 	Reserved    structs.Resources
+	Unconfirmed int    // tasks that may run while the worker does not answer
+	Reason      string // why it is quarantined
 }
 
 // Job returns the state of a job and its tasks.
@@ -80,15 +82,33 @@
 		st := WorkerStatus{
 			Worker: w.info, Listed: w.listed, Drained: s.drained[w.id], Quarantined: s.quarantine[w.id].Until,
 			DownSince: w.down, Claimed: claimed, Tasks: len(w.tasks),
+			Reason: s.quarantineReason(w.id),
 		}
 		for _, t := range w.tasks {
 			st.Reserved = st.Reserved.Add(t.live.reserved)
+			if t.live.unknown {
+				st.Unconfirmed++
+			}
 		}
 		out = append(out, st)
 	}
 	return out
 }
 
+// quarantineReason tells why a worker is quarantined, or "".
+func (s *State) quarantineReason(id structs.WorkerID) string {
+	q, ok := s.quarantine[id]
+	switch {
+	case !ok:
+		return ""
+	case q.Until.After(s.now):
+		return fmt.Sprintf("quarantine %d: tasks of %d jobs, or a probe, failed on it in a row; next probe at %s",
+			q.Strikes, quarantineJobs, q.Until.Time().Format(time.RFC3339))
+	}
+	return fmt.Sprintf("quarantine %d: tasks of %d jobs, or a probe, failed on it in a row; %d of %d probes passed",
+		q.Strikes, quarantineJobs, s.workers[id].health.passed, probesToPass)
+}
+
 // Queues returns depth, oldest age, share and floor by class and team.
 func (s *State) Queues(now structs.Timestamp) []queue.Stat { return s.queue.Stats(now) }
 
@@ -123,7 +143,7 @@
 }
 
 func (s *State) explain(now structs.Timestamp, j *job, e *Explanation) {
-	switch until := max(j.health.until, j.Spec.NotBefore); {
+	switch {
 	case e.Pending == 0:
 		e.Summary, e.Remedy = "no task waits", "nothing to do"
 	case j.held == holdQuota:
@@ -136,14 +156,63 @@
 			e.Summary = fmt.Sprintf("can never run: %d tasks of %s do not fit together into the empty fleet", j.Open, j.need())
 			e.Remedy = "ask for fewer or smaller tasks, or add workers"
 		}
-	case until.After(now):
-		e.Until = until
-		e.Summary = fmt.Sprintf("not before %s: %d failures in a row on %d workers", until.Time().Format(time.RFC3339), j.health.failures, len(j.health.workers))
+	case j.Spec.NotBefore.After(now):
+		e.Until = j.Spec.NotBefore
+		e.Summary = fmt.Sprintf("the window has not opened: %d tasks start at %s at the earliest, in %s",
+			e.Pending, e.Until.Time().Format(time.RFC3339), e.Until.Sub(now).Round(time.Second))
+		e.Remedy = "wait, or submit the work under a new identifier with an earlier window"
+	case j.health.until.After(now):
+		e.Until = j.health.until
+		e.Summary = fmt.Sprintf("held back until %s: %d failures in a row on %d workers",
+			e.Until.Time().Format(time.RFC3339), j.health.failures, len(j.health.workers))
 		e.Remedy = "correct or cancel the job if it fails by itself, otherwise wait"
 	case !s.quota.admits(j.Spec.Team, e.Need):
 		e.Summary = fmt.Sprintf("above quota: needs %s; %s", e.Need, s.quota.reason(j.Spec.Team, e.Need))
 		e.Remedy = "wait for the team's other tasks, or raise its quota or borrow limit"
+	case j.Spec.Kind == structs.KindGang:
+		s.explainGang(now, j, e)
+	case e.Workers.Fitting > 0 && s.queue.IsFlooded(j.Spec.Class):
+		s.explainFlood(now, j, e)
 	default:
 		e.Summary, e.Remedy = e.Workers.String(), e.Workers.Remedy
+		s.addShare(now, j, e)
+	}
+}
+
+// explainGang tells how many tasks must start together and whether workers are
+// kept free for them.
+func (s *State) explainGang(now structs.Timestamp, j *job, e *Explanation) {
+	e.Summary = fmt.Sprintf("%d tasks of %s must start together, %s in all; %d of %d workers have room for a task now",
+		e.Pending, j.need(), e.Need, e.Workers.Fitting, e.Workers.Workers)
+	e.Remedy = "wait, or ask for fewer or smaller tasks"
+	if cl := s.claims.of(j); cl != nil {
+		e.Summary += fmt.Sprintf("; %d workers are kept free for it, with room in about %s",
+			len(cl.workers), max(cl.ready.Sub(now), 0).Round(time.Second))
+		return
+	}
+	e.Summary += fmt.Sprintf("; no worker is kept free for it yet, which begins after a wait of %s", s.policy.Gang.ReserveAfter)
+}
+
+// explainFlood tells that the class has more work than its share.
+func (s *State) explainFlood(now structs.Timestamp, j *job, e *Explanation) {
+	e.Summary = fmt.Sprintf("class %s is above its floor and its backlog grows, so others go first", j.Spec.Class)
+	e.Remedy = "wait, or raise the weight or floor of the class"
+	s.addShare(now, j, e)
+}
+
+// addShare adds what the class occupies and is guaranteed.
+func (s *State) addShare(now structs.Timestamp, j *job, e *Explanation) {
+	for _, stat := range s.queue.Stats(now) {
+		if stat.Class != j.Spec.Class || stat.Team != "" {
+			continue
+		}
+		where := "above"
+		if stat.SharePPM < stat.FloorPPM {
+			where = "below"
+		}
+		e.Summary += fmt.Sprintf("; class %s occupies %.1f%% of the shard, %s its floor of %.1f%%, with %d tasks waiting",
+			stat.Class, percent(stat.SharePPM), where, percent(stat.FloorPPM), stat.Depth)
 	}
 }
+
+func percent(ppm int64) float64 { return float64(ppm) / 10_000 }
