Apply the time limits of an instance file

Cause: read_timeout, write_timeout and idle_timeout were decoded and dropped. Conclusion: all limits of the file apply.

--- a/internal/daemon/edges_test.go
+++ b/internal/daemon/edges_test.go
@@ -12,7 +12,9 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/mangodrum/mangodrum/config"
 	"github.com/mangodrum/mangodrum/errs"
+	"github.com/mangodrum/mangodrum/gateway"
 	"github.com/mangodrum/mangodrum/operatorapi"
 	"github.com/mangodrum/mangodrum/platform/standin"
 )
@@ -185,3 +187,16 @@
 	c.waitSucceeded(2, "during", 1)
 	c.checkSafety()
 }
+
+// Guards against limits of an instance file that are read and not applied.
+func TestLimitsOfTheFileApply(t *testing.T) {
+	got := limitsOf(config.Limits{
+		MaxBody: 1, MaxHeader: 2, MaxConnections: 3, ReadTimeout: 4, WriteTimeout: 5, IdleTimeout: 6,
+	})
+	want := gateway.Limits{
+		MaxBodyBytes: 1, MaxHeaderBytes: 2, MaxConnections: 3, ReadTimeout: 4, WriteTimeout: 5, IdleTimeout: 6,
+	}
+	if got != want {
+		t.Errorf("limits %+v, want %+v", got, want)
+	}
+}
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"time"
 
 	"github.com/urfave/cli/v3"
 
@@ -57,6 +58,7 @@
 func limitsOf(l config.Limits) gateway.Limits {
 	return gateway.Limits{
 		MaxBodyBytes: int64(l.MaxBody), MaxHeaderBytes: int(l.MaxHeader), MaxConnections: l.MaxConnections,
+		ReadTimeout: time.Duration(l.ReadTimeout), WriteTimeout: time.Duration(l.WriteTimeout), IdleTimeout: time.Duration(l.IdleTimeout),
 	}
 }
 
