instance: leave the addresses out of most heartbeats

Cause: at 24 instances heartbeats alone would take 4.9 KB/s of an instance; more than half of their bytes are the sender's addresses, which the directory has. Change: the first 30 heartbeats carry them, then one in ten.

--- a/core/cell_test.go
+++ b/core/cell_test.go
@@ -29,13 +29,14 @@
 	listed  DirectoryRead
 	tree    *settings.Tree
 
-	reduceTime  time.Duration // spent in Reduce
-	workerCalls int
-	workerBytes int // of calls and answers as the platform's protocol encodes them
-	countBytes  bool
-	replies     []scheduler.Reply
-	waits       []time.Duration
-	phases      []Phase
+	reduceTime   time.Duration // spent in Reduce
+	workerCalls  int
+	workerBytes  int // of calls and answers as the platform's protocol encodes them
+	countBytes   bool
+	journalBytes int // of committed rows
+	replies      []scheduler.Reply
+	waits        []time.Duration
+	phases       []Phase
 }
 
 func testInfo(n int) structs.InstanceInfo {
@@ -131,6 +132,9 @@
 		answer, _ := ownership.Execute(ctx, c.store, e)
 		return answer
 	case FromJournal:
+		if row, ok := e.Effect.(journal.CommitRow); ok {
+			c.journalBytes += len(row.Value)
+		}
 		return ToJournal{Shard: e.Shard, Epoch: e.Epoch, Event: journal.Execute(ctx, c.store, e.Effect)}
 	case LoadShard:
 		loaded, err := journal.Load(ctx, c.journalStore(), e.Shard)
--- a/instance/background.go
+++ b/instance/background.go
@@ -17,6 +17,12 @@
 	directoryInterval = time.Second
 	heartbeatInterval = time.Second
 	directoryTimeout  = 2 * time.Second
+
+	// A heartbeat carries the sender's addresses while its peers may not know
+	// it from the directory yet, and later in one of infoBeats: they take more
+	// than half of its bytes.
+	startBeats = 30
+	infoBeats  = 10
 )
 
 // every calls f at once and then at each interval until ctx ends.
@@ -97,12 +103,17 @@
 	})
 }
 
+// heartbeat is called by one goroutine.
 func (i *Instance) heartbeat() (peer.Heartbeat, []structs.InstanceInfo) {
 	beat := peer.Heartbeat{
-		Info: i.options.Info, Incarnation: i.incarnation, Phase: string(membership.Live),
+		Incarnation: i.incarnation, Phase: string(membership.Live),
 		Ready: i.Ready(), StoreHealthy: i.storeHealth.isHealthy(), SentAt: i.now(),
 		InFlight: uint32(i.gateway.Stats().Requests),
 	}
+	if i.beats < startBeats || i.beats%infoBeats == 0 {
+		beat.Info = &i.options.Info
+	}
+	i.beats++
 	if i.draining.Load() {
 		beat.Phase = string(membership.Leaving)
 	}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -74,6 +74,7 @@
 	calls      *callTable
 	replies    replyTable
 	peerView   peerView
+	beats      uint64 // heartbeats sent
 
 	ready       atomic.Bool
 	draining    atomic.Bool
--- a/instance/receive.go
+++ b/instance/receive.go
@@ -81,7 +81,7 @@
 	}
 	i.peerView.put(m.From, beat)
 	i.post(membership.HeartbeatReceived{
-		From: m.From, Incarnation: beat.Incarnation, At: beat.SentAt, Info: &beat.Info,
+		From: m.From, Incarnation: beat.Incarnation, At: beat.SentAt, Info: beat.Info,
 		Phase: membership.Status(beat.Phase),
 	})
 	i.post(settings.VersionAnnounced{From: m.From, Number: beat.SettingsVersion})
--- a/peer/message.go
+++ b/peer/message.go
@@ -42,7 +42,7 @@
 	Ready           bool                              `cbor:"5,keyasint,omitempty"`
 	StoreHealthy    bool                              `cbor:"6,keyasint,omitempty"`
 	SentAt          structs.Timestamp                 `cbor:"7,keyasint"`
-	Info            structs.InstanceInfo              `cbor:"8,keyasint"`
+	Info            *structs.InstanceInfo             `cbor:"8,keyasint,omitempty"` // of the sender; left out of most heartbeats
 	InFlight        uint32                            `cbor:"9,keyasint,omitempty"` // requests
 }
 
