settings: say which fields are not in effect; refuse more shards than are built

Before and after: not measured; tests of settings, config, examples, reference and platform pass. Conclusion: operators are told; wiring the fields is open work.

--- a/settings/types.go
+++ b/settings/types.go
@@ -38,7 +38,7 @@
 
 // Cell holds the settings of the whole cell.
 type Cell struct {
-	ShardsPerRegion *int      `yaml:"shards_per_region" min:"1" max:"18" doc:"Number of shards that the failure domains of a region are divided into."`
+	ShardsPerRegion *int      `yaml:"shards_per_region" min:"1" max:"1" doc:"Number of shards that the failure domains of a region are divided into. Only 1 is built so far."`
 	AgeingPeriod    *Duration `yaml:"ageing_period" min:"1s" max:"24h" doc:"Waiting time after which pending work ranks one step higher in its queue."`
 }
 
@@ -62,10 +62,10 @@
 
 // Set holds the fields that a branch overrides. A nil field is inherited.
 type Set struct {
-	Class             *structs.ClassName `yaml:"class" pattern:"^[a-z][a-z0-9-]{0,39}$" doc:"Class of requests and jobs that name none."`
+	Class             *structs.ClassName `yaml:"class" pattern:"^[a-z][a-z0-9-]{0,39}$" doc:"Class of jobs that name none. Requests that name none get the first class of normal urgency."`
 	Weight            *int               `yaml:"weight" min:"1" max:"10000" doc:"Share of the team relative to the other teams of its class."`
-	Deadline          *Duration          `yaml:"deadline" min:"1ms" max:"168h" doc:"Deadline of requests that name none; takes precedence over the class's."`
-	CrossRegionCostMS *int               `yaml:"cross_region_cost_ms" min:"0" max:"600000" doc:"Expected wait in milliseconds above which a request goes to another region; stands for the bill of cross-region traffic."`
+	Deadline          *Duration          `yaml:"deadline" min:"1ms" max:"168h" doc:"Deadline of requests that name none; takes precedence over the class's. Kept and not in effect yet. The default deadline of the class applies."`
+	CrossRegionCostMS *int               `yaml:"cross_region_cost_ms" min:"0" max:"600000" doc:"Expected wait in milliseconds above which a request goes to another region; stands for the bill of cross-region traffic. In effect for the whole cell when set at the root; values of other branches are kept and not in effect yet."`
 	Quota             Quota              `yaml:"quota"`
 	Requests          Requests           `yaml:"requests"`
 	Retry             Retry              `yaml:"retry"`
@@ -93,23 +93,23 @@
 
 // Requests limits the requests of a team at one instance.
 type Requests struct {
-	Concurrency *int      `yaml:"concurrency" min:"1" max:"1000000" doc:"Largest number of requests in flight at one instance."`
-	QueueLimit  *int      `yaml:"queue_limit" min:"0" max:"1000000" doc:"Largest number of requests that wait at one instance."`
-	MaxBody     *Bytes    `yaml:"max_body" min:"1KiB" max:"1GiB" doc:"Largest request body."`
-	Timeout     *Duration `yaml:"timeout" min:"1ms" max:"24h" doc:"Longest time that one attempt of a request runs."`
+	Concurrency *int      `yaml:"concurrency" min:"1" max:"1000000" doc:"Largest number of requests in flight at one instance. Kept and not in effect yet."`
+	QueueLimit  *int      `yaml:"queue_limit" min:"0" max:"1000000" doc:"Largest number of requests of a team that wait at one instance. In effect for the whole cell when set at the root; values of other branches are kept and not in effect yet."`
+	MaxBody     *Bytes    `yaml:"max_body" min:"1KiB" max:"1GiB" doc:"Largest request body. Kept and not in effect yet. The instance file bounds bodies."`
+	Timeout     *Duration `yaml:"timeout" min:"1ms" max:"24h" doc:"Longest time that one attempt of a request runs. Kept and not in effect yet."`
 }
 
 // Retry limits retries.
 type Retry struct {
-	Budget       *Fraction `yaml:"budget" doc:"Retries as a fraction of the requests."`
-	Attempts     *int      `yaml:"attempts" min:"1" max:"10" doc:"Largest number of attempts of one request."`
-	Backoff      *Duration `yaml:"backoff" min:"1ms" max:"1m" doc:"Mean delay before the first retry; doubles with every further one."`
+	Budget       *Fraction `yaml:"budget" doc:"Retries as a fraction of the requests. In effect for the whole cell when set at the root; values of other branches are kept and not in effect yet."`
+	Attempts     *int      `yaml:"attempts" min:"1" max:"10" doc:"Largest number of attempts of one request. In effect for the whole cell when set at the root; values of other branches are kept and not in effect yet."`
+	Backoff      *Duration `yaml:"backoff" min:"1ms" max:"1m" doc:"Mean delay before the first retry; doubles with every further one. In effect for the whole cell when set at the root; values of other branches are kept and not in effect yet."`
 	TaskAttempts *int      `yaml:"task_attempts" min:"0" max:"1000000" doc:"Largest number of attempts of a task whose job names none; 0 is no limit."`
 }
 
 // Placement guides the choice of workers.
 type Placement struct {
-	AffinityCost *Fraction `yaml:"affinity_cost" doc:"Fraction of a worker's score given up before a region other than the preferred one is chosen."`
+	AffinityCost *Fraction `yaml:"affinity_cost" doc:"Fraction of a worker's score given up before a region other than the preferred one is chosen. In effect for the whole cell when set at the root; values of other branches are kept and not in effect yet."`
 	Spread       *bool     `yaml:"spread" doc:"Spread the tasks of a job over failure domains."`
 }
 
@@ -126,10 +126,10 @@
 
 // Gang is the policy for jobs of kind gang.
 type Gang struct {
-	Reservation *Duration `yaml:"reservation" min:"0s" max:"24h" doc:"Longest time that free resources are kept for a gang that does not fit yet."`
+	Reservation *Duration `yaml:"reservation" min:"0s" max:"24h" doc:"Longest time that free resources are kept for a gang that does not fit yet. Kept and not in effect yet."`
 }
 
 // Lease is the policy for task leases.
 type Lease struct {
-	Task *Duration `yaml:"task" min:"10s" max:"75m" doc:"Length of a task lease between renewals."`
+	Task *Duration `yaml:"task" min:"10s" max:"75m" doc:"Length of a task lease between renewals. In effect for the whole cell when set at the root; values of other branches are kept and not in effect yet."`
 }
