--- a/journal/commit_test.go
+++ b/journal/commit_test.go
@@ -2,11 +2,7 @@
 
 import (
 	"context"
-	"fmt"
 	"testing"
-	"time"
-
-	"go.uber.org/goleak"
 
 	"github.com/mangodrum/mangodrum/errs"
 	"github.com/mangodrum/mangodrum/platform"
@@ -243,47 +239,6 @@
 	}
 }
 
-// Guards against a Writer that loses appends between goroutines, leaks its
-// goroutine or does not report a fence.
-func TestWriter(t *testing.T) {
-	defer goleak.VerifyNone(t)
-	r := newRig(t, Config{})
-	done := make(chan Committed, 100)
-	fenced := make(chan struct{})
-	w, err := NewWriter(WriterConfig{
-		Config: Config{Shard: shard, Epoch: 1, Guard: guard}, Table: r.store,
-		Now:       func() structs.Timestamp { return structs.TimestampOf(time.Now()) },
-		Committed: func(c Committed) { done <- c },
-		Fenced:    func() { close(fenced) },
-	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer w.Close()
-	want := ""
-	for i := range 10 {
-		text := fmt.Sprint(i)
-		want += text
-		if _, err := w.Append(context.Background(), []byte(text)); err != nil {
-			t.Fatal(err)
-		}
-	}
-	if err := w.Flush(context.Background()); err != nil {
-		t.Fatal(err)
-	}
-	if got := texts(r.load(t).Entries); got != want {
-		t.Fatalf("journal = %q, want %q", got, want)
-	}
-	raiseEpoch(t, r.store, 1)
-	if _, err := w.Append(context.Background(), []byte("late")); err != nil {
-		t.Fatal(err)
-	}
-	<-fenced
-	if _, err := w.Append(context.Background(), nil); !errs.Is(err, errs.NotRun) {
-		t.Fatalf("append after the fence: %v, want not-run", err)
-	}
-}
-
 func commitOf(key string, value []byte) platform.Txn {
 	return platform.Txn{Writes: []platform.Write{{Key: key, Value: value}}}
 }
--- a/journal/doc.go
+++ b/journal/doc.go
@@ -2,8 +2,8 @@
 //
 // State is the group commit as a reducer: it collects payloads and writes one
 // row "journal/<shard>/<sequence>" per flush, on condition that the row is
-// absent and that the shard's epoch is unchanged. Writer runs it against a
-// table. Load and SaveSnapshot recover and shorten the journal.
+// absent and that the shard's epoch is unchanged. Execute carries out its
+// effects on a table. Load and SaveSnapshot recover and shorten the journal.
 //
 // Invariants:
 //   - One row is in flight at a time, so rows become durable in order.
--- /dev/null
+++ b/journal/execute.go
@@ -0,0 +1,44 @@
+package journal
+
+import (
+	"context"
+
+	"github.com/mangodrum/mangodrum/errs"
+	"github.com/mangodrum/mangodrum/platform"
+	"github.com/mangodrum/mangodrum/structs"
+)
+
+// Execute carries out a CommitRow or ReadRow effect and returns the event that
+// answers it, or nil for every other effect.
+func Execute(ctx context.Context, table platform.Table, effect structs.Effect) structs.Event {
+	switch e := effect.(type) {
+	case CommitRow:
+		_, err := table.Commit(ctx, platform.Txn{
+			Conditions: e.Conditions,
+			Writes:     []platform.Write{{Key: e.Key, Value: e.Value}},
+		})
+		return CommitEnded{ErrKind: commitKind(err)}
+	case ReadRow:
+		row, err := table.Get(ctx, e.Key)
+		if errs.Is(err, errs.NotFound) {
+			return ReadBack{}
+		}
+		if err != nil {
+			return ReadBack{ErrKind: commitKind(err)}
+		}
+		return ReadBack{Found: true, Value: row.Value}
+	}
+	return nil
+}
+
+// commitKind treats an error without a kind as an unknown outcome.
+func commitKind(err error) errs.Kind {
+	if err == nil {
+		return ""
+	}
+	switch kind := errs.KindOf(err); kind {
+	case errs.NotRun, errs.Conflict:
+		return kind
+	}
+	return errs.OutcomeUnknown
+}
