daemon: say why a development cell is not ready

Change: waitReady reports what is missing, and at once when an instance ended. Conclusion: the next failure names its cause.

--- a/core/state.go
+++ b/core/state.go
@@ -264,18 +264,22 @@
 	return errs.New(errs.NotRun, "try again in a few seconds", "this instance does not own shard %q", id)
 }
 
-// Serving reports whether every shard has an owner in this instance's view,
-// and whether the shards that it owns are loaded.
-func (s *State) Serving() bool {
+// CheckServing returns an error that names a shard without an owner in this
+// instance's view, or a shard that it owns and has not loaded; nil if there is
+// none.
+func (s *State) CheckServing() error {
+	if len(s.shardSet) == 0 {
+		return errs.New(errs.NotRun, "wait for the platform's directory", "instance %s knows no shards yet", s.cfg.Self.ID)
+	}
 	for _, listed := range s.shardSet {
 		if s.Owner(listed.ID) == "" {
-			return false
+			return errs.New(errs.NotRun, "wait a few seconds", "instance %s knows no owner of shard %q", s.cfg.Self.ID, listed.ID)
 		}
 	}
-	for _, x := range s.shards {
+	for id, x := range s.shards {
 		if x.phase != PhaseRunning {
-			return false
+			return errs.New(errs.NotRun, "wait a few seconds", "shard %q is %s at instance %s", id, x.phase, s.cfg.Self.ID)
 		}
 	}
-	return len(s.shardSet) > 0
+	return nil
 }
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -246,13 +246,16 @@
 	return count
 }
 
-// Serving reports whether the instance takes work and every shard of the cell
-// has an owner that has loaded it.
-func (i *Instance) Serving() bool {
-	if !i.Ready() {
-		return false
+// ID returns the identifier of the instance.
+func (i *Instance) ID() structs.InstanceID { return i.options.Info.ID }
+
+// CheckServing reports why the instance does not take work yet, or which shard
+// of the cell has no owner that has loaded it; nil means that it serves.
+func (i *Instance) CheckServing() error {
+	if err := i.checkReady(); err != nil {
+		return err
 	}
-	serving := false
-	i.query(func(_ structs.Timestamp, state *core.State) { serving = state.Serving() })
-	return serving
+	err := errStopped(i.options.Info.ID)
+	i.query(func(_ structs.Timestamp, state *core.State) { err = state.CheckServing() })
+	return err
 }
--- a/internal/daemon/dev.go
+++ b/internal/daemon/dev.go
@@ -122,14 +122,10 @@
 			Logger: log.Named(string(info.ID)),
 		}))
 	}
-	var failure error
-	switch {
-	case cell.waitReady(ctx):
+	failure := cell.waitReady(ctx)
+	if failure == nil && ctx.Err() == nil {
 		printReady(options.out, options.example, infos, p.Address, time.Since(started))
 		<-ctx.Done()
-	case ctx.Err() == nil:
-		failure = errs.New(errs.Failed, "start it again when the machine is less busy, or with --log-level info to see why",
-			"the cell was not ready after %s", readyTimeout)
 	}
 	return errors.CombineErrors(failure, errors.CombineErrors(cell.stop(), p.Close()))
 }
@@ -200,26 +196,60 @@
 	c.group.Go(func() { m.done <- i.Run(ctx) })
 }
 
-// waitReady returns true once every instance takes work and knows the others,
-// so that a call to one reaches the owner of a shard.
-func (c *devCell) waitReady(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
-	defer cancel()
+// waitReady returns once every instance takes work and knows the others, so
+// that a call to one reaches the owner of a shard, or once ctx ends. It fails
+// if an instance ends or the cell takes too long, and says what is missing.
+func (c *devCell) waitReady(ctx context.Context) error {
+	tooLong := time.After(readyTimeout)
 	ticker := time.NewTicker(readyPoll)
 	defer ticker.Stop()
 	for {
-		ready := true
-		for _, m := range c.members {
-			ready = ready && m.instance.Serving() && m.instance.Peers() == len(c.members)-1
-		}
-		if ready {
-			return true
+		missing := c.missing()
+		if missing == nil {
+			return nil
 		}
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
-			return false
+			return nil
+		case <-tooLong:
+			return errs.Wrap(missing, errs.Failed,
+				"start it again when the machine is less busy, or with --log-level info to see why",
+				"the cell was not ready after %s", readyTimeout)
+		}
+		for _, m := range c.members {
+			if err, ended := m.ended(); ended {
+				return errs.Wrap(err, errs.Failed, "correct the cause and start the cell again",
+					"instance %s ended before the cell was ready", m.instance.ID())
+			}
+		}
+	}
+}
+
+// missing tells what keeps the cell from being ready, or returns nil.
+func (c *devCell) missing() error {
+	for _, m := range c.members {
+		if err := m.instance.CheckServing(); err != nil {
+			return err
+		}
+		if n := m.instance.Peers(); n != len(c.members)-1 {
+			return errs.New(errs.NotRun, "", "instance %s knows %d of %d others", m.instance.ID(), n, len(c.members)-1)
+		}
+	}
+	return nil
+}
+
+// ended returns the result of Run if the instance has ended.
+func (m *devMember) ended() (error, bool) {
+	select {
+	case err := <-m.done:
+		m.done <- err // stop reads it again
+		if err == nil {
+			err = errs.New(errs.Failed, "", "an operator asked for a drain")
 		}
+		return err, true
+	default:
+		return nil, false
 	}
 }
 
