membership: take back a leaving mark that the directory corrects

Cause: an instance that reads its own entry as leaving, left by its earlier process when the registration of the new one failed at first, stayed leaving for good and owned no shard (found by reading, while looking for a cell that did not become ready). Change: the mark is taken back when the directory lists the instance as live; a drain that the instance began itself stays. Before: TestLeavingMarkOfAnEarlierProcess fails without the change; after: go test -race ./membership passes. Conclusion: a stale mark delays an instance, but not for good.

--- a/membership/membership.go
+++ b/membership/membership.go
@@ -9,11 +9,14 @@
 
 // State is the view of one instance. It is not safe for concurrent use.
 type State struct {
-	cfg      Config
-	self     Status
-	members  map[structs.InstanceID]*member
-	order    []structs.InstanceID // sorted keys of members, without Self
-	lastTick structs.Timestamp
+	cfg  Config
+	self Status
+	// leavingByList is set while self is Leaving only because the directory
+	// says so.
+	leavingByList bool
+	members       map[structs.InstanceID]*member
+	order         []structs.InstanceID // sorted keys of members, without Self
+	lastTick      structs.Timestamp
 }
 
 type member struct {
@@ -42,6 +45,7 @@
 	case HeartbeatReceived:
 		return s.heartbeat(now, e)
 	case SelfPhase:
+		s.leavingByList = false
 		return s.setSelf(e.Phase)
 	case Tick:
 		return s.tick(now)
@@ -134,11 +138,18 @@
 	return out
 }
 
-// selfListed takes a leaving mark for this instance from the directory. A
-// drain that the instance knows better about is kept.
+// selfListed takes a leaving mark for this instance from the directory, and
+// takes it back when the directory lists the instance as live again: the mark
+// may be left from an earlier process. A drain that the instance began itself
+// is kept.
 func (s *State) selfListed(state structs.Lifecycle) []structs.Effect {
-	if state == structs.Leaving && s.self == Live {
+	switch {
+	case state == structs.Leaving && s.self == Live:
+		s.leavingByList = true
 		return s.setSelf(Leaving)
+	case state == structs.Live && s.self == Leaving && s.leavingByList:
+		s.leavingByList = false
+		return s.setSelf(Live)
 	}
 	return nil
 }
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -144,3 +144,29 @@
 	idle(s, 160*second, 167*second)
 	want(t, s, Dead)
 }
+
+// Guards against a restarted instance that stays leaving for good because the
+// first list that it read still had the mark of its earlier process, and
+// against a list that ends a drain.
+func TestLeavingMarkOfAnEarlierProcess(t *testing.T) {
+	self := info("self", structs.Live)
+	s := New(Config{Self: self, Incarnation: 2})
+	list := func(now structs.Timestamp, state structs.Lifecycle) {
+		listed := self
+		listed.State = state
+		s.Reduce(now, DirectoryListed{Instances: []structs.InstanceInfo{listed}})
+	}
+	list(1, structs.Leaving)
+	if len(s.Live()) != 0 {
+		t.Error("an instance that is listed as leaving takes work")
+	}
+	list(2, structs.Live)
+	if len(s.Live()) != 1 {
+		t.Error("the instance stays leaving after the list was corrected")
+	}
+	s.Reduce(3, SelfPhase{Phase: Leaving})
+	list(4, structs.Live)
+	if len(s.Live()) != 0 {
+		t.Error("a list ended a drain")
+	}
+}
