instance: end a stop during the start; let no query outlive its caller

Cause: found by TestStopDuringStart, written after one run of the daemon tests had hung for 596 s. A server that was shut down before it began to serve kept serving, so Run never returned. The race detector then showed a query whose function still ran after the stop had released its caller. Change: stop closes the listeners; a query ends only with its function or with the loop. Conclusion: a process can be stopped at any moment of its start.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -56,6 +56,7 @@
 	cancel      context.CancelFunc
 	group       conc.WaitGroup
 	stopped     chan struct{}
+	loopEnded   chan struct{}
 	stopOnce    sync.Once
 	stopAsked   chan struct{} // closed when an operator asks for a drain
 	fatal       chan error
@@ -98,6 +99,7 @@
 		ctx:         ctx,
 		cancel:      cancel,
 		stopped:     make(chan struct{}),
+		loopEnded:   make(chan struct{}),
 		stopAsked:   make(chan struct{}),
 		fatal:       make(chan error, 1),
 		inbox:       make(chan message, inboxSize),
@@ -213,6 +215,11 @@
 	close(i.stopped)
 	i.node.Close()
 	i.gateway.Close()
+	// A server that was shut down before it began to serve ends only with its
+	// listener.
+	for _, listener := range []net.Listener{i.options.Callers, i.options.Operators, i.options.Peers} {
+		_ = listener.Close()
+	}
 	i.dispatcher.wait()
 	i.group.Wait()
 }
--- a/instance/instance_test.go
+++ b/instance/instance_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"testing"
 	"time"
 
@@ -13,6 +14,9 @@
 	"github.com/mangodrum/mangodrum/structs"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/mangodrum/mangodrum/platform/standin"
 )
 
 // Guards against a loop that blocks on its own inbox when a grant causes a
@@ -111,3 +115,31 @@
 		t.Errorf("%d team labels, want %d", got, maxTeamLabels)
 	}
 }
+
+// Guards against a process that hangs because it was told to stop before its
+// servers had begun to serve: their shutdown then has no effect.
+func TestStopDuringStart(t *testing.T) {
+	for range 20 {
+		store := standin.NewStore()
+		listeners := make([]net.Listener, 3)
+		for n := range listeners {
+			listener, err := net.Listen("tcp4", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			listeners[n] = listener
+		}
+		i := New(Options{
+			Info:  structs.InstanceInfo{ID: "i", Location: structs.Location{Region: "north"}, State: structs.Live},
+			Table: store, Objects: store.Objects(), Directory: standin.NewDirectory(nil, nil),
+			Workers: standin.NewPool(func() structs.Timestamp { return 0 }, nil),
+			Callers: listeners[0], Operators: listeners[1], Peers: listeners[2],
+			Logger: hclog.NewNullLogger(),
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		if err := i.Run(ctx); err != nil {
+			t.Fatalf("stop during the start: %v", err)
+		}
+	}
+}
--- a/instance/loop.go
+++ b/instance/loop.go
@@ -26,6 +26,7 @@
 
 // loop owns the reducer's state until ctx ends.
 func (i *Instance) loop(ctx context.Context) {
+	defer close(i.loopEnded)
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
@@ -77,18 +78,20 @@
 	}
 }
 
-// query runs f between two events. It returns false if the instance stopped.
+// query runs f between two events. It returns false if the loop has ended. It
+// does not return while f may still run, so f can write to the caller's
+// variables.
 func (i *Instance) query(f func(now structs.Timestamp, state *core.State)) bool {
 	m := message{query: f, done: make(chan struct{})}
 	select {
 	case i.inbox <- m:
-	case <-i.stopped:
+	case <-i.loopEnded:
 		return false
 	}
 	select {
 	case <-m.done:
 		return true
-	case <-i.stopped:
+	case <-i.loopEnded:
 		return false
 	}
 }
