--- a/core/cell_test.go
+++ b/core/cell_test.go
@@ -7,10 +7,10 @@
 	"testing"
 	"time"
 
-	"github.com/mangodrum/mangodrum/journal"
+	"github.com/mangodrum/mangodrum/eventlog"
 	"github.com/mangodrum/mangodrum/ownership"
-	"github.com/mangodrum/mangodrum/platform"
-	"github.com/mangodrum/mangodrum/platform/standin"
+	"github.com/mangodrum/mangodrum/provider"
+	"github.com/mangodrum/mangodrum/provider/standin"
 	"github.com/mangodrum/mangodrum/scheduler"
 	"github.com/mangodrum/mangodrum/settings"
 	"github.com/mangodrum/mangodrum/structs"
@@ -132,15 +132,15 @@
 		answer, _ := ownership.Execute(ctx, c.store, e)
 		return answer
 	case FromJournal:
-		if row, ok := e.Effect.(journal.CommitRow); ok {
+		if row, ok := e.Effect.(eventlog.CommitRow); ok {
 			c.journalBytes += len(row.Value)
 		}
-		return ToJournal{Shard: e.Shard, Epoch: e.Epoch, Event: journal.Execute(ctx, c.store, e.Effect)}
+		return ToJournal{Shard: e.Shard, Epoch: e.Epoch, Event: eventlog.Execute(ctx, c.store, e.Effect)}
 	case LoadShard:
-		loaded, err := journal.Load(ctx, c.journalStore(), e.Shard)
+		loaded, err := eventlog.Load(ctx, c.journalStore(), e.Shard)
 		return ShardLoaded{Shard: e.Shard, Epoch: e.Epoch, Loaded: loaded, Err: err}
 	case SaveSnapshot:
-		err := journal.SaveSnapshot(ctx, c.journalStore(), e.Guard, e.Snapshot)
+		err := eventlog.SaveSnapshot(ctx, c.journalStore(), e.Guard, e.Snapshot)
 		return SnapshotSaved{Shard: e.Snapshot.Shard, Epoch: e.Snapshot.Epoch, Err: err}
 	case ShardChanged:
 		c.phases = append(c.phases, e.Phase)
@@ -150,8 +150,8 @@
 	return nil
 }
 
-func (c *testCell) journalStore() journal.Store {
-	return journal.Store{Table: c.store, Objects: c.store.Objects()}
+func (c *testCell) journalStore() eventlog.Store {
+	return eventlog.Store{Table: c.store, Objects: c.store.Objects()}
 }
 
 func (c *testCell) performShard(e FromShard) structs.Event {
@@ -198,4 +198,4 @@
 	return status
 }
 
-var _ platform.Table = (*standin.Store)(nil)
+var _ provider.Table = (*standin.Store)(nil)
--- a/core/core_test.go
+++ b/core/core_test.go
@@ -8,7 +8,7 @@
 	"github.com/mangodrum/mangodrum/errs"
 	"github.com/mangodrum/mangodrum/membership"
 	"github.com/mangodrum/mangodrum/ownership"
-	"github.com/mangodrum/mangodrum/platform/standin"
+	"github.com/mangodrum/mangodrum/provider/standin"
 	"github.com/mangodrum/mangodrum/structs"
 )
 
--- a/core/events.go
+++ b/core/events.go
@@ -1,8 +1,8 @@
 package core
 
 import (
-	"github.com/mangodrum/mangodrum/journal"
-	"github.com/mangodrum/mangodrum/platform"
+	"github.com/mangodrum/mangodrum/eventlog"
+	"github.com/mangodrum/mangodrum/provider"
 	"github.com/mangodrum/mangodrum/router/credits"
 	"github.com/mangodrum/mangodrum/structs"
 )
@@ -18,7 +18,7 @@
 type ShardLoaded struct {
 	Shard  structs.ShardID
 	Epoch  structs.Epoch
-	Loaded journal.Loaded
+	Loaded eventlog.Loaded
 	Err    error
 }
 
@@ -103,8 +103,8 @@
 
 // SaveSnapshot asks to store a snapshot and to shorten the journal.
 type SaveSnapshot struct {
-	Guard    platform.Condition
-	Snapshot journal.Snapshot
+	Guard    provider.Condition
+	Snapshot eventlog.Snapshot
 }
 
 // ShardChanged tells that the shard's state at this instance changed.
--- a/core/shard.go
+++ b/core/shard.go
@@ -6,7 +6,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/mangodrum/mangodrum/errs"
-	"github.com/mangodrum/mangodrum/journal"
+	"github.com/mangodrum/mangodrum/eventlog"
 	"github.com/mangodrum/mangodrum/ownership"
 	"github.com/mangodrum/mangodrum/router/credits"
 	"github.com/mangodrum/mangodrum/scheduler"
@@ -48,7 +48,7 @@
 	reload          bool // the last load failed; try again at the next tick
 
 	scheduler *scheduler.State
-	journal   *journal.State
+	journal   *eventlog.State
 	ledger    *credits.Ledger
 
 	// preferred is the other instance that should own the shard, and since
@@ -59,7 +59,7 @@
 
 	snapshotRows    uint64
 	lastSnapshotRow uint64
-	snapshot        *journal.Snapshot // taken, waits for its records to be committed
+	snapshot        *eventlog.Snapshot // taken, waits for its records to be committed
 	saving          bool
 }
 
@@ -132,7 +132,7 @@
 		return nil
 	}
 	x.scheduler = state
-	x.journal = journal.New(journal.Config{
+	x.journal = eventlog.New(eventlog.Config{
 		Shard: x.id, Epoch: x.epoch, Guard: ownership.EpochCondition(x.id, x.epoch),
 		NextRow: e.Loaded.NextRow, Seed: s.cfg.Seed, Defects: s.cfg.Tuning.Journal,
 	})
@@ -237,7 +237,7 @@
 		if err != nil {
 			return append(effects, s.fence(x)...)
 		}
-		effects = append(effects, s.journal(now, x, journal.Append{Sequence: appended.Sequence, Payload: payload})...)
+		effects = append(effects, s.journal(now, x, eventlog.Append{Sequence: appended.Sequence, Payload: payload})...)
 	}
 	return effects
 }
@@ -250,10 +250,10 @@
 	var effects []structs.Effect
 	for _, effect := range x.journal.Reduce(now, ev) {
 		switch e := effect.(type) {
-		case journal.Committed:
+		case eventlog.Committed:
 			effects = append(effects, s.schedule(now, x, scheduler.Committed{Sequence: e.Sequence})...)
 			effects = append(effects, x.publishSnapshot(e)...)
-		case journal.Fenced:
+		case eventlog.Fenced:
 			effects = append(effects, s.fence(x)...)
 		default:
 			effects = append(effects, FromJournal{Shard: x.id, Epoch: x.epoch, Effect: effect})
@@ -279,7 +279,7 @@
 	}
 	x.leavingSince = 0
 	effects := s.schedule(now, x, scheduler.Tick{})
-	effects = append(effects, s.journal(now, x, journal.FlushDue{})...)
+	effects = append(effects, s.journal(now, x, eventlog.FlushDue{})...)
 	return append(effects, s.tickLedger(now, x)...)
 }
 
@@ -310,7 +310,7 @@
 			if now.Sub(x.leavingSince) > flushPatience {
 				x.leavingSince, x.preferredSince = 0, now
 			}
-			return s.journal(now, x, journal.FlushDue{})
+			return s.journal(now, x, eventlog.FlushDue{})
 		}
 	}
 	to := s.owners.Preferred(x.id)
--- a/core/snapshot.go
+++ b/core/snapshot.go
@@ -2,14 +2,14 @@
 
 import (
 	"github.com/mangodrum/mangodrum/errs"
-	"github.com/mangodrum/mangodrum/journal"
+	"github.com/mangodrum/mangodrum/eventlog"
 	"github.com/mangodrum/mangodrum/ownership"
 	"github.com/mangodrum/mangodrum/structs"
 )
 
 // publishSnapshot takes a snapshot when enough rows were written since the
 // last one, and asks to store it once all records in it are durable.
-func (x *shard) publishSnapshot(committed journal.Committed) []structs.Effect {
+func (x *shard) publishSnapshot(committed eventlog.Committed) []structs.Effect {
 	if x.snapshot == nil && !x.saving && committed.Row >= x.lastSnapshotRow+x.snapshotRows {
 		x.takeSnapshot()
 	}
@@ -28,7 +28,7 @@
 	if err != nil {
 		return // tried again with the next row
 	}
-	x.snapshot = &journal.Snapshot{
+	x.snapshot = &eventlog.Snapshot{
 		Shard: x.id, Epoch: x.epoch, Sequence: x.scheduler.Sequence(), State: state,
 	}
 }
--- a/core/state.go
+++ b/core/state.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/mangodrum/mangodrum/errs"
-	"github.com/mangodrum/mangodrum/journal"
+	"github.com/mangodrum/mangodrum/eventlog"
 	"github.com/mangodrum/mangodrum/membership"
 	"github.com/mangodrum/mangodrum/ownership"
 	"github.com/mangodrum/mangodrum/scheduler"
@@ -28,7 +28,7 @@
 	Horizon       time.Duration // of leases; the default of package ownership if zero
 	SnapshotRows  uint64        // journal rows between two snapshots; 500 if zero
 	Ownership     ownership.Defects
-	Journal       journal.Defects
+	Journal       eventlog.Defects
 	IgnoreHorizon bool // a new owner does not wait for the previous horizon
 }
 
--- a/journal/commit.go
+++ b/eventlog/commit.go
@@ -1,4 +1,4 @@
-package journal
+package eventlog
 
 import (
 	"bytes"
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/mangodrum/mangodrum/errs"
-	"github.com/mangodrum/mangodrum/platform"
+	"github.com/mangodrum/mangodrum/provider"
 	"github.com/mangodrum/mangodrum/structs"
 )
 
@@ -16,7 +16,7 @@
 	Epoch structs.Epoch
 	// Guard is the condition that holds as long as the epoch does:
 	// ownership.EpochCondition of Shard and Epoch.
-	Guard   platform.Condition
+	Guard   provider.Condition
 	NextRow uint64 // Loaded.NextRow; 1 for an empty journal
 	Seed    uint64 // of the jitter
 
@@ -90,7 +90,7 @@
 type CommitRow struct {
 	Key        string
 	Value      []byte
-	Conditions []platform.Condition
+	Conditions []provider.Condition
 }
 
 // ReadRow asks for the row with the key. It is answered by exactly one ReadBack.
@@ -263,7 +263,7 @@
 
 func (s *State) commit() []structs.Effect {
 	s.inflight.phase = committing
-	conditions := []platform.Condition{{Key: s.inflight.key, Version: 0}}
+	conditions := []provider.Condition{{Key: s.inflight.key, Version: 0}}
 	if !s.cfg.Defects.SkipEpochTest {
 		conditions = append(conditions, s.cfg.Guard)
 	}
--- a/journal/commit_test.go
+++ b/eventlog/commit_test.go
@@ -1,18 +1,18 @@
-package journal
+package eventlog
 
 import (
 	"context"
 	"testing"
 
 	"github.com/mangodrum/mangodrum/errs"
-	"github.com/mangodrum/mangodrum/platform"
-	"github.com/mangodrum/mangodrum/platform/standin"
+	"github.com/mangodrum/mangodrum/provider"
+	"github.com/mangodrum/mangodrum/provider/standin"
 	"github.com/mangodrum/mangodrum/structs"
 )
 
 const shard = structs.ShardID("oshima")
 
-var guard = platform.Condition{Key: "epochs/oshima", Version: 1}
+var guard = provider.Condition{Key: "epochs/oshima", Version: 1}
 
 // rig drives one State against a store in virtual time.
 type rig struct {
@@ -43,9 +43,9 @@
 
 func raiseEpoch(t testing.TB, store *standin.Store, from uint64) {
 	t.Helper()
-	_, err := store.Commit(context.Background(), platform.Txn{
-		Conditions: []platform.Condition{{Key: guard.Key, Version: from}},
-		Writes:     []platform.Write{{Key: guard.Key, Value: []byte("x")}},
+	_, err := store.Commit(context.Background(), provider.Txn{
+		Conditions: []provider.Condition{{Key: guard.Key, Version: from}},
+		Writes:     []provider.Write{{Key: guard.Key, Value: []byte("x")}},
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -125,7 +125,7 @@
 		raiseEpoch(t, r.store, 1)
 		if foreignRow {
 			next := newRig(t, Config{NextRow: 2})
-			next.store, next.state.cfg.Guard = r.store, platform.Condition{Key: guard.Key, Version: 2}
+			next.store, next.state.cfg.Guard = r.store, provider.Condition{Key: guard.Key, Version: 2}
 			next.add("z")
 			next.flush(1)
 		}
@@ -239,6 +239,6 @@
 	}
 }
 
-func commitOf(key string, value []byte) platform.Txn {
-	return platform.Txn{Writes: []platform.Write{{Key: key, Value: value}}}
+func commitOf(key string, value []byte) provider.Txn {
+	return provider.Txn{Writes: []provider.Write{{Key: key, Value: value}}}
 }
--- a/journal/doc.go
+++ b/eventlog/doc.go
@@ -1,4 +1,4 @@
-// Package journal stores the records of a shard durably.
+// Package eventlog stores the records of a shard durably.
 //
 // State is the group commit as a reducer: it collects payloads and writes one
 // row "journal/<shard>/<sequence>" per flush, on condition that the row is
@@ -11,4 +11,4 @@
 //     key until a read tells what happened; nothing is guessed.
 //   - An owner that lost its epoch commits nothing and is told so by Fenced.
 //   - Rows are deleted only if the older of the two kept snapshots covers them.
-package journal
+package eventlog
--- a/journal/execute.go
+++ b/eventlog/execute.go
@@ -1,21 +1,21 @@
-package journal
+package eventlog
 
 import (
 	"context"
 
 	"github.com/mangodrum/mangodrum/errs"
-	"github.com/mangodrum/mangodrum/platform"
+	"github.com/mangodrum/mangodrum/provider"
 	"github.com/mangodrum/mangodrum/structs"
 )
 
 // Execute carries out a CommitRow or ReadRow effect and returns the event that
 // answers it, or nil for every other effect.
-func Execute(ctx context.Context, table platform.Table, effect structs.Effect) structs.Event {
+func Execute(ctx context.Context, table provider.Table, effect structs.Effect) structs.Event {
 	switch e := effect.(type) {
 	case CommitRow:
-		_, err := table.Commit(ctx, platform.Txn{
+		_, err := table.Commit(ctx, provider.Txn{
 			Conditions: e.Conditions,
-			Writes:     []platform.Write{{Key: e.Key, Value: e.Value}},
+			Writes:     []provider.Write{{Key: e.Key, Value: e.Value}},
 		})
 		return CommitEnded{ErrKind: commitKind(err)}
 	case ReadRow:
--- a/journal/recovery_test.go
+++ b/eventlog/recovery_test.go
@@ -1,4 +1,4 @@
-package journal
+package eventlog
 
 import (
 	"context"
@@ -6,7 +6,7 @@
 	"testing"
 
 	"github.com/mangodrum/mangodrum/errs"
-	"github.com/mangodrum/mangodrum/platform/standin"
+	"github.com/mangodrum/mangodrum/provider/standin"
 )
 
 func (r *rig) snapshot(t *testing.T, state string) {
--- a/journal/save.go
+++ b/eventlog/save.go
@@ -1,4 +1,4 @@
-package journal
+package eventlog
 
 import (
 	"bytes"
@@ -6,21 +6,21 @@
 	"encoding/json"
 
 	"github.com/mangodrum/mangodrum/errs"
-	"github.com/mangodrum/mangodrum/platform"
+	"github.com/mangodrum/mangodrum/provider"
 	"github.com/mangodrum/mangodrum/structs"
 )
 
 // Store is where the journal of a shard is kept.
 type Store struct {
-	Table   platform.Table
-	Objects platform.Objects
+	Table   provider.Table
+	Objects provider.Objects
 }
 
 // SaveSnapshot stores a snapshot and makes it the newest, on condition that
 // guard holds. Every append up to snapshot.Sequence must be durable before. A
 // call that failed can be repeated with the same snapshot. An errs.Conflict
 // means that the epoch has ended.
-func SaveSnapshot(ctx context.Context, store Store, guard platform.Condition, snapshot Snapshot) error {
+func SaveSnapshot(ctx context.Context, store Store, guard provider.Condition, snapshot Snapshot) error {
 	if err := validShard(snapshot.Shard); err != nil {
 		return err
 	}
@@ -45,7 +45,7 @@
 
 // putObject writes the object. The name contains the covered point, so writing
 // it twice is harmless and an unknown outcome is settled by reading.
-func putObject(ctx context.Context, objects platform.Objects, name string, data []byte) error {
+func putObject(ctx context.Context, objects provider.Objects, name string, data []byte) error {
 	err := objects.Put(ctx, name, data)
 	if err == nil || errs.Is(err, errs.NotRun) {
 		return err
@@ -59,7 +59,7 @@
 
 // point puts the snapshot first in the pointer row and returns the snapshots
 // that are not kept any more.
-func point(ctx context.Context, table platform.Table, guard platform.Condition, snapshot Snapshot, name string) ([]snapshotRef, error) {
+func point(ctx context.Context, table provider.Table, guard provider.Condition, snapshot Snapshot, name string) ([]snapshotRef, error) {
 	old, version, err := readPointer(ctx, table, snapshot.Shard)
 	if err != nil {
 		return nil, err
@@ -73,9 +73,9 @@
 		return nil, err
 	}
 	key := PointerKey(snapshot.Shard)
-	_, err = table.Commit(ctx, platform.Txn{
-		Conditions: []platform.Condition{guard, {Key: key, Version: version}},
-		Writes:     []platform.Write{{Key: key, Value: value}},
+	_, err = table.Commit(ctx, provider.Txn{
+		Conditions: []provider.Condition{guard, {Key: key, Version: version}},
+		Writes:     []provider.Write{{Key: key, Value: value}},
 	})
 	if err == nil {
 		return dropped, nil
@@ -96,13 +96,13 @@
 	return next, dropped
 }
 
-func pointsTo(ctx context.Context, table platform.Table, shard structs.ShardID, name string) bool {
+func pointsTo(ctx context.Context, table provider.Table, shard structs.ShardID, name string) bool {
 	p, _, err := readPointer(ctx, table, shard)
 	return err == nil && len(p.Kept) > 0 && p.Kept[0].Object == name
 }
 
 // readPointer returns the pointer row, or an empty one with version 0.
-func readPointer(ctx context.Context, table platform.Table, shard structs.ShardID) (pointer, uint64, error) {
+func readPointer(ctx context.Context, table provider.Table, shard structs.ShardID) (pointer, uint64, error) {
 	row, err := table.Get(ctx, PointerKey(shard))
 	if errs.Is(err, errs.NotFound) {
 		return pointer{}, 0, nil
@@ -117,7 +117,7 @@
 // Truncate deletes at most limit journal rows that the older of the two kept
 // snapshots covers, in one transaction, and returns how many it deleted. With
 // fewer than two snapshots it deletes nothing.
-func Truncate(ctx context.Context, table platform.Table, guard platform.Condition, shard structs.ShardID, limit int) (int, error) {
+func Truncate(ctx context.Context, table provider.Table, guard provider.Condition, shard structs.ShardID, limit int) (int, error) {
 	if err := validShard(shard); err != nil {
 		return 0, err
 	}
@@ -140,8 +140,8 @@
 	if len(keys) == 0 {
 		return 0, nil
 	}
-	_, err = table.Commit(ctx, platform.Txn{
-		Conditions: []platform.Condition{guard, {Key: PointerKey(shard), Version: version}},
+	_, err = table.Commit(ctx, provider.Txn{
+		Conditions: []provider.Condition{guard, {Key: PointerKey(shard), Version: version}},
 		Deletes:    keys,
 	})
 	if err != nil {
--- a/journal/snapshot.go
+++ b/eventlog/snapshot.go
@@ -1,4 +1,4 @@
-package journal
+package eventlog
 
 import (
 	"encoding/binary"
--- a/faulttest/cell_test.go
+++ b/faulttest/cell_test.go
@@ -8,8 +8,8 @@
 
 	"github.com/mangodrum/mangodrum/core"
 	"github.com/mangodrum/mangodrum/errs"
-	"github.com/mangodrum/mangodrum/platform"
-	"github.com/mangodrum/mangodrum/platform/standin"
+	"github.com/mangodrum/mangodrum/provider"
+	"github.com/mangodrum/mangodrum/provider/standin"
 	"github.com/mangodrum/mangodrum/scheduler"
 	"github.com/mangodrum/mangodrum/settings"
 	"github.com/mangodrum/mangodrum/structs"
@@ -63,7 +63,7 @@
 func (w *simWorker) install(info structs.Worker) {
 	w.dead = false
 	w.Worker = standin.NewWorker(info)
-	w.Usage = func(start platform.StartTask) structs.Resources {
+	w.Usage = func(start provider.StartTask) structs.Resources {
 		if w.sim.active[wrongSizes] > 0 {
 			return start.Resources.Scale(10)
 		}
@@ -87,13 +87,13 @@
 
 // checkWorkers fails if a task runs twice, a worker got more than it can
 // carry, or a start came without its durable record.
-func (s *sim) checkWorkers(w *simWorker, starts []platform.StartTask) {
+func (s *sim) checkWorkers(w *simWorker, starts []provider.StartTask) {
 	if len(starts) > 0 && w.Overrun() > 0 {
 		s.fail("worker %s got more than it can carry", w.Info.ID)
 	}
 	s.starts += len(starts)
 	for _, start := range starts {
-		if !s.durable[platform.AttemptRef{Task: start.Task, Attempt: start.Attempt}] {
+		if !s.durable[provider.AttemptRef{Task: start.Task, Attempt: start.Attempt}] {
 			s.fail("start of %s without a durable record", start.Task)
 		}
 		s.checkSingle(w, start.Task)
--- a/faulttest/driver_test.go
+++ b/faulttest/driver_test.go
@@ -8,7 +8,7 @@
 	"testing"
 
 	"github.com/mangodrum/mangodrum/core"
-	"github.com/mangodrum/mangodrum/journal"
+	"github.com/mangodrum/mangodrum/eventlog"
 	"github.com/mangodrum/mangodrum/ownership"
 	"github.com/mangodrum/mangodrum/structs"
 )
@@ -154,8 +154,8 @@
 	defects := map[string]core.Tuning{
 		"takeover without waiting":    {Ownership: ownership.Defects{SkipWait: true}},
 		"takeover without read-back":  {Ownership: ownership.Defects{SkipReadBack: true}},
-		"journal without read-back":   {Journal: journal.Defects{SkipReadBack: true}},
-		"journal without epoch check": {Journal: journal.Defects{SkipEpochTest: true}},
+		"journal without read-back":   {Journal: eventlog.Defects{SkipReadBack: true}},
+		"journal without epoch check": {Journal: eventlog.Defects{SkipEpochTest: true}},
 		"no wait for the horizon":     {IgnoreHorizon: true},
 	}
 	for name, tuning := range defects {
--- a/faulttest/faults_test.go
+++ b/faulttest/faults_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/mangodrum/mangodrum/core"
-	"github.com/mangodrum/mangodrum/platform/standin"
+	"github.com/mangodrum/mangodrum/provider/standin"
 )
 
 // kind is a kind of fault.
--- a/faulttest/node_test.go
+++ b/faulttest/node_test.go
@@ -8,10 +8,10 @@
 
 	"github.com/mangodrum/mangodrum/core"
 	"github.com/mangodrum/mangodrum/errs"
-	"github.com/mangodrum/mangodrum/journal"
+	"github.com/mangodrum/mangodrum/eventlog"
 	"github.com/mangodrum/mangodrum/membership"
 	"github.com/mangodrum/mangodrum/ownership"
-	"github.com/mangodrum/mangodrum/platform"
+	"github.com/mangodrum/mangodrum/provider"
 	"github.com/mangodrum/mangodrum/scheduler"
 	"github.com/mangodrum/mangodrum/settings"
 	"github.com/mangodrum/mangodrum/structs"
@@ -124,10 +124,10 @@
 }
 
 func failedJournal(effect structs.Effect, kind errs.Kind) structs.Event {
-	if _, ok := effect.(journal.ReadRow); ok {
-		return journal.ReadBack{ErrKind: kind}
+	if _, ok := effect.(eventlog.ReadRow); ok {
+		return eventlog.ReadBack{ErrKind: kind}
 	}
-	return journal.CommitEnded{ErrKind: kind}
+	return eventlog.CommitEnded{ErrKind: kind}
 }
 
 // call carries out an effect at the store.
@@ -158,22 +158,22 @@
 
 func (n *node) execute(effect structs.Effect) structs.Event {
 	ctx, s := context.Background(), n.sim
-	store := journal.Store{Table: s.store, Objects: s.store.Objects()}
+	store := eventlog.Store{Table: s.store, Objects: s.store.Objects()}
 	switch e := effect.(type) {
 	case core.FromJournal:
-		ev := journal.Execute(ctx, s.store, e.Effect)
+		ev := eventlog.Execute(ctx, s.store, e.Effect)
 		n.observe(e, ev)
 		return core.ToJournal{Shard: e.Shard, Epoch: e.Epoch, Event: ev}
 	case core.LoadShard:
-		loaded, err := journal.Load(ctx, store, e.Shard)
+		loaded, err := eventlog.Load(ctx, store, e.Shard)
 		// The check is made here: while the answer travels, another process may
 		// take over and acknowledge more.
 		s.checkRecovery(e.Shard, loaded, err)
 		return core.ShardLoaded{Shard: e.Shard, Epoch: e.Epoch, Loaded: loaded, Err: err}
 	case core.SaveSnapshot:
-		err := journal.SaveSnapshot(ctx, store, e.Guard, e.Snapshot)
+		err := eventlog.SaveSnapshot(ctx, store, e.Guard, e.Snapshot)
 		if err == nil {
-			_, err = journal.Truncate(ctx, s.store, e.Guard, e.Snapshot.Shard, 10)
+			_, err = eventlog.Truncate(ctx, s.store, e.Guard, e.Snapshot.Shard, 10)
 		}
 		return core.SnapshotSaved{Shard: e.Snapshot.Shard, Epoch: e.Snapshot.Epoch, Err: err}
 	}
@@ -185,18 +185,18 @@
 // observe notes durable starts, and fails if a row was written by an owner of
 // an ended epoch.
 func (n *node) observe(e core.FromJournal, ev structs.Event) {
-	ended, ok := ev.(journal.CommitEnded)
+	ended, ok := ev.(eventlog.CommitEnded)
 	if !ok || ended.ErrKind != "" {
 		return
 	}
-	row, err := journal.DecodeRow(e.Effect.(journal.CommitRow).Value)
+	row, err := eventlog.DecodeRow(e.Effect.(eventlog.CommitRow).Value)
 	if epoch := n.sim.epochs[e.Shard]; err != nil || uint64(row.Epoch) != epoch {
 		n.sim.fail("row %d of %s written by epoch %d in epoch %d (%v)", row.Row, e.Shard, row.Epoch, epoch, err)
 	}
 	for _, payload := range row.Payloads {
 		for _, record := range n.sim.decode(payload) {
 			if start := record.TaskStarted; start != nil {
-				n.sim.durable[platform.AttemptRef{Task: start.Task, Attempt: start.Attempt}] = true
+				n.sim.durable[provider.AttemptRef{Task: start.Task, Attempt: start.Attempt}] = true
 			}
 		}
 	}
@@ -211,7 +211,7 @@
 }
 
 // checkRecovery restores a scheduler of its own and checks what clients know.
-func (s *sim) checkRecovery(shard structs.ShardID, loaded journal.Loaded, err error) {
+func (s *sim) checkRecovery(shard structs.ShardID, loaded eventlog.Loaded, err error) {
 	var records []scheduler.Record
 	for _, entry := range loaded.Entries {
 		records = append(records, s.decode(entry.Payload)...)
--- a/faulttest/restart_test.go
+++ b/faulttest/restart_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"github.com/mangodrum/mangodrum/journal"
+	"github.com/mangodrum/mangodrum/eventlog"
 	"github.com/mangodrum/mangodrum/scheduler"
 	"github.com/mangodrum/mangodrum/structs"
 )
@@ -117,12 +117,12 @@
 	for _, workers := range []int{50, 2100} {
 		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
 			s := loadedCell(b, 3, workers)
-			store := journal.Store{Table: s.store, Objects: s.store.Objects()}
+			store := eventlog.Store{Table: s.store, Objects: s.store.Objects()}
 			records := 0
 			for b.Loop() {
 				records = 0
 				for _, shard := range s.shards {
-					loaded, err := journal.Load(context.Background(), store, shard)
+					loaded, err := eventlog.Load(context.Background(), store, shard)
 					var all []scheduler.Record
 					for _, entry := range loaded.Entries {
 						all = append(all, s.decode(entry.Payload)...)
--- a/faulttest/sim_test.go
+++ b/faulttest/sim_test.go
@@ -9,8 +9,8 @@
 
 	"github.com/mangodrum/mangodrum/core"
 	"github.com/mangodrum/mangodrum/ownership"
-	"github.com/mangodrum/mangodrum/platform"
-	"github.com/mangodrum/mangodrum/platform/standin"
+	"github.com/mangodrum/mangodrum/provider"
+	"github.com/mangodrum/mangodrum/provider/standin"
 	"github.com/mangodrum/mangodrum/settings"
 	"github.com/mangodrum/mangodrum/structs"
 )
@@ -31,7 +31,7 @@
 	tree    *settings.Tree
 	epochs  map[structs.ShardID]uint64
 	holders map[string]string // shard and epoch to process
-	durable map[platform.AttemptRef]bool
+	durable map[provider.AttemptRef]bool
 	started map[structs.TaskID][]*simWorker
 	clients clients
 	broken  string // first violation
@@ -53,7 +53,7 @@
 	s := &sim{
 		opts: opts, store: standin.NewStore(), workers: map[structs.WorkerID]*simWorker{}, tree: tree(lease),
 		epochs: map[structs.ShardID]uint64{}, holders: map[string]string{}, clients: newClients(),
-		durable: map[platform.AttemptRef]bool{}, started: map[structs.TaskID][]*simWorker{},
+		durable: map[provider.AttemptRef]bool{}, started: map[structs.TaskID][]*simWorker{},
 	}
 	s.Rand, s.Now = rand.New(rand.NewPCG(seed, 2)), epochStart
 	for i := range shards {
@@ -76,7 +76,7 @@
 }
 
 // skew returns a clock's offset; any two differ by at most the clock bound.
-func (s *sim) skew() time.Duration { return s.Random(platform.ClockBound) - platform.ClockBound/2 }
+func (s *sim) skew() time.Duration { return s.Random(provider.ClockBound) - provider.ClockBound/2 }
 
 // runUntil processes events up to the end or the first violation.
 func (s *sim) runUntil(end structs.Timestamp) {
--- a/gateway/bench_test.go
+++ b/gateway/bench_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/mangodrum/mangodrum/platform/standin"
+	"github.com/mangodrum/mangodrum/provider/standin"
 	"github.com/mangodrum/mangodrum/structs"
 )
 
--- a/gateway/claims.go
+++ b/gateway/claims.go
@@ -11,7 +11,7 @@
 	concpool "github.com/sourcegraph/conc/pool"
 
 	"github.com/mangodrum/mangodrum/errs"
-	"github.com/mangodrum/mangodrum/platform"
+	"github.com/mangodrum/mangodrum/provider"
 	"github.com/mangodrum/mangodrum/router"
 	"github.com/mangodrum/mangodrum/structs"
 )
@@ -74,7 +74,7 @@
 
 // claimWriter writes claims and outcomes in groups.
 type claimWriter struct {
-	table  platform.Table
+	table  provider.Table
 	opts   Options
 	ended  func(*router.ClaimEnded)
 	signal chan struct{}
@@ -206,9 +206,9 @@
 	w.mu.Unlock()
 }
 
-func (w *claimWriter) commit(ctx context.Context, batch []*claimOp) (platform.TxnResult, error) {
+func (w *claimWriter) commit(ctx context.Context, batch []*claimOp) (provider.TxnResult, error) {
 	if w.table == nil {
-		return platform.TxnResult{}, errs.New(errs.NotRun, "configure a table", "this instance has no table for claims")
+		return provider.TxnResult{}, errs.New(errs.NotRun, "configure a table", "this instance has no table for claims")
 	}
 	return w.table.Commit(ctx, transaction(batch))
 }
@@ -251,11 +251,11 @@
 	}
 }
 
-func transaction(batch []*claimOp) platform.Txn {
-	var txn platform.Txn
+func transaction(batch []*claimOp) provider.Txn {
+	var txn provider.Txn
 	for _, op := range batch {
-		txn.Conditions = append(txn.Conditions, platform.Condition{Key: op.key, Version: op.version})
-		txn.Writes = append(txn.Writes, platform.Write{Key: op.key, Value: op.row.encode()})
+		txn.Conditions = append(txn.Conditions, provider.Condition{Key: op.key, Version: op.version})
+		txn.Writes = append(txn.Writes, provider.Write{Key: op.key, Value: op.row.encode()})
 	}
 	return txn
 }
--- a/gateway/claims_test.go
+++ b/gateway/claims_test.go
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	"github.com/mangodrum/mangodrum/platform/standin"
+	"github.com/mangodrum/mangodrum/provider/standin"
 	"github.com/mangodrum/mangodrum/router"
 	"github.com/mangodrum/mangodrum/structs"
 )
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -14,7 +14,7 @@
 
 	"go.uber.org/goleak"
 
-	"github.com/mangodrum/mangodrum/platform/standin"
+	"github.com/mangodrum/mangodrum/provider/standin"
 	"github.com/mangodrum/mangodrum/structs"
 )
 
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -6,7 +6,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/hashicorp/go-hclog"
 
-	"github.com/mangodrum/mangodrum/platform"
+	"github.com/mangodrum/mangodrum/provider"
 	"github.com/mangodrum/mangodrum/router"
 	"github.com/mangodrum/mangodrum/router/credits"
 	"github.com/mangodrum/mangodrum/structs"
@@ -48,7 +48,7 @@
 
 	// Table holds the claims of non-idempotent requests. Without it they are
 	// refused.
-	Table  platform.Table
+	Table  provider.Table
 	Logger hclog.Logger
 	// SendCredits sends a message to the owner of the executors of
 	// message.Region. It must not block for long and may lose messages.
--- a/gateway/sweep.go
+++ b/gateway/sweep.go
@@ -5,7 +5,7 @@
 	"encoding/json"
 	"time"
 
-	"github.com/mangodrum/mangodrum/platform"
+	"github.com/mangodrum/mangodrum/provider"
 	"github.com/mangodrum/mangodrum/structs"
 )
 
@@ -54,17 +54,17 @@
 
 // expiredClaims returns the removal of all rows whose retention ended by more
 // than the clock bound.
-func expiredClaims(rows []platform.Row, now structs.Timestamp) platform.Txn {
-	var txn platform.Txn
+func expiredClaims(rows []provider.Row, now structs.Timestamp) provider.Txn {
+	var txn provider.Txn
 	for _, row := range rows {
 		var claim claimRow
 		if err := json.Unmarshal(row.Value, &claim); err != nil {
 			continue
 		}
-		if now.Sub(claim.Expires) <= platform.ClockBound {
+		if now.Sub(claim.Expires) <= provider.ClockBound {
 			continue
 		}
-		txn.Conditions = append(txn.Conditions, platform.Condition{Key: row.Key, Version: row.Version})
+		txn.Conditions = append(txn.Conditions, provider.Condition{Key: row.Key, Version: row.Version})
 		txn.Deletes = append(txn.Deletes, row.Key)
 	}
 	return txn
--- a/instance/dispatcher.go
+++ b/instance/dispatcher.go
@@ -7,7 +7,7 @@
 
 	"github.com/sourcegraph/conc"
 
-	"github.com/mangodrum/mangodrum/platform"
+	"github.com/mangodrum/mangodrum/provider"
 	"github.com/mangodrum/mangodrum/structs"
 )
 
@@ -22,8 +22,8 @@
 // order, and several workers at once. Batches that wait are merged.
 type dispatcher struct {
 	ctx     context.Context
-	workers platform.Workers
-	done    func(structs.ShardID, structs.WorkerID, platform.WorkerReport, error)
+	workers provider.Workers
+	done    func(structs.ShardID, structs.WorkerID, provider.WorkerReport, error)
 	slots   chan struct{}
 	group   conc.WaitGroup
 
@@ -34,14 +34,14 @@
 type workerQueue struct {
 	shard  structs.ShardID
 	worker structs.Worker
-	batch  platform.WorkerBatch
+	batch  provider.WorkerBatch
 	queued bool // batch holds something to send
 }
 
 func newDispatcher(
 	ctx context.Context,
-	workers platform.Workers,
-	done func(structs.ShardID, structs.WorkerID, platform.WorkerReport, error),
+	workers provider.Workers,
+	done func(structs.ShardID, structs.WorkerID, provider.WorkerReport, error),
 ) *dispatcher {
 	return &dispatcher{
 		ctx:     ctx,
@@ -53,7 +53,7 @@
 }
 
 // send queues batch for worker.
-func (d *dispatcher) send(shard structs.ShardID, worker structs.Worker, batch platform.WorkerBatch) {
+func (d *dispatcher) send(shard structs.ShardID, worker structs.Worker, batch provider.WorkerBatch) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	queue := d.pending[worker.ID]
@@ -84,20 +84,20 @@
 	}
 }
 
-func (d *dispatcher) take(queue *workerQueue) (structs.Worker, platform.WorkerBatch, bool) {
+func (d *dispatcher) take(queue *workerQueue) (structs.Worker, provider.WorkerBatch, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if !queue.queued || d.ctx.Err() != nil {
 		delete(d.pending, queue.worker.ID)
-		return structs.Worker{}, platform.WorkerBatch{}, false
+		return structs.Worker{}, provider.WorkerBatch{}, false
 	}
 	batch := queue.batch
-	queue.batch, queue.queued = platform.WorkerBatch{}, false
+	queue.batch, queue.queued = provider.WorkerBatch{}, false
 	return queue.worker, batch, true
 }
 
-func mergeBatches(a, b platform.WorkerBatch) platform.WorkerBatch {
-	return platform.WorkerBatch{
+func mergeBatches(a, b provider.WorkerBatch) provider.WorkerBatch {
+	return provider.WorkerBatch{
 		Starts:      append(a.Starts, b.Starts...),
 		Renewals:    append(a.Renewals, b.Renewals...),
 		Stops:       append(a.Stops, b.Stops...),
--- a/instance/effects.go
+++ b/instance/effects.go
@@ -6,11 +6,11 @@
 
 	"github.com/mangodrum/mangodrum/core"
 	"github.com/mangodrum/mangodrum/errs"
-	"github.com/mangodrum/mangodrum/journal"
+	"github.com/mangodrum/mangodrum/eventlog"
 	"github.com/mangodrum/mangodrum/membership"
 	"github.com/mangodrum/mangodrum/ownership"
 	"github.com/mangodrum/mangodrum/peer"
-	"github.com/mangodrum/mangodrum/platform"
+	"github.com/mangodrum/mangodrum/provider"
 	"github.com/mangodrum/mangodrum/scheduler"
 	"github.com/mangodrum/mangodrum/structs"
 )
@@ -36,7 +36,7 @@
 		})
 	case core.FromJournal:
 		i.async(tableTimeout, func(ctx context.Context) {
-			event := journal.Execute(ctx, i.options.Table, e.Effect)
+			event := eventlog.Execute(ctx, i.options.Table, e.Effect)
 			i.post(core.ToJournal{Shard: e.Shard, Epoch: e.Epoch, Event: event})
 		})
 	case core.FromShard:
@@ -94,7 +94,7 @@
 
 // workerAnswered posts the result of a call to a worker.
 func (i *Instance) workerAnswered(
-	shard structs.ShardID, worker structs.WorkerID, report platform.WorkerReport, err error,
+	shard structs.ShardID, worker structs.WorkerID, report provider.WorkerReport, err error,
 ) {
 	if err != nil {
 		i.metrics.workerErrors.Inc()
@@ -105,12 +105,12 @@
 	i.post(core.ToShard{Shard: shard, Event: scheduler.WorkerReported{Report: report}})
 }
 
-func (i *Instance) journalStore() journal.Store {
-	return journal.Store{Table: i.options.Table, Objects: i.options.Objects}
+func (i *Instance) journalStore() eventlog.Store {
+	return eventlog.Store{Table: i.options.Table, Objects: i.options.Objects}
 }
 
 func (i *Instance) load(ctx context.Context, e core.LoadShard) {
-	loaded, err := journal.Load(ctx, i.journalStore(), e.Shard)
+	loaded, err := eventlog.Load(ctx, i.journalStore(), e.Shard)
 	if err != nil && ctx.Err() == nil {
 		i.log.Warn("shard cannot be loaded", "shard", e.Shard, "error", err)
 	}
@@ -121,9 +121,9 @@
 }
 
 func (i *Instance) saveSnapshot(ctx context.Context, e core.SaveSnapshot) {
-	err := journal.SaveSnapshot(ctx, i.journalStore(), e.Guard, e.Snapshot)
+	err := eventlog.SaveSnapshot(ctx, i.journalStore(), e.Guard, e.Snapshot)
 	if err == nil {
-		_, err = journal.Truncate(ctx, i.options.Table, e.Guard, e.Snapshot.Shard, truncateRows)
+		_, err = eventlog.Truncate(ctx, i.options.Table, e.Guard, e.Snapshot.Shard, truncateRows)
 		if !errs.Is(err, errs.Conflict) {
 			err = nil // rows that stay are removed after the next snapshot
 		}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -18,7 +18,7 @@
 	"github.com/mangodrum/mangodrum/gateway"
 	"github.com/mangodrum/mangodrum/operatorapi"
 	"github.com/mangodrum/mangodrum/peer"
-	"github.com/mangodrum/mangodrum/platform"
+	"github.com/mangodrum/mangodrum/provider"
 	"github.com/mangodrum/mangodrum/settings"
 	"github.com/mangodrum/mangodrum/structs"
 	"github.com/mangodrum/mangodrum/telemetry"
@@ -30,10 +30,10 @@
 	PeerSecret     string // empty: peers need none
 	OperatorSecret string // empty: operators need none
 
-	Table     platform.Table
-	Objects   platform.Objects
-	Directory platform.Directory
-	Workers   platform.Workers
+	Table     provider.Table
+	Objects   provider.Objects
+	Directory provider.Directory
+	Workers   provider.Workers
 
 	// The listeners that the instance serves and closes.
 	Callers   net.Listener
--- a/instance/instance_test.go
+++ b/instance/instance_test.go
@@ -9,14 +9,14 @@
 	"github.com/mangodrum/mangodrum/core"
 	"github.com/mangodrum/mangodrum/errs"
 	"github.com/mangodrum/mangodrum/peer"
-	"github.com/mangodrum/mangodrum/platform"
+	"github.com/mangodrum/mangodrum/provider"
 	"github.com/mangodrum/mangodrum/router/credits"
 	"github.com/mangodrum/mangodrum/structs"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/hashicorp/go-hclog"
 
-	"github.com/mangodrum/mangodrum/platform/standin"
+	"github.com/mangodrum/mangodrum/provider/standin"
 )
 
 // Guards against a loop that blocks on its own inbox when a grant causes a
@@ -64,27 +64,27 @@
 
 // slowWorkers lets a test decide when calls return.
 type slowWorkers struct {
-	calls   chan platform.WorkerBatch
+	calls   chan provider.WorkerBatch
 	release chan struct{}
 }
 
 func (w *slowWorkers) Do(
-	_ context.Context, worker structs.Worker, batch platform.WorkerBatch,
-) (platform.WorkerReport, error) {
+	_ context.Context, worker structs.Worker, batch provider.WorkerBatch,
+) (provider.WorkerReport, error) {
 	w.calls <- batch
 	<-w.release
-	return platform.WorkerReport{Worker: worker.ID}, nil
+	return provider.WorkerReport{Worker: worker.ID}, nil
 }
 
 // Guards against commands for one worker that overtake each other, and against
 // commands that are lost while a call runs.
 func TestDispatcherKeepsOrderAndMerges(t *testing.T) {
-	workers := &slowWorkers{calls: make(chan platform.WorkerBatch), release: make(chan struct{})}
+	workers := &slowWorkers{calls: make(chan provider.WorkerBatch), release: make(chan struct{})}
 	done := make(chan structs.WorkerID, 10)
 	d := newDispatcher(context.Background(), workers,
-		func(_ structs.ShardID, id structs.WorkerID, _ platform.WorkerReport, _ error) { done <- id })
-	ref := func(task structs.TaskID) platform.WorkerBatch {
-		return platform.WorkerBatch{Stops: []platform.AttemptRef{{Task: task, Attempt: 1}}}
+		func(_ structs.ShardID, id structs.WorkerID, _ provider.WorkerReport, _ error) { done <- id })
+	ref := func(task structs.TaskID) provider.WorkerBatch {
+		return provider.WorkerBatch{Stops: []provider.AttemptRef{{Task: task, Attempt: 1}}}
 	}
 	worker := structs.Worker{ID: "w"}
 	d.send("s", worker, ref("a"))
--- a/instance/reports.go
+++ b/instance/reports.go
@@ -5,7 +5,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"github.com/mangodrum/mangodrum/platform"
+	"github.com/mangodrum/mangodrum/provider"
 	"github.com/mangodrum/mangodrum/structs"
 )
 
@@ -26,7 +26,7 @@
 	at      structs.Timestamp
 	used    structs.Resources
 	running []structs.TaskID
-	ended   map[platform.AttemptRef]bool // completions that are not acknowledged
+	ended   map[provider.AttemptRef]bool // completions that are not acknowledged
 }
 
 // reportedRun is a task that a worker reported as running.
@@ -47,7 +47,7 @@
 }
 
 // note takes in a report. Reports that overtook each other are dropped.
-func (w *reportWatch) note(r *platform.WorkerReport) {
+func (w *reportWatch) note(r *provider.WorkerReport) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	old := w.workers[r.Worker]
@@ -58,36 +58,36 @@
 		return
 	}
 	w.release(r.Worker, old)
-	next := &lastReport{at: r.At, ended: map[platform.AttemptRef]bool{}}
+	next := &lastReport{at: r.At, ended: map[provider.AttemptRef]bool{}}
 	for i := range r.Tasks {
 		w.noteTask(next, old, r, &r.Tasks[i])
 	}
 	w.workers[r.Worker] = next
 }
 
-func (w *reportWatch) noteTask(next, old *lastReport, r *platform.WorkerReport, t *platform.TaskReport) {
-	if t.Status == platform.RunRunning {
+func (w *reportWatch) noteTask(next, old *lastReport, r *provider.WorkerReport, t *provider.TaskReport) {
+	if t.Status == provider.RunRunning {
 		next.used = next.used.Add(t.Used)
 		next.running = append(next.running, t.Task)
 		w.noteRun(r, t)
 		return
 	}
-	ref := platform.AttemptRef{Task: t.Task, Attempt: t.Attempt}
+	ref := provider.AttemptRef{Task: t.Task, Attempt: t.Attempt}
 	next.ended[ref] = true
 	switch {
 	case old.ended[ref]: // reported until it is acknowledged
-	case t.Status == platform.RunRefused:
+	case t.Status == provider.RunRefused:
 		w.refused.Inc()
-	case t.Status == platform.RunLapsed:
+	case t.Status == provider.RunLapsed:
 		w.lapsed.Inc()
 	}
 }
 
 // noteRun counts a task whose newest reports of two workers say that it runs,
 // both with a lease that has not ended by both clocks.
-func (w *reportWatch) noteRun(r *platform.WorkerReport, t *platform.TaskReport) {
+func (w *reportWatch) noteRun(r *provider.WorkerReport, t *provider.TaskReport) {
 	other, known := w.runs[t.Task]
-	doubly := known && other.worker != r.Worker && other.until.After(r.At.Add(platform.ClockBound))
+	doubly := known && other.worker != r.Worker && other.until.After(r.At.Add(provider.ClockBound))
 	if doubly && !other.doubly {
 		w.twice.Inc()
 	}
--- a/instance/reports_test.go
+++ b/instance/reports_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"github.com/mangodrum/mangodrum/platform"
+	"github.com/mangodrum/mangodrum/provider"
 	"github.com/mangodrum/mangodrum/structs"
 )
 
@@ -14,12 +14,12 @@
 	return structs.Timestamp(1e18).Add(time.Duration(seconds * float64(time.Second)))
 }
 
-func report(worker structs.WorkerID, seconds float64, tasks ...platform.TaskReport) *platform.WorkerReport {
-	return &platform.WorkerReport{Worker: worker, At: at(seconds), Tasks: tasks}
+func report(worker structs.WorkerID, seconds float64, tasks ...provider.TaskReport) *provider.WorkerReport {
+	return &provider.WorkerReport{Worker: worker, At: at(seconds), Tasks: tasks}
 }
 
-func running(task structs.TaskID, until float64) platform.TaskReport {
-	return platform.TaskReport{Task: task, Attempt: 1, Status: platform.RunRunning, LeaseEnd: at(until)}
+func running(task structs.TaskID, until float64) provider.TaskReport {
+	return provider.TaskReport{Task: task, Attempt: 1, Status: provider.RunRunning, LeaseEnd: at(until)}
 }
 
 // Guards against a metric that misses a task on two workers, and against one
@@ -27,22 +27,22 @@
 func TestReportWatchCountsDoubleRuns(t *testing.T) {
 	for _, test := range []struct {
 		name    string
-		reports []*platform.WorkerReport
+		reports []*provider.WorkerReport
 		forget  structs.WorkerID
 		want    uint64
 	}{
-		{"two leases at once", []*platform.WorkerReport{report("a", 0, running("t", 30)), report("b", 1, running("t", 31))}, "", 1},
-		{"counted once", []*platform.WorkerReport{
+		{"two leases at once", []*provider.WorkerReport{report("a", 0, running("t", 30)), report("b", 1, running("t", 31))}, "", 1},
+		{"counted once", []*provider.WorkerReport{
 			report("a", 0, running("t", 30)), report("b", 1, running("t", 31)), report("a", 2, running("t", 30)), report("b", 3, running("t", 31)),
 		}, "", 1},
-		{"moved after its end", []*platform.WorkerReport{
+		{"moved after its end", []*provider.WorkerReport{
 			report("a", 0, running("t", 30)), report("a", 1), report("b", 2, running("t", 32)),
 		}, "", 0},
-		{"moved after the lease end", []*platform.WorkerReport{report("a", 0, running("t", 30)), report("b", 31, running("t", 60))}, "", 0},
-		{"late report", []*platform.WorkerReport{
+		{"moved after the lease end", []*provider.WorkerReport{report("a", 0, running("t", 30)), report("b", 31, running("t", 60))}, "", 0},
+		{"late report", []*provider.WorkerReport{
 			report("a", 5), report("b", 6, running("t", 36)), report("a", 4, running("t", 34)),
 		}, "", 0},
-		{"confirmed as stopped", []*platform.WorkerReport{report("a", 0, running("t", 30)), report("b", 1, running("t", 31))}, "a", 0},
+		{"confirmed as stopped", []*provider.WorkerReport{report("a", 0, running("t", 30)), report("b", 1, running("t", 31))}, "a", 0},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			w := newReportWatch(metrics.NewSet())
@@ -63,7 +63,7 @@
 // acknowledged.
 func TestReportWatchCountsRefusedStartsOnce(t *testing.T) {
 	w := newReportWatch(metrics.NewSet())
-	refused := platform.TaskReport{Task: "t", Attempt: 1, Status: platform.RunRefused}
+	refused := provider.TaskReport{Task: "t", Attempt: 1, Status: provider.RunRefused}
 	w.note(report("a", 0, refused))
 	w.note(report("a", 1, refused))
 	refused.Attempt = 2
--- a/instance/storecalls.go
+++ b/instance/storecalls.go
@@ -8,7 +8,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/mangodrum/mangodrum/errs"
-	"github.com/mangodrum/mangodrum/platform"
+	"github.com/mangodrum/mangodrum/provider"
 )
 
 // storeOperations are the calls to the table and the object store.
@@ -53,7 +53,7 @@
 
 // watchedTable notes the health and the duration of every call.
 type watchedTable struct {
-	platform.Table
+	provider.Table
 	health *storeHealth
 	calls  *storeCalls
 }
@@ -63,24 +63,24 @@
 	t.calls.measure(op, start, err)
 }
 
-// Get implements platform.Table.
-func (t *watchedTable) Get(ctx context.Context, key string) (platform.Row, error) {
+// Get implements provider.Table.
+func (t *watchedTable) Get(ctx context.Context, key string) (provider.Row, error) {
 	start := time.Now()
 	row, err := t.Table.Get(ctx, key)
 	t.note("table-get", start, err)
 	return row, err
 }
 
-// Scan implements platform.Table.
-func (t *watchedTable) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+// Scan implements provider.Table.
+func (t *watchedTable) Scan(ctx context.Context, prefix, after string, limit int) ([]provider.Row, error) {
 	start := time.Now()
 	rows, err := t.Table.Scan(ctx, prefix, after, limit)
 	t.note("table-scan", start, err)
 	return rows, err
 }
 
-// Commit implements platform.Table.
-func (t *watchedTable) Commit(ctx context.Context, txn platform.Txn) (platform.TxnResult, error) {
+// Commit implements provider.Table.
+func (t *watchedTable) Commit(ctx context.Context, txn provider.Txn) (provider.TxnResult, error) {
 	start := time.Now()
 	result, err := t.Table.Commit(ctx, txn)
 	t.note("table-commit", start, err)
@@ -89,11 +89,11 @@
 
 // watchedObjects notes the duration of every call.
 type watchedObjects struct {
-	platform.Objects
+	provider.Objects
 	calls *storeCalls
 }
 
-// Put implements platform.Objects.
+// Put implements provider.Objects.
 func (o *watchedObjects) Put(ctx context.Context, name string, data []byte) error {
 	start := time.Now()
 	err := o.Objects.Put(ctx, name, data)
@@ -101,7 +101,7 @@
 	return err
 }
 
-// Get implements platform.Objects.
+// Get implements provider.Objects.
 func (o *watchedObjects) Get(ctx context.Context, name string) ([]byte, error) {
 	start := time.Now()
 	data, err := o.Objects.Get(ctx, name)
@@ -109,7 +109,7 @@
 	return data, err
 }
 
-// List implements platform.Objects.
+// List implements provider.Objects.
 func (o *watchedObjects) List(ctx context.Context, prefix string) ([]string, error) {
 	start := time.Now()
 	names, err := o.Objects.List(ctx, prefix)
@@ -117,7 +117,7 @@
 	return names, err
 }
 
-// Delete implements platform.Objects.
+// Delete implements provider.Objects.
 func (o *watchedObjects) Delete(ctx context.Context, name string) error {
 	start := time.Now()
 	err := o.Objects.Delete(ctx, name)
--- a/internal/daemon/edges_test.go
+++ b/internal/daemon/edges_test.go
@@ -16,7 +16,7 @@
 	"github.com/mangodrum/mangodrum/errs"
 	"github.com/mangodrum/mangodrum/gateway"
 	"github.com/mangodrum/mangodrum/operatorapi"
-	"github.com/mangodrum/mangodrum/platform/standin"
+	"github.com/mangodrum/mangodrum/provider/standin"
 )
 
 // runToEnd runs a process and returns its exit code and what it wrote to the
--- a/internal/daemon/process_test.go
+++ b/internal/daemon/process_test.go
@@ -17,7 +17,7 @@
 
 	"github.com/mangodrum/mangodrum/errs"
 	"github.com/mangodrum/mangodrum/operatorapi"
-	"github.com/mangodrum/mangodrum/platform/standin"
+	"github.com/mangodrum/mangodrum/provider/standin"
 	"github.com/mangodrum/mangodrum/structs"
 )
 
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -13,7 +13,7 @@
 	"github.com/mangodrum/mangodrum/errs"
 	"github.com/mangodrum/mangodrum/gateway"
 	"github.com/mangodrum/mangodrum/instance"
-	"github.com/mangodrum/mangodrum/platform/httpapi"
+	"github.com/mangodrum/mangodrum/provider/httpapi"
 	"github.com/mangodrum/mangodrum/structs"
 	"github.com/mangodrum/mangodrum/telemetry"
 )
--- a/membership/types.go
+++ b/membership/types.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/mangodrum/mangodrum/platform"
+	"github.com/mangodrum/mangodrum/provider"
 	"github.com/mangodrum/mangodrum/structs"
 )
 
@@ -47,7 +47,7 @@
 
 // maxBeatAge is the age from which a heartbeat says nothing about the present:
 // the sender may have died since. It includes the difference of two clocks.
-func (c Config) maxBeatAge() time.Duration { return c.SuspectAfter + platform.ClockBound }
+func (c Config) maxBeatAge() time.Duration { return c.SuspectAfter + provider.ClockBound }
 
 // DirectoryListed carries the directory's list of instances.
 type DirectoryListed struct{ Instances []structs.InstanceInfo }
--- a/ownership/execute.go
+++ b/ownership/execute.go
@@ -5,14 +5,14 @@
 	"strconv"
 
 	"github.com/mangodrum/mangodrum/errs"
-	"github.com/mangodrum/mangodrum/platform"
+	"github.com/mangodrum/mangodrum/provider"
 	"github.com/mangodrum/mangodrum/structs"
 )
 
 // Execute carries out a ReadRow or WriteRow effect and returns the event that
 // answers it. It reports false for every other effect. The caller bounds the
 // call with the context; 2 s leaves time to renew a lease of 6 s once more.
-func Execute(ctx context.Context, table platform.Table, effect structs.Effect) (structs.Event, bool) {
+func Execute(ctx context.Context, table provider.Table, effect structs.Effect) (structs.Event, bool) {
 	switch e := effect.(type) {
 	case ReadRow:
 		return executeRead(ctx, table, e), true
@@ -22,7 +22,7 @@
 	return nil, false
 }
 
-func executeRead(ctx context.Context, table platform.Table, e ReadRow) RowRead {
+func executeRead(ctx context.Context, table provider.Table, e ReadRow) RowRead {
 	row, err := table.Get(ctx, RowKey(e.Shard))
 	if err != nil {
 		return RowRead{Shard: e.Shard, ErrKind: kindOf(err)}
@@ -34,7 +34,7 @@
 	return RowRead{Shard: e.Shard, Row: value, Version: row.Version}
 }
 
-func executeWrite(ctx context.Context, table platform.Table, e WriteRow) WriteEnded {
+func executeWrite(ctx context.Context, table provider.Table, e WriteRow) WriteEnded {
 	result, err := table.Commit(ctx, TxnOf(e))
 	if err != nil {
 		return WriteEnded{Shard: e.Shard, ErrKind: kindOf(err)}
@@ -53,10 +53,10 @@
 
 // TxnOf returns the transaction of a WriteRow effect. A takeover raises the
 // epoch row; every other write requires it to be unchanged.
-func TxnOf(e WriteRow) platform.Txn {
-	txn := platform.Txn{
-		Conditions: []platform.Condition{{Key: RowKey(e.Shard), Version: e.IfVersion}},
-		Writes:     []platform.Write{{Key: RowKey(e.Shard), Value: EncodeRow(e.Row)}},
+func TxnOf(e WriteRow) provider.Txn {
+	txn := provider.Txn{
+		Conditions: []provider.Condition{{Key: RowKey(e.Shard), Version: e.IfVersion}},
+		Writes:     []provider.Write{{Key: RowKey(e.Shard), Value: EncodeRow(e.Row)}},
 	}
 	if !e.RaisesEpoch {
 		txn.Conditions = append(txn.Conditions, EpochCondition(e.Shard, e.Row.Epoch))
@@ -64,6 +64,6 @@
 	}
 	txn.Conditions = append(txn.Conditions, EpochCondition(e.Shard, e.Row.Epoch-1))
 	value := strconv.FormatUint(uint64(e.Row.Epoch), 10)
-	txn.Writes = append(txn.Writes, platform.Write{Key: EpochKey(e.Shard), Value: []byte(value)})
+	txn.Writes = append(txn.Writes, provider.Write{Key: EpochKey(e.Shard), Value: []byte(value)})
 	return txn
 }
--- a/ownership/ownership_test.go
+++ b/ownership/ownership_test.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"github.com/mangodrum/mangodrum/errs"
-	"github.com/mangodrum/mangodrum/platform"
-	"github.com/mangodrum/mangodrum/platform/standin"
+	"github.com/mangodrum/mangodrum/provider"
+	"github.com/mangodrum/mangodrum/provider/standin"
 	"github.com/mangodrum/mangodrum/structs"
 )
 
@@ -51,7 +51,7 @@
 		live = append(live, info)
 		cfg := Config{Self: info, Incarnation: uint64(i + 1), Shards: []Shard{{ID: shard}}, Defects: defects}
 		// The clocks are as far apart as the clock bound allows.
-		skew := platform.ClockBound / 2 * time.Duration(i%3-1)
+		skew := provider.ClockBound / 2 * time.Duration(i%3-1)
 		c.procs = append(c.procs, &proc{State: New(cfg), skew: skew})
 	}
 	for _, p := range c.procs {
@@ -108,7 +108,7 @@
 		for turn := range 3 { // who has the fast clock, and who the slow one
 			c := newCell(3, Defects{})
 			for i, p := range c.procs {
-				p.skew = platform.ClockBound / 2 * time.Duration((i+turn)%3-1)
+				p.skew = provider.ClockBound / 2 * time.Duration((i+turn)%3-1)
 			}
 			c.run(10*time.Second + offset)
 			longest = max(longest, takeOver(t, c))
--- a/ownership/row.go
+++ b/ownership/row.go
@@ -5,7 +5,7 @@
 	"encoding/json"
 
 	"github.com/mangodrum/mangodrum/errs"
-	"github.com/mangodrum/mangodrum/platform"
+	"github.com/mangodrum/mangodrum/provider"
 	"github.com/mangodrum/mangodrum/structs"
 )
 
@@ -42,8 +42,8 @@
 
 // EpochCondition requires epoch to be the shard's epoch at the time of a
 // commit. Each takeover writes the epoch row once, so its version is the epoch.
-func EpochCondition(shard structs.ShardID, epoch structs.Epoch) platform.Condition {
-	return platform.Condition{Key: EpochKey(shard), Version: uint64(epoch)}
+func EpochCondition(shard structs.ShardID, epoch structs.Epoch) provider.Condition {
+	return provider.Condition{Key: EpochKey(shard), Version: uint64(epoch)}
 }
 
 // EncodeRow returns the value of the shard row.
--- a/ownership/types.go
+++ b/ownership/types.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/mangodrum/mangodrum/errs"
-	"github.com/mangodrum/mangodrum/platform"
+	"github.com/mangodrum/mangodrum/provider"
 	"github.com/mangodrum/mangodrum/structs"
 )
 
@@ -23,7 +23,7 @@
 	Lease      time.Duration // length of a lease; 6 s if zero
 	RenewEvery time.Duration // 2 s if zero
 	Retry      time.Duration // wait after a failed call; 500 ms if zero
-	ClockBound time.Duration // platform.ClockBound if zero
+	ClockBound time.Duration // provider.ClockBound if zero
 	Horizon    time.Duration // 75 min if zero: task leases survive a store outage of an hour
 	// HorizonStep is how much of the horizon may be used up before a renewal
 	// extends it; a 75th of Horizon if zero, which is 1 min.
@@ -44,7 +44,7 @@
 	setDefault(&c.Lease, 6*time.Second)
 	setDefault(&c.RenewEvery, 2*time.Second)
 	setDefault(&c.Retry, 500*time.Millisecond)
-	setDefault(&c.ClockBound, platform.ClockBound)
+	setDefault(&c.ClockBound, provider.ClockBound)
 	setDefault(&c.Horizon, 75*time.Minute)
 	setDefault(&c.HorizonStep, c.Horizon/75)
 	return c
--- a/platform/httpapi/bench_test.go
+++ b/provider/httpapi/bench_test.go
@@ -7,9 +7,9 @@
 	"testing"
 	"time"
 
-	"github.com/mangodrum/mangodrum/platform"
-	"github.com/mangodrum/mangodrum/platform/httpapi"
-	"github.com/mangodrum/mangodrum/platform/standin"
+	"github.com/mangodrum/mangodrum/provider"
+	"github.com/mangodrum/mangodrum/provider/httpapi"
+	"github.com/mangodrum/mangodrum/provider/standin"
 	"github.com/mangodrum/mangodrum/structs"
 )
 
@@ -26,9 +26,9 @@
 			defer func() { _ = p.Close() }()
 			client := httpapi.New(p.Address, time.Minute)
 			end := structs.TimestampOf(time.Now().Add(time.Hour))
-			start := platform.WorkerBatch{}
+			start := provider.WorkerBatch{}
 			for n := range tasks {
-				start.Starts = append(start.Starts, platform.StartTask{
+				start.Starts = append(start.Starts, provider.StartTask{
 					Task: structs.TaskIDFor("batch-2027-01-15", n), Attempt: 1, Command: []string{"serve"},
 					Resources: structs.Resources{MilliCPU: 1000, MemoryBytes: 1 << 30}, NotAfter: end, LeaseEnd: end,
 				})
@@ -36,7 +36,7 @@
 			if _, err := client.Do(context.Background(), worker, start); err != nil {
 				b.Fatal(err)
 			}
-			batch := platform.WorkerBatch{Renewals: []platform.LeaseRenewal{{Task: "batch-2027-01-15/0", Attempt: 1, LeaseEnd: end}}}
+			batch := provider.WorkerBatch{Renewals: []provider.LeaseRenewal{{Task: "batch-2027-01-15/0", Attempt: 1, LeaseEnd: end}}}
 			used := processorTime()
 			calls := 0
 			for b.Loop() {
@@ -58,4 +58,4 @@
 	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 }
 
-var _ platform.Workers = (*httpapi.Client)(nil)
+var _ provider.Workers = (*httpapi.Client)(nil)
--- a/platform/httpapi/client.go
+++ b/provider/httpapi/client.go
@@ -11,7 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/mangodrum/mangodrum/errs"
-	"github.com/mangodrum/mangodrum/platform"
+	"github.com/mangodrum/mangodrum/provider"
 	"github.com/mangodrum/mangodrum/structs"
 )
 
@@ -43,12 +43,12 @@
 }
 
 // Objects returns the object store's interface of the platform.
-func (c *Client) Objects() platform.Objects { return objects{c} }
+func (c *Client) Objects() provider.Objects { return objects{c} }
 
 var (
-	_ platform.Table     = (*Client)(nil)
-	_ platform.Directory = (*Client)(nil)
-	_ platform.Workers   = (*Client)(nil)
+	_ provider.Table     = (*Client)(nil)
+	_ provider.Directory = (*Client)(nil)
+	_ provider.Workers   = (*Client)(nil)
 )
 
 func (c *Client) call(ctx context.Context, op string, in Call) (Reply, error) {
@@ -102,31 +102,31 @@
 	return Reply{}, errs.New(failure.Kind, "", "platform operation %q: %s", op, failure.Message)
 }
 
-// Get implements platform.Table.
-func (c *Client) Get(ctx context.Context, key string) (platform.Row, error) {
+// Get implements provider.Table.
+func (c *Client) Get(ctx context.Context, key string) (provider.Row, error) {
 	reply, err := c.call(ctx, OpGet, Call{Key: key})
 	if err != nil {
-		return platform.Row{}, err
+		return provider.Row{}, err
 	}
 	if len(reply.Rows) != 1 {
-		return platform.Row{}, errs.New(errs.OutcomeUnknown, "read again", "platform returned %d rows for one key", len(reply.Rows))
+		return provider.Row{}, errs.New(errs.OutcomeUnknown, "read again", "platform returned %d rows for one key", len(reply.Rows))
 	}
 	return reply.Rows[0], nil
 }
 
-// Scan implements platform.Table.
-func (c *Client) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+// Scan implements provider.Table.
+func (c *Client) Scan(ctx context.Context, prefix, after string, limit int) ([]provider.Row, error) {
 	reply, err := c.call(ctx, OpScan, Call{Prefix: prefix, After: after, Limit: limit})
 	return reply.Rows, err
 }
 
-// Commit implements platform.Table.
-func (c *Client) Commit(ctx context.Context, txn platform.Txn) (platform.TxnResult, error) {
+// Commit implements provider.Table.
+func (c *Client) Commit(ctx context.Context, txn provider.Txn) (provider.TxnResult, error) {
 	reply, err := c.call(ctx, OpCommit, Call{Txn: txn})
-	return platform.TxnResult{Versions: reply.Versions}, err
+	return provider.TxnResult{Versions: reply.Versions}, err
 }
 
-// Register implements platform.Directory.
+// Register implements provider.Directory.
 func (c *Client) Register(ctx context.Context, self structs.InstanceInfo) error {
 	_, err := c.call(ctx, OpRegister, Call{Instance: self})
 	return err
@@ -148,51 +148,51 @@
 	return reply, nil
 }
 
-// Instances implements platform.Directory.
+// Instances implements provider.Directory.
 func (c *Client) Instances(ctx context.Context) ([]structs.InstanceInfo, error) {
 	reply, err := c.list(ctx, OpInstances)
 	return reply.Instances, err
 }
 
-// Workers implements platform.Directory.
+// Workers implements provider.Directory.
 func (c *Client) Workers(ctx context.Context) ([]structs.Worker, error) {
 	reply, err := c.list(ctx, OpWorkers)
 	return reply.Workers, err
 }
 
-// Executors implements platform.Directory.
+// Executors implements provider.Directory.
 func (c *Client) Executors(ctx context.Context) ([]structs.Executor, error) {
 	reply, err := c.list(ctx, OpExecutors)
 	return reply.Executors, err
 }
 
-// Do implements platform.Workers.
-func (c *Client) Do(ctx context.Context, worker structs.Worker, batch platform.WorkerBatch) (platform.WorkerReport, error) {
+// Do implements provider.Workers.
+func (c *Client) Do(ctx context.Context, worker structs.Worker, batch provider.WorkerBatch) (provider.WorkerReport, error) {
 	reply, err := c.call(ctx, OpWorkerDo, Call{Worker: worker.ID, Batch: batch})
 	return reply.Report, err
 }
 
 type objects struct{ client *Client }
 
-// Put implements platform.Objects.
+// Put implements provider.Objects.
 func (o objects) Put(ctx context.Context, name string, data []byte) error {
 	_, err := o.client.call(ctx, OpPutObject, Call{Key: name, Data: data})
 	return err
 }
 
-// Get implements platform.Objects.
+// Get implements provider.Objects.
 func (o objects) Get(ctx context.Context, name string) ([]byte, error) {
 	reply, err := o.client.call(ctx, OpGetObject, Call{Key: name})
 	return reply.Data, err
 }
 
-// List implements platform.Objects.
+// List implements provider.Objects.
 func (o objects) List(ctx context.Context, prefix string) ([]string, error) {
 	reply, err := o.client.call(ctx, OpListObjects, Call{Prefix: prefix})
 	return reply.Names, err
 }
 
-// Delete implements platform.Objects.
+// Delete implements provider.Objects.
 func (o objects) Delete(ctx context.Context, name string) error {
 	_, err := o.client.call(ctx, OpDeleteObject, Call{Key: name})
 	return err
--- a/platform/httpapi/client_test.go
+++ b/provider/httpapi/client_test.go
@@ -7,9 +7,9 @@
 	"time"
 
 	"github.com/mangodrum/mangodrum/errs"
-	"github.com/mangodrum/mangodrum/platform"
-	"github.com/mangodrum/mangodrum/platform/httpapi"
-	"github.com/mangodrum/mangodrum/platform/standin"
+	"github.com/mangodrum/mangodrum/provider"
+	"github.com/mangodrum/mangodrum/provider/httpapi"
+	"github.com/mangodrum/mangodrum/provider/standin"
 	"github.com/mangodrum/mangodrum/structs"
 )
 
@@ -33,9 +33,9 @@
 func TestErrorKindsSurviveTheWire(t *testing.T) {
 	p, client := startPlatform(t)
 	ctx := context.Background()
-	write := platform.Txn{
-		Conditions: []platform.Condition{{Key: "k", Version: 0}},
-		Writes:     []platform.Write{{Key: "k", Value: []byte("v")}},
+	write := provider.Txn{
+		Conditions: []provider.Condition{{Key: "k", Version: 0}},
+		Writes:     []provider.Write{{Key: "k", Value: []byte("v")}},
 	}
 	if _, err := client.Get(ctx, "k"); !errs.Is(err, errs.NotFound) {
 		t.Errorf("read of an absent row: %v", err)
@@ -52,7 +52,7 @@
 		t.Errorf("row %+v, %v", row, err)
 	}
 	p.Store.SetMaxBytes(1)
-	if _, err := client.Commit(ctx, platform.Txn{Writes: []platform.Write{{Key: "x", Value: []byte("y")}}}); !errs.Is(err, errs.NotRun) {
+	if _, err := client.Commit(ctx, provider.Txn{Writes: []provider.Write{{Key: "x", Value: []byte("y")}}}); !errs.Is(err, errs.NotRun) {
 		t.Errorf("write to a full store: %v", err)
 	}
 }
--- a/platform/httpapi/httpapi.go
+++ b/provider/httpapi/httpapi.go
@@ -4,7 +4,7 @@
 
 import (
 	"github.com/mangodrum/mangodrum/errs"
-	"github.com/mangodrum/mangodrum/platform"
+	"github.com/mangodrum/mangodrum/provider"
 	"github.com/mangodrum/mangodrum/structs"
 )
 
@@ -33,25 +33,25 @@
 	Prefix   string               `json:"prefix,omitempty"`
 	After    string               `json:"after,omitempty"`
 	Limit    int                  `json:"limit,omitempty"`
-	Txn      platform.Txn         `json:"txn,omitzero"`
+	Txn      provider.Txn         `json:"txn,omitzero"`
 	Data     []byte               `json:"data,omitempty"`
 	Instance structs.InstanceInfo `json:"instance,omitzero"`
 	Worker   structs.WorkerID     `json:"worker,omitempty"`
-	Batch    platform.WorkerBatch `json:"batch,omitzero"`
+	Batch    provider.WorkerBatch `json:"batch,omitzero"`
 	// IfNotTag asks for a list of the directory only if its tag differs.
 	IfNotTag string `json:"if_not_tag,omitempty"`
 }
 
 // Reply holds the results of an operation; each uses some of the fields.
 type Reply struct {
-	Rows      []platform.Row         `json:"rows,omitempty"`
+	Rows      []provider.Row         `json:"rows,omitempty"`
 	Versions  map[string]uint64      `json:"versions,omitempty"`
 	Data      []byte                 `json:"data,omitempty"`
 	Names     []string               `json:"names,omitempty"`
 	Instances []structs.InstanceInfo `json:"instances,omitempty"`
 	Workers   []structs.Worker       `json:"workers,omitempty"`
 	Executors []structs.Executor     `json:"executors,omitempty"`
-	Report    platform.WorkerReport  `json:"report,omitzero"`
+	Report    provider.WorkerReport  `json:"report,omitzero"`
 	// Tag names the content of a list. Unchanged replaces the content if the
 	// caller has it: lists change a few hundred times a day and are read
 	// every second.
--- a/platform/platform.go
+++ b/provider/provider.go
@@ -1,4 +1,4 @@
-// Package platform declares the interfaces to the platform that the cell
+// Package provider declares the interfaces to the platform that the cell
 // runs on: its transactional table, its object store, its directory of
 // machines and the control of its workers.
 //
@@ -6,7 +6,7 @@
 // errs.NotRun (certainly not applied), errs.OutcomeUnknown (may have been
 // applied; read back) and errs.Conflict (a condition did not hold; certainly
 // not applied).
-package platform
+package provider
 
 import (
 	"context"
--- a/platform/standin/directory.go
+++ b/provider/standin/directory.go
@@ -5,7 +5,7 @@
 	"sort"
 	"sync"
 
-	"github.com/mangodrum/mangodrum/platform"
+	"github.com/mangodrum/mangodrum/provider"
 	"github.com/mangodrum/mangodrum/structs"
 )
 
@@ -17,7 +17,7 @@
 	executors map[structs.ExecutorID]structs.Executor
 }
 
-var _ platform.Directory = (*Directory)(nil)
+var _ provider.Directory = (*Directory)(nil)
 
 // NewDirectory returns a directory of the given workers and executors.
 func NewDirectory(workers []structs.Worker, executors []structs.Executor) *Directory {
@@ -35,7 +35,7 @@
 	return d
 }
 
-// Register implements platform.Directory.
+// Register implements provider.Directory.
 func (d *Directory) Register(_ context.Context, self structs.InstanceInfo) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -43,21 +43,21 @@
 	return nil
 }
 
-// Instances implements platform.Directory.
+// Instances implements provider.Directory.
 func (d *Directory) Instances(context.Context) ([]structs.InstanceInfo, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return sortedValues(d.instances), nil
 }
 
-// Workers implements platform.Directory.
+// Workers implements provider.Directory.
 func (d *Directory) Workers(context.Context) ([]structs.Worker, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return sortedValues(d.workers), nil
 }
 
-// Executors implements platform.Directory.
+// Executors implements provider.Directory.
 func (d *Directory) Executors(context.Context) ([]structs.Executor, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/platform/standin/server.go
+++ b/provider/standin/server.go
@@ -12,8 +12,8 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/mangodrum/mangodrum/errs"
-	"github.com/mangodrum/mangodrum/platform"
-	"github.com/mangodrum/mangodrum/platform/httpapi"
+	"github.com/mangodrum/mangodrum/provider"
+	"github.com/mangodrum/mangodrum/provider/httpapi"
 	"github.com/mangodrum/mangodrum/structs"
 )
 
@@ -21,17 +21,17 @@
 
 // Server serves a platform over the protocol of package httpapi.
 type Server struct {
-	table     platform.Table
-	objects   platform.Objects
-	directory platform.Directory
-	workers   platform.Workers
+	table     provider.Table
+	objects   provider.Objects
+	directory provider.Directory
+	workers   provider.Workers
 	// control carries out operations on the stand-in itself; it may be nil.
 	control func(op string, body []byte) (any, error)
 	server  *fasthttp.Server
 }
 
 // NewServer returns a server of the given parts of a platform.
-func NewServer(t platform.Table, o platform.Objects, d platform.Directory, w platform.Workers) *Server {
+func NewServer(t provider.Table, o provider.Objects, d provider.Directory, w provider.Workers) *Server {
 	s := &Server{table: t, objects: o, directory: d, workers: w}
 	s.server = &fasthttp.Server{
 		Handler:            s.handle,
@@ -142,6 +142,6 @@
 	return hash.Sum64()
 }
 
-func one(row platform.Row, err error) (any, error) {
-	return httpapi.Reply{Rows: []platform.Row{row}}, err
+func one(row provider.Row, err error) (any, error) {
+	return httpapi.Reply{Rows: []provider.Row{row}}, err
 }
--- a/platform/standin/store.go
+++ b/provider/standin/store.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/mangodrum/mangodrum/errs"
-	"github.com/mangodrum/mangodrum/platform"
+	"github.com/mangodrum/mangodrum/provider"
 )
 
 // Fault is what happens to one call of the store.
@@ -28,7 +28,7 @@
 	Fault func(op string) Fault
 
 	mu      sync.Mutex
-	rows    map[string]platform.Row
+	rows    map[string]provider.Row
 	keys    []string // sorted keys of rows
 	objects map[string][]byte
 	bytes   int64
@@ -37,17 +37,17 @@
 }
 
 var (
-	_ platform.Table   = (*Store)(nil)
-	_ platform.Objects = (*objectStore)(nil)
+	_ provider.Table   = (*Store)(nil)
+	_ provider.Objects = (*objectStore)(nil)
 )
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{rows: map[string]platform.Row{}, objects: map[string][]byte{}}
+	return &Store{rows: map[string]provider.Row{}, objects: map[string][]byte{}}
 }
 
 // Objects returns the object store's interface of s.
-func (s *Store) Objects() platform.Objects { return (*objectStore)(s) }
+func (s *Store) Objects() provider.Objects { return (*objectStore)(s) }
 
 // Counts returns the numbers of write calls and read calls so far.
 func (s *Store) Counts() (writes, reads uint64) {
@@ -88,24 +88,24 @@
 	return errs.New(errs.OutcomeUnknown, "read the row back", "store %s: reply lost", op)
 }
 
-// Get implements platform.Table.
-func (s *Store) Get(ctx context.Context, key string) (platform.Row, error) {
+// Get implements provider.Table.
+func (s *Store) Get(ctx context.Context, key string) (provider.Row, error) {
 	fault, err := s.begin(ctx, "get")
 	if err != nil {
-		return platform.Row{}, err
+		return provider.Row{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reads++
 	row, ok := s.rows[key]
 	if !ok {
-		return platform.Row{}, errs.New(errs.NotFound, "", "row %q does not exist", key)
+		return provider.Row{}, errs.New(errs.NotFound, "", "row %q does not exist", key)
 	}
 	return row, fault.reply("get")
 }
 
-// Scan implements platform.Table.
-func (s *Store) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+// Scan implements provider.Table.
+func (s *Store) Scan(ctx context.Context, prefix, after string, limit int) ([]provider.Row, error) {
 	fault, err := s.begin(ctx, "scan")
 	if err != nil {
 		return nil, err
@@ -113,7 +113,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reads++
-	var out []platform.Row
+	var out []provider.Row
 	for i := sort.SearchStrings(s.keys, max(prefix, after)); i < len(s.keys) && len(out) < limit; i++ {
 		key := s.keys[i]
 		if !strings.HasPrefix(key, prefix) {
@@ -126,18 +126,18 @@
 	return out, fault.reply("scan")
 }
 
-// Commit implements platform.Table.
-func (s *Store) Commit(ctx context.Context, txn platform.Txn) (platform.TxnResult, error) {
+// Commit implements provider.Table.
+func (s *Store) Commit(ctx context.Context, txn provider.Txn) (provider.TxnResult, error) {
 	fault, err := s.begin(ctx, "commit")
 	if err != nil {
-		return platform.TxnResult{}, err
+		return provider.TxnResult{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.writes++
 	for _, cond := range txn.Conditions {
 		if have := s.rows[cond.Key].Version; have != cond.Version {
-			return platform.TxnResult{}, errs.New(errs.Conflict, "read the row and try again",
+			return provider.TxnResult{}, errs.New(errs.Conflict, "read the row and try again",
 				"row %q has version %d, not %d", cond.Key, have, cond.Version)
 		}
 	}
@@ -146,9 +146,9 @@
 		added += int64(len(write.Key) + len(write.Value))
 	}
 	if err := s.checkSpace(added); err != nil {
-		return platform.TxnResult{}, err
+		return provider.TxnResult{}, err
 	}
-	result := platform.TxnResult{Versions: make(map[string]uint64, len(txn.Writes))}
+	result := provider.TxnResult{Versions: make(map[string]uint64, len(txn.Writes))}
 	for _, write := range txn.Writes {
 		result.Versions[write.Key] = s.put(write)
 	}
@@ -166,7 +166,7 @@
 		"store is full: %d of %d bytes used, %d more wanted", s.bytes, s.MaxBytes, added)
 }
 
-func (s *Store) put(write platform.Write) uint64 {
+func (s *Store) put(write provider.Write) uint64 {
 	old, exists := s.rows[write.Key]
 	if !exists {
 		i := sort.SearchStrings(s.keys, write.Key)
@@ -177,7 +177,7 @@
 	}
 	s.bytes += int64(len(write.Value) - len(old.Value))
 	value := append([]byte(nil), write.Value...)
-	s.rows[write.Key] = platform.Row{Key: write.Key, Value: value, Version: old.Version + 1}
+	s.rows[write.Key] = provider.Row{Key: write.Key, Value: value, Version: old.Version + 1}
 	return old.Version + 1
 }
 
@@ -192,12 +192,12 @@
 	delete(s.rows, key)
 }
 
-// objectStore implements platform.Objects on a Store.
+// objectStore implements provider.Objects on a Store.
 type objectStore Store
 
 func (o *objectStore) store() *Store { return (*Store)(o) }
 
-// Put implements platform.Objects.
+// Put implements provider.Objects.
 func (o *objectStore) Put(ctx context.Context, name string, data []byte) error {
 	s := o.store()
 	fault, err := s.begin(ctx, "put")
@@ -216,7 +216,7 @@
 	return fault.reply("put")
 }
 
-// Get implements platform.Objects.
+// Get implements provider.Objects.
 func (o *objectStore) Get(ctx context.Context, name string) ([]byte, error) {
 	s := o.store()
 	fault, err := s.begin(ctx, "get-object")
@@ -233,7 +233,7 @@
 	return append([]byte(nil), data...), fault.reply("get-object")
 }
 
-// List implements platform.Objects.
+// List implements provider.Objects.
 func (o *objectStore) List(ctx context.Context, prefix string) ([]string, error) {
 	s := o.store()
 	fault, err := s.begin(ctx, "list")
@@ -253,7 +253,7 @@
 	return names, fault.reply("list")
 }
 
-// Delete implements platform.Objects.
+// Delete implements provider.Objects.
 func (o *objectStore) Delete(ctx context.Context, name string) error {
 	s := o.store()
 	fault, err := s.begin(ctx, "delete")
--- a/platform/standin/worker.go
+++ b/provider/standin/worker.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/mangodrum/mangodrum/errs"
-	"github.com/mangodrum/mangodrum/platform"
+	"github.com/mangodrum/mangodrum/provider"
 	"github.com/mangodrum/mangodrum/structs"
 )
 
@@ -22,29 +22,29 @@
 	// FailAll makes every attempt fail at once.
 	FailAll bool
 	// Usage returns what an attempt really uses; nil means what it asked for.
-	Usage func(platform.StartTask) structs.Resources
+	Usage func(provider.StartTask) structs.Resources
 
 	mu      sync.Mutex
-	runs    map[platform.AttemptRef]*run
-	settled map[platform.AttemptRef]structs.Timestamp // acknowledged attempts and their not-after times
+	runs    map[provider.AttemptRef]*run
+	settled map[provider.AttemptRef]structs.Timestamp // acknowledged attempts and their not-after times
 	used    structs.Resources
 	started int
 	overrun int // starts that would have exceeded the capacity; all were refused
 }
 
 type run struct {
-	start  platform.StartTask
+	start  provider.StartTask
 	end    structs.Timestamp // planned end; 0 means that it runs until stopped
 	fails  bool
-	report platform.TaskReport
+	report provider.TaskReport
 }
 
 // NewWorker returns an idle worker.
 func NewWorker(info structs.Worker) *Worker {
 	return &Worker{
 		Info:    info,
-		runs:    map[platform.AttemptRef]*run{},
-		settled: map[platform.AttemptRef]structs.Timestamp{},
+		runs:    map[provider.AttemptRef]*run{},
+		settled: map[provider.AttemptRef]structs.Timestamp{},
 	}
 }
 
@@ -56,13 +56,13 @@
 }
 
 // Running returns the attempts that run at now.
-func (w *Worker) Running(now structs.Timestamp) []platform.AttemptRef {
+func (w *Worker) Running(now structs.Timestamp) []provider.AttemptRef {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.advance(now)
-	var refs []platform.AttemptRef
+	var refs []provider.AttemptRef
 	for ref, r := range w.runs {
-		if r.report.Status == platform.RunRunning {
+		if r.report.Status == provider.RunRunning {
 			refs = append(refs, ref)
 		}
 	}
@@ -70,7 +70,7 @@
 }
 
 // Do carries out batch at now and returns the report after it.
-func (w *Worker) Do(now structs.Timestamp, batch platform.WorkerBatch) platform.WorkerReport {
+func (w *Worker) Do(now structs.Timestamp, batch provider.WorkerBatch) provider.WorkerReport {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.advance(now)
@@ -78,10 +78,10 @@
 		w.acknowledge(ref)
 	}
 	for _, ref := range batch.Stops {
-		w.finish(ref, platform.RunStopped, "stopped on request")
+		w.finish(ref, provider.RunStopped, "stopped on request")
 	}
 	for _, ref := range batch.Checkpoints {
-		if r := w.runs[ref]; r != nil && r.report.Status == platform.RunRunning {
+		if r := w.runs[ref]; r != nil && r.report.Status == provider.RunRunning {
 			r.report.Checkpointed = true
 		}
 	}
@@ -94,36 +94,36 @@
 	return w.reportAt(now)
 }
 
-func (w *Worker) acknowledge(ref platform.AttemptRef) {
-	if r := w.runs[ref]; r != nil && r.report.Status != platform.RunRunning {
+func (w *Worker) acknowledge(ref provider.AttemptRef) {
+	if r := w.runs[ref]; r != nil && r.report.Status != provider.RunRunning {
 		delete(w.runs, ref)
 		w.settled[ref] = r.start.NotAfter
 	}
 }
 
-func (w *Worker) renew(renewal platform.LeaseRenewal) {
-	r := w.runs[platform.AttemptRef{Task: renewal.Task, Attempt: renewal.Attempt}]
-	if r != nil && r.report.Status == platform.RunRunning {
+func (w *Worker) renew(renewal provider.LeaseRenewal) {
+	r := w.runs[provider.AttemptRef{Task: renewal.Task, Attempt: renewal.Attempt}]
+	if r != nil && r.report.Status == provider.RunRunning {
 		r.report.LeaseEnd = max(r.report.LeaseEnd, renewal.LeaseEnd)
 	}
 }
 
-func (w *Worker) start(now structs.Timestamp, start platform.StartTask) {
-	ref := platform.AttemptRef{Task: start.Task, Attempt: start.Attempt}
+func (w *Worker) start(now structs.Timestamp, start provider.StartTask) {
+	ref := provider.AttemptRef{Task: start.Task, Attempt: start.Attempt}
 	if _, settled := w.settled[ref]; settled || w.runs[ref] != nil {
 		return
 	}
-	r := &run{start: start, report: platform.TaskReport{
-		Task: start.Task, Attempt: start.Attempt, Status: platform.RunRunning, LeaseEnd: start.LeaseEnd,
+	r := &run{start: start, report: provider.TaskReport{
+		Task: start.Task, Attempt: start.Attempt, Status: provider.RunRunning, LeaseEnd: start.LeaseEnd,
 	}}
 	w.runs[ref] = r
 	if now.After(start.NotAfter) {
-		r.report.Status, r.report.Message = platform.RunRefused, "start arrived after its not-after time"
+		r.report.Status, r.report.Message = provider.RunRefused, "start arrived after its not-after time"
 		return
 	}
 	if !w.used.Add(start.Resources).Fits(w.Info.Capacity) {
 		w.overrun++
-		r.report.Status, r.report.Message = platform.RunRefused, "worker has not enough free resources"
+		r.report.Status, r.report.Message = provider.RunRefused, "worker has not enough free resources"
 		return
 	}
 	w.started++
@@ -138,7 +138,7 @@
 		r.end = now.Add(runTime)
 	}
 	if w.FailAll {
-		w.finish(ref, platform.RunFailed, "worker fault")
+		w.finish(ref, provider.RunFailed, "worker fault")
 	}
 }
 
@@ -161,9 +161,9 @@
 	return runTime, command[0] == "fail"
 }
 
-func (w *Worker) finish(ref platform.AttemptRef, status platform.RunStatus, message string) {
+func (w *Worker) finish(ref provider.AttemptRef, status provider.RunStatus, message string) {
 	r := w.runs[ref]
-	if r == nil || r.report.Status != platform.RunRunning {
+	if r == nil || r.report.Status != provider.RunRunning {
 		return
 	}
 	r.report.Status, r.report.Message = status, message
@@ -179,21 +179,21 @@
 	}
 	for ref, r := range w.runs {
 		switch {
-		case r.report.Status != platform.RunRunning:
+		case r.report.Status != provider.RunRunning:
 		case r.end != 0 && !r.end.After(now) && !r.end.After(r.report.LeaseEnd):
-			status := platform.RunSucceeded
+			status := provider.RunSucceeded
 			if r.fails {
-				status = platform.RunFailed
+				status = provider.RunFailed
 			}
 			w.finish(ref, status, "")
 		case !r.report.LeaseEnd.After(now):
-			w.finish(ref, platform.RunLapsed, "lease lapsed")
+			w.finish(ref, provider.RunLapsed, "lease lapsed")
 		}
 	}
 }
 
-func (w *Worker) reportAt(now structs.Timestamp) platform.WorkerReport {
-	report := platform.WorkerReport{Worker: w.Info.ID, At: now}
+func (w *Worker) reportAt(now structs.Timestamp) provider.WorkerReport {
+	report := provider.WorkerReport{Worker: w.Info.ID, At: now}
 	for _, r := range w.runs {
 		report.Tasks = append(report.Tasks, r.report)
 	}
@@ -214,7 +214,7 @@
 	doubleRuns int
 }
 
-var _ platform.Workers = (*Pool)(nil)
+var _ provider.Workers = (*Pool)(nil)
 
 // NewPool returns a pool of idle workers.
 func NewPool(now func() structs.Timestamp, infos []structs.Worker) *Pool {
@@ -239,7 +239,7 @@
 }
 
 // countDoubleRuns counts the started tasks of which more than one attempt runs.
-func (p *Pool) countDoubleRuns(starts []platform.StartTask) {
+func (p *Pool) countDoubleRuns(starts []provider.StartTask) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.Now()
@@ -260,7 +260,7 @@
 	w.advance(now)
 	n := 0
 	for ref, r := range w.runs {
-		if ref.Task == task && r.report.Status == platform.RunRunning {
+		if ref.Task == task && r.report.Status == provider.RunRunning {
 			n++
 		}
 	}
@@ -274,11 +274,11 @@
 	return p.workers[id]
 }
 
-// Do implements platform.Workers.
-func (p *Pool) Do(_ context.Context, worker structs.Worker, batch platform.WorkerBatch) (platform.WorkerReport, error) {
+// Do implements provider.Workers.
+func (p *Pool) Do(_ context.Context, worker structs.Worker, batch provider.WorkerBatch) (provider.WorkerReport, error) {
 	w := p.Worker(worker.ID)
 	if w == nil {
-		return platform.WorkerReport{}, errs.New(errs.NotRun, "read the directory again", "worker %q does not exist", worker.ID)
+		return provider.WorkerReport{}, errs.New(errs.NotRun, "read the directory again", "worker %q does not exist", worker.ID)
 	}
 	report := w.Do(p.Now(), batch)
 	if len(batch.Starts) > 0 {
--- a/router/credits/ledger.go
+++ b/router/credits/ledger.go
@@ -4,7 +4,7 @@
 	"cmp"
 	"slices"
 
-	"github.com/mangodrum/mangodrum/platform"
+	"github.com/mangodrum/mangodrum/provider"
 	"github.com/mangodrum/mangodrum/structs"
 )
 
@@ -126,7 +126,7 @@
 		if was := old[held.Executor]; was != nil {
 			until = max(until, was.until)
 		}
-		if held.Slots <= 0 || l.now.After(until.Add(platform.ClockBound)) {
+		if held.Slots <= 0 || l.now.After(until.Add(provider.ClockBound)) {
 			continue
 		}
 		h.entries[held.Executor] = &entry{slots: held.Slots, target: held.Slots, until: until}
@@ -145,7 +145,7 @@
 
 // isSettled reports whether no credit of an earlier owner can be unknown.
 func (l *Ledger) isSettled() bool {
-	return len(l.unconfirmed) == 0 || l.now.After(l.cfg.PreviousHorizon.Add(platform.ClockBound))
+	return len(l.unconfirmed) == 0 || l.now.After(l.cfg.PreviousHorizon.Add(provider.ClockBound))
 }
 
 // isOwner reports whether no other owner can exist. Without that slots are
@@ -183,7 +183,7 @@
 func (l *Ledger) expire() {
 	for _, h := range l.holders {
 		for id, e := range h.entries {
-			if l.now.After(e.until.Add(platform.ClockBound)) {
+			if l.now.After(e.until.Add(provider.ClockBound)) {
 				delete(h.entries, id)
 			}
 		}
--- a/router/credits/ledger_test.go
+++ b/router/credits/ledger_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"github.com/mangodrum/mangodrum/platform"
+	"github.com/mangodrum/mangodrum/provider"
 	"github.com/mangodrum/mangodrum/structs"
 )
 
@@ -45,7 +45,7 @@
 	if got := ask(l, start, Request{From: "a", Epoch: 2, Sequence: 1, Demands: demand(8)}); got != 8 {
 		t.Fatalf("a got %d slots, want 8", got)
 	}
-	end := start.Add(Lease + platform.ClockBound)
+	end := start.Add(Lease + provider.ClockBound)
 	if got := ask(l, end, Request{From: "b", Epoch: 2, Sequence: 1, Demands: demand(8)}); got != 0 {
 		t.Errorf("b got %d slots before a's credit ended on every clock", got)
 	}
@@ -60,7 +60,7 @@
 	cfg := owned
 	cfg.Expiry = start // nothing is granted, so only the declaration counts
 	l := newTestLedger(cfg)
-	declared := Request{From: "a", Epoch: 2, Sequence: 1, Holdings: []Holding{{Executor: "e", Slots: 8}}, Until: start.Add(-platform.ClockBound)}
+	declared := Request{From: "a", Epoch: 2, Sequence: 1, Holdings: []Holding{{Executor: "e", Slots: 8}}, Until: start.Add(-provider.ClockBound)}
 	ask(l, start, declared)
 	if got := l.Held("e"); got != 8 {
 		t.Errorf("%d slots counted, want 8", got)
@@ -96,7 +96,7 @@
 			l.Reduce(start, &InstanceGone{Instance: "a"})
 			return start
 		},
-		"horizon": func(*Ledger) structs.Timestamp { return start.Add(time.Minute + platform.ClockBound + 1) },
+		"horizon": func(*Ledger) structs.Timestamp { return start.Add(time.Minute + provider.ClockBound + 1) },
 	}
 	for name, end := range ends {
 		cfg := owned
--- a/scheduler/driver_test.go
+++ b/scheduler/driver_test.go
@@ -7,7 +7,7 @@
 	"strings"
 	"time"
 
-	"github.com/mangodrum/mangodrum/platform"
+	"github.com/mangodrum/mangodrum/provider"
 	"github.com/mangodrum/mangodrum/structs"
 )
 
@@ -64,7 +64,7 @@
 
 // fakeRun is one attempt on a fake worker.
 type fakeRun struct {
-	report platform.TaskReport
+	report provider.TaskReport
 	need   structs.Resources
 	end    structs.Timestamp
 	fails  bool
@@ -74,7 +74,7 @@
 	info    structs.Worker
 	runs    []*fakeRun
 	used    structs.Resources
-	settled map[platform.AttemptRef]bool
+	settled map[provider.AttemptRef]bool
 	failAll bool
 	dead    bool // runs nothing and answers nothing
 	cut     bool // runs on, but answers nothing
@@ -108,13 +108,13 @@
 	classOf   map[structs.JobID]structs.ClassName
 	waits     map[structs.ClassName][]time.Duration
 	completed map[structs.ClassName]int
-	runs      map[platform.AttemptRef]int
+	runs      map[provider.AttemptRef]int
 	active    map[structs.TaskID]structs.WorkerID
 	faults    []string // broken guarantees
 	replies   map[CallID]error
 	lossy     float64 // probability that a call or its answer is lost
-	old       []platform.WorkerReport
-	onEnd     func(structs.TaskID, platform.RunStatus)
+	old       []provider.WorkerReport
+	onEnd     func(structs.TaskID, provider.RunStatus)
 	onEffect  func(structs.Effect)
 	spent     time.Duration // in Reduce, by the real clock
 }
@@ -125,13 +125,13 @@
 		workers: map[structs.WorkerID]*fakeWorker{}, began: map[structs.TaskID]structs.Timestamp{},
 		submitted: map[structs.JobID]structs.Timestamp{}, classOf: map[structs.JobID]structs.ClassName{},
 		waits: map[structs.ClassName][]time.Duration{}, completed: map[structs.ClassName]int{},
-		runs: map[platform.AttemptRef]int{}, active: map[structs.TaskID]structs.WorkerID{}, replies: map[CallID]error{},
+		runs: map[provider.AttemptRef]int{}, active: map[structs.TaskID]structs.WorkerID{}, replies: map[CallID]error{},
 	}
 	c.cfg = Config{Shard: "shard", Epoch: 1, Policy: policy, Horizon: driverStart.Add(75 * time.Minute)}
 	c.s = New(c.cfg)
 	for _, info := range workers {
 		c.order = append(c.order, info.ID)
-		c.workers[info.ID] = &fakeWorker{info: info, settled: map[platform.AttemptRef]bool{}}
+		c.workers[info.ID] = &fakeWorker{info: info, settled: map[provider.AttemptRef]bool{}}
 	}
 	c.send(WorkersListed{Workers: workers})
 	c.tick()
@@ -221,13 +221,13 @@
 	})
 }
 
-func (c *cell) carryOut(w *fakeWorker, b platform.WorkerBatch) platform.WorkerReport {
+func (c *cell) carryOut(w *fakeWorker, b provider.WorkerBatch) provider.WorkerReport {
 	for _, ref := range b.Acks {
 		c.acknowledge(w, ref)
 	}
 	for _, ref := range b.Stops {
 		if r := w.find(ref.Task, ref.Attempt); r != nil {
-			c.finish(w, r, platform.RunStopped)
+			c.finish(w, r, provider.RunStopped)
 		}
 	}
 	for _, ref := range b.Checkpoints {
@@ -236,7 +236,7 @@
 		}
 	}
 	for _, n := range b.Renewals {
-		if r := w.find(n.Task, n.Attempt); r != nil && r.report.Status == platform.RunRunning {
+		if r := w.find(n.Task, n.Attempt); r != nil && r.report.Status == provider.RunRunning {
 			r.report.LeaseEnd = max(r.report.LeaseEnd, n.LeaseEnd)
 			c.watch(w, r)
 		}
@@ -244,16 +244,16 @@
 	for _, start := range b.Starts {
 		c.start(w, start)
 	}
-	report := platform.WorkerReport{Worker: w.info.ID, At: c.now}
+	report := provider.WorkerReport{Worker: w.info.ID, At: c.now}
 	for _, r := range w.runs {
 		report.Tasks = append(report.Tasks, r.report)
 	}
 	return report
 }
 
-func (c *cell) acknowledge(w *fakeWorker, ref platform.AttemptRef) {
+func (c *cell) acknowledge(w *fakeWorker, ref provider.AttemptRef) {
 	for i, r := range w.runs {
-		if r.report.Task == ref.Task && r.report.Attempt == ref.Attempt && r.report.Status != platform.RunRunning {
+		if r.report.Task == ref.Task && r.report.Attempt == ref.Attempt && r.report.Status != provider.RunRunning {
 			w.runs = append(w.runs[:i:i], w.runs[i+1:]...)
 			w.settled[ref] = true
 			return
@@ -261,21 +261,21 @@
 	}
 }
 
-func (c *cell) start(w *fakeWorker, st platform.StartTask) {
-	ref := platform.AttemptRef{Task: st.Task, Attempt: st.Attempt}
+func (c *cell) start(w *fakeWorker, st provider.StartTask) {
+	ref := provider.AttemptRef{Task: st.Task, Attempt: st.Attempt}
 	if w.settled[ref] || w.find(st.Task, st.Attempt) != nil {
 		return
 	}
-	r := &fakeRun{need: st.Resources, end: forever, report: platform.TaskReport{
-		Task: st.Task, Attempt: st.Attempt, Status: platform.RunRunning, LeaseEnd: st.LeaseEnd, Used: st.Resources,
+	r := &fakeRun{need: st.Resources, end: forever, report: provider.TaskReport{
+		Task: st.Task, Attempt: st.Attempt, Status: provider.RunRunning, LeaseEnd: st.LeaseEnd, Used: st.Resources,
 	}}
 	w.runs = append(w.runs, r)
 	if c.now > st.NotAfter {
-		r.report.Status = platform.RunRefused
+		r.report.Status = provider.RunRefused
 		return
 	}
 	if !w.used.Add(st.Resources).Fits(w.info.Capacity) {
-		r.report.Status = platform.RunRefused
+		r.report.Status = provider.RunRefused
 		c.faults = append(c.faults, fmt.Sprintf("%s overcommitted by %s", w.info.ID, st.Task))
 		return
 	}
@@ -299,7 +299,7 @@
 	c.watch(w, r)
 }
 
-func (c *cell) observeStart(task structs.TaskID, ref platform.AttemptRef) {
+func (c *cell) observeStart(task structs.TaskID, ref provider.AttemptRef) {
 	c.runs[ref]++
 	if _, seen := c.began[task]; seen {
 		return
@@ -320,25 +320,25 @@
 		if c.now < r.end && c.now < r.report.LeaseEnd {
 			return
 		}
-		status := platform.RunLapsed
+		status := provider.RunLapsed
 		switch {
 		case r.end <= r.report.LeaseEnd && r.fails:
-			status = platform.RunFailed
+			status = provider.RunFailed
 		case r.end <= r.report.LeaseEnd:
-			status = platform.RunSucceeded
+			status = provider.RunSucceeded
 		}
 		c.finish(w, r, status)
 	})
 }
 
-func (c *cell) finish(w *fakeWorker, r *fakeRun, status platform.RunStatus) {
-	if r.report.Status != platform.RunRunning || w.dead {
+func (c *cell) finish(w *fakeWorker, r *fakeRun, status provider.RunStatus) {
+	if r.report.Status != provider.RunRunning || w.dead {
 		return
 	}
 	r.report.Status = status
 	w.used = w.used.Sub(r.need)
 	delete(c.active, r.report.Task)
-	if status == platform.RunSucceeded {
+	if status == provider.RunSucceeded {
 		c.completed[c.classOf[jobOf(r.report.Task)]]++
 	}
 	if c.onEnd != nil {
--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/mangodrum/mangodrum/platform"
+	"github.com/mangodrum/mangodrum/provider"
 	"github.com/mangodrum/mangodrum/structs"
 )
 
@@ -43,7 +43,7 @@
 
 // WorkerReported is one report of a worker. Reports may be late, repeated or
 // out of order.
-type WorkerReported struct{ Report platform.WorkerReport }
+type WorkerReported struct{ Report provider.WorkerReport }
 
 // WorkerUnreachable tells that a call to the worker failed.
 type WorkerUnreachable struct{ Worker structs.WorkerID }
@@ -105,7 +105,7 @@
 // WorkerReported, or WorkerUnreachable. An empty batch asks for a report only.
 type SendBatch struct {
 	Worker structs.WorkerID
-	Batch  platform.WorkerBatch
+	Batch  provider.WorkerBatch
 }
 
 // Reply answers a call. Job is set after a successful SubmitJob or CancelJob.
--- a/scheduler/faults_test.go
+++ b/scheduler/faults_test.go
@@ -1,7 +1,7 @@
 package scheduler
 
 import (
-	"github.com/mangodrum/mangodrum/platform"
+	"github.com/mangodrum/mangodrum/provider"
 	"github.com/mangodrum/mangodrum/structs"
 )
 
@@ -39,7 +39,7 @@
 func (c *cell) kill(id structs.WorkerID) {
 	w := c.workers[id]
 	for _, r := range w.runs {
-		if r.report.Status == platform.RunRunning {
+		if r.report.Status == provider.RunRunning {
 			delete(c.active, r.report.Task)
 		}
 	}
--- a/scheduler/features_test.go
+++ b/scheduler/features_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"github.com/mangodrum/mangodrum/platform"
+	"github.com/mangodrum/mangodrum/provider"
 	"github.com/mangodrum/mangodrum/structs"
 )
 
@@ -115,8 +115,8 @@
 	bad := c.workers["w0001"]
 	bad.failAll = true
 	failures := 0
-	c.onEnd = func(_ structs.TaskID, status platform.RunStatus) {
-		if status == platform.RunFailed {
+	c.onEnd = func(_ structs.TaskID, status provider.RunStatus) {
+		if status == provider.RunFailed {
 			failures++
 		}
 	}
@@ -169,7 +169,7 @@
 	for _, id := range c.order {
 		var used int64
 		for _, r := range c.workers[id].runs {
-			if r.report.Status == platform.RunRunning {
+			if r.report.Status == provider.RunRunning {
 				used += r.report.Used.MemoryBytes
 			}
 		}
@@ -224,7 +224,7 @@
 		}
 	}
 	bigger := fleet(4, cores(16))
-	c.workers["w0003"] = &fakeWorker{info: bigger[3], settled: map[platform.AttemptRef]bool{}}
+	c.workers["w0003"] = &fakeWorker{info: bigger[3], settled: map[provider.AttemptRef]bool{}}
 	c.send(WorkersListed{Workers: bigger[3:]})
 	policy.Teams["/small"] = TeamPolicy{Guaranteed: cores(4)}
 	c.send(PolicyChanged{Policy: policy})
--- a/scheduler/gang.go
+++ b/scheduler/gang.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/mangodrum/mangodrum/placement"
-	"github.com/mangodrum/mangodrum/platform"
+	"github.com/mangodrum/mangodrum/provider"
 	"github.com/mangodrum/mangodrum/queue"
 	"github.com/mangodrum/mangodrum/structs"
 )
@@ -45,8 +45,8 @@
 
 // settleGang stops the rest of a gang of which one task ended early; all open
 // tasks start together again once the last of them is over.
-func (s *State) settleGang(j *job, status platform.RunStatus) {
-	if status == platform.RunSucceeded {
+func (s *State) settleGang(j *job, status provider.RunStatus) {
+	if status == provider.RunSucceeded {
 		s.requeuePending(j)
 		return
 	}
--- a/scheduler/learn.go
+++ b/scheduler/learn.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"github.com/mangodrum/mangodrum/platform"
+	"github.com/mangodrum/mangodrum/provider"
 	"github.com/mangodrum/mangodrum/structs"
 )
 
@@ -50,17 +50,17 @@
 }
 
 // learn takes over the outcome of an attempt that is about to be settled.
-func (s *State) learn(t *task, status platform.RunStatus) {
+func (s *State) learn(t *task, status provider.RunStatus) {
 	j, a, w := t.job, t.live, s.workers[t.Worker]
 	switch status {
-	case platform.RunSucceeded:
+	case provider.RunSucceeded:
 		if a.running {
 			j.estimate.observe(s.now.Sub(a.since))
 		}
 		s.observeDeclaration(j, false)
 		j.health = jobHealth{successes: j.health.successes + 1}
 		s.workerSucceeded(w, t)
-	case platform.RunFailed:
+	case provider.RunFailed:
 		s.jobFailed(j, w.id)
 		s.workerFailed(w, t)
 	default:
@@ -171,7 +171,7 @@
 	a.throttled = s.now
 	s.counts.Throttled++
 	b := s.outbox.batch(w.id)
-	b.Throttles = append(b.Throttles, platform.AttemptRef{Task: t.ID, Attempt: t.Attempt})
+	b.Throttles = append(b.Throttles, provider.AttemptRef{Task: t.ID, Attempt: t.Attempt})
 }
 
 // roundUp rounds a learned size up by at most an eighth, so that the size of a
--- a/scheduler/lease.go
+++ b/scheduler/lease.go
@@ -4,7 +4,7 @@
 	"container/heap"
 
 	"github.com/mangodrum/mangodrum/errs"
-	"github.com/mangodrum/mangodrum/platform"
+	"github.com/mangodrum/mangodrum/provider"
 	"github.com/mangodrum/mangodrum/structs"
 )
 
@@ -37,7 +37,7 @@
 // mayRunUntil returns the time after which the attempt certainly does not run
 // without a word of its worker.
 func (t *task) mayRunUntil() structs.Timestamp {
-	return max(t.NotAfter, t.live.leaseEnd).Add(platform.ClockBound)
+	return max(t.NotAfter, t.live.leaseEnd).Add(provider.ClockBound)
 }
 
 func (s *State) waitOut(t *task) {
@@ -56,7 +56,7 @@
 			s.waitOut(t)
 			continue
 		}
-		s.settle(t, platform.RunLapsed, "its worker did not answer until the lease end")
+		s.settle(t, provider.RunLapsed, "its worker did not answer until the lease end")
 	}
 }
 
@@ -72,12 +72,12 @@
 	end := min(s.now.Add(s.policy.Lease), s.horizon)
 	switch {
 	case a.stop != stopNone:
-		s.settle(t, platform.RunStopped, "not sent: no longer wanted")
+		s.settle(t, provider.RunStopped, "not sent: no longer wanted")
 	case s.now.After(t.NotAfter) || !end.After(s.now):
 		s.counts.Expired++
-		s.settle(t, platform.RunRefused, "not sent: its record was durable too late")
+		s.settle(t, provider.RunRefused, "not sent: its record was durable too late")
 	case w.down != 0:
-		s.settle(t, platform.RunRefused, "not sent: its worker does not answer")
+		s.settle(t, provider.RunRefused, "not sent: its worker does not answer")
 	default:
 		a.sent = true
 		a.sentAt = s.now
@@ -99,8 +99,8 @@
 	})
 }
 
-func (s *State) startOf(t *task) platform.StartTask {
-	return platform.StartTask{
+func (s *State) startOf(t *task) provider.StartTask {
+	return provider.StartTask{
 		Task: t.ID, Attempt: t.Attempt, Resources: t.Reserved, Command: t.job.Spec.Command,
 		NotAfter: t.NotAfter, LeaseEnd: t.live.leaseEnd,
 	}
@@ -121,7 +121,7 @@
 	w := s.workers[t.Worker]
 	if w.down == 0 {
 		b := s.outbox.batch(t.Worker)
-		b.Stops = append(b.Stops, platform.AttemptRef{Task: t.ID, Attempt: t.Attempt})
+		b.Stops = append(b.Stops, provider.AttemptRef{Task: t.ID, Attempt: t.Attempt})
 	}
 	s.callAt(w, s.now.Add(resendAfter))
 }
@@ -153,11 +153,11 @@
 func (s *State) settleAll(w *worker, now structs.Timestamp, message string) {
 	gone := w.info.State == structs.Gone
 	for _, t := range append([]*task(nil), w.tasks...) {
-		if !gone && t.live.sent && !now.After(t.NotAfter.Add(platform.ClockBound)) {
+		if !gone && t.live.sent && !now.After(t.NotAfter.Add(provider.ClockBound)) {
 			continue
 		}
 		if t.Phase == phasePlaced {
-			s.settle(t, platform.RunLapsed, message)
+			s.settle(t, provider.RunLapsed, message)
 		}
 	}
 }
--- a/scheduler/load_test.go
+++ b/scheduler/load_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"github.com/mangodrum/mangodrum/platform"
+	"github.com/mangodrum/mangodrum/provider"
 	"github.com/mangodrum/mangodrum/structs"
 )
 
@@ -337,7 +337,7 @@
 	for _, w := range c.workers {
 		var used structs.Resources
 		for _, r := range w.runs {
-			if r.report.Status == platform.RunRunning {
+			if r.report.Status == provider.RunRunning {
 				used = used.Add(r.report.Used)
 			}
 		}
--- a/scheduler/preempt.go
+++ b/scheduler/preempt.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/mangodrum/mangodrum/placement"
-	"github.com/mangodrum/mangodrum/platform"
+	"github.com/mangodrum/mangodrum/provider"
 	"github.com/mangodrum/mangodrum/structs"
 )
 
@@ -134,7 +134,7 @@
 	s.counts.Preempted++
 	t.live.preempt = s.now
 	s.victims = append(s.victims, t)
-	ref := platform.AttemptRef{Task: t.ID, Attempt: t.Attempt}
+	ref := provider.AttemptRef{Task: t.ID, Attempt: t.Attempt}
 	b := s.outbox.batch(w.id)
 	b.Throttles = append(b.Throttles, ref)
 	b.Checkpoints = append(b.Checkpoints, ref)
--- a/scheduler/property_test.go
+++ b/scheduler/property_test.go
@@ -12,7 +12,7 @@
 	"github.com/leanovate/gopter/gen"
 	"github.com/leanovate/gopter/prop"
 
-	"github.com/mangodrum/mangodrum/platform"
+	"github.com/mangodrum/mangodrum/provider"
 	"github.com/mangodrum/mangodrum/structs"
 )
 
@@ -23,7 +23,7 @@
 type schedule struct {
 	*cell
 	jobs    int
-	durable map[platform.AttemptRef]bool // attempts with a committed start record
+	durable map[provider.AttemptRef]bool // attempts with a committed start record
 	over    map[structs.TaskID]int       // last attempt with a committed end
 	last    map[structs.TaskID]int       // last attempt with a committed start
 	read    int                          // records of the journal seen so far
@@ -40,7 +40,7 @@
 func newSchedule(seed int64) *schedule {
 	h := &schedule{
 		cell:    newCell(seed, historyPolicy(), fleet(5, cores(8))),
-		durable: map[platform.AttemptRef]bool{}, over: map[structs.TaskID]int{}, last: map[structs.TaskID]int{},
+		durable: map[provider.AttemptRef]bool{}, over: map[structs.TaskID]int{}, last: map[structs.TaskID]int{},
 	}
 	h.onEffect = func(eff structs.Effect) {
 		switch e := eff.(type) {
@@ -58,7 +58,7 @@
 	for ; h.read < len(h.journal); h.read++ {
 		switch r := h.journal[h.read]; {
 		case r.TaskStarted != nil:
-			h.durable[platform.AttemptRef{Task: r.TaskStarted.Task, Attempt: r.TaskStarted.Attempt}] = true
+			h.durable[provider.AttemptRef{Task: r.TaskStarted.Task, Attempt: r.TaskStarted.Attempt}] = true
 			h.last[r.TaskStarted.Task] = r.TaskStarted.Attempt
 		case r.TaskEnded != nil:
 			h.over[r.TaskEnded.Task] = h.last[r.TaskEnded.Task]
@@ -67,7 +67,7 @@
 		}
 	}
 	for _, st := range e.Batch.Starts {
-		if !h.durable[platform.AttemptRef{Task: st.Task, Attempt: st.Attempt}] {
+		if !h.durable[provider.AttemptRef{Task: st.Task, Attempt: st.Attempt}] {
 			h.faults = append(h.faults, fmt.Sprintf("start of %s sent without a record", st.Task))
 		}
 	}
--- a/scheduler/reduce.go
+++ b/scheduler/reduce.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/mangodrum/mangodrum/errs"
-	"github.com/mangodrum/mangodrum/platform"
+	"github.com/mangodrum/mangodrum/provider"
 	"github.com/mangodrum/mangodrum/structs"
 )
 
@@ -151,7 +151,7 @@
 }
 
 // acknowledge sends the acknowledgement with the next call to the worker.
-func (s *State) acknowledge(id structs.WorkerID, ref platform.AttemptRef) {
+func (s *State) acknowledge(id structs.WorkerID, ref provider.AttemptRef) {
 	w := s.worker(id)
 	if !slices.Contains(w.acks, ref) {
 		w.acks = append(w.acks, ref)
@@ -184,16 +184,16 @@
 // outbox collects the commands of one call by worker.
 type outbox struct {
 	order   []structs.WorkerID
-	batches map[structs.WorkerID]*platform.WorkerBatch
+	batches map[structs.WorkerID]*provider.WorkerBatch
 }
 
-func (o *outbox) init() { o.batches = map[structs.WorkerID]*platform.WorkerBatch{} }
+func (o *outbox) init() { o.batches = map[structs.WorkerID]*provider.WorkerBatch{} }
 
 // batch returns the batch for the worker, which is sent even if it is empty.
-func (o *outbox) batch(id structs.WorkerID) *platform.WorkerBatch {
+func (o *outbox) batch(id structs.WorkerID) *provider.WorkerBatch {
 	b := o.batches[id]
 	if b == nil {
-		b = &platform.WorkerBatch{}
+		b = &provider.WorkerBatch{}
 		o.batches[id] = b
 		o.order = append(o.order, id)
 	}
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"github.com/mangodrum/mangodrum/platform"
+	"github.com/mangodrum/mangodrum/provider"
 	"github.com/mangodrum/mangodrum/structs"
 )
 
@@ -20,7 +20,7 @@
 // report takes over a worker's report. Completions count in every report,
 // since they are final; what runs or is absent counts only in reports newer
 // than all before.
-func (s *State) report(r *platform.WorkerReport) {
+func (s *State) report(r *provider.WorkerReport) {
 	w := s.worker(r.Worker)
 	fresh := r.At.After(w.reportAt)
 	if fresh {
@@ -49,11 +49,11 @@
 	s.callAt(w, s.now.Add(fastPoll))
 }
 
-func (s *State) reportTask(w *worker, r *platform.WorkerReport, tr *platform.TaskReport, fresh bool) {
+func (s *State) reportTask(w *worker, r *provider.WorkerReport, tr *provider.TaskReport, fresh bool) {
 	t := s.tasks[tr.Task]
 	current := t != nil && t.Phase == phasePlaced && t.Attempt == tr.Attempt && t.Worker == w.id
-	ref := platform.AttemptRef{Task: tr.Task, Attempt: tr.Attempt}
-	if tr.Status != platform.RunRunning {
+	ref := provider.AttemptRef{Task: tr.Task, Attempt: tr.Attempt}
+	if tr.Status != provider.RunRunning {
 		s.reportCompletion(w, t, ref, tr, current, r.At)
 		return
 	}
@@ -70,7 +70,7 @@
 
 // reportCompletion settles the attempt if it is the current one. The worker
 // gets its acknowledgement once the record is durable.
-func (s *State) reportCompletion(w *worker, t *task, ref platform.AttemptRef, tr *platform.TaskReport, current bool, at structs.Timestamp) {
+func (s *State) reportCompletion(w *worker, t *task, ref provider.AttemptRef, tr *provider.TaskReport, current bool, at structs.Timestamp) {
 	if current {
 		t.live.saved = t.live.saved || tr.Checkpointed
 		s.settle(t, tr.Status, tr.Message)
@@ -102,7 +102,7 @@
 		}
 		t := w.tasks[i]
 		if t.live.sent && t.live.listed != at && at.After(t.NotAfter) {
-			s.settle(t, platform.RunLapsed, "its worker does not know it")
+			s.settle(t, provider.RunLapsed, "its worker does not know it")
 		}
 	}
 }
@@ -116,7 +116,7 @@
 }
 
 // observeRunning notes that an attempt runs and what it uses.
-func (s *State) observeRunning(w *worker, t *task, tr *platform.TaskReport) {
+func (s *State) observeRunning(w *worker, t *task, tr *provider.TaskReport) {
 	a := t.live
 	a.unknown = false
 	a.saved = a.saved || tr.Checkpointed
@@ -131,16 +131,16 @@
 
 // settle ends the current attempt, which certainly does not run any more, and
 // decides what becomes of the task.
-func (s *State) settle(t *task, status platform.RunStatus, message string) {
+func (s *State) settle(t *task, status provider.RunStatus, message string) {
 	j := t.job
 	s.learn(t, status)
 	s.detach(t)
 	switch {
-	case status == platform.RunSucceeded:
+	case status == provider.RunSucceeded:
 		s.endTask(t, structs.TaskSucceeded, message)
 	case j.Cancelled || t.Superseded:
 		s.endTask(t, structs.TaskCancelled, message)
-	case status == platform.RunFailed:
+	case status == provider.RunFailed:
 		s.settleFailed(t, message)
 	default:
 		s.requeue(t, status, message)
@@ -180,9 +180,9 @@
 	}
 }
 
-func (s *State) requeue(t *task, status platform.RunStatus, message string) {
+func (s *State) requeue(t *task, status provider.RunStatus, message string) {
 	r := &TaskRequeued{Task: t.ID, At: s.now, Message: message}
-	if status == platform.RunRefused {
+	if status == provider.RunRefused {
 		r.NotBefore = s.now.Add(refusedDelay)
 	}
 	if peak := t.job.estimate.peak; !peak.Fits(t.job.Size) {
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -2,7 +2,7 @@
 
 import (
 	"github.com/mangodrum/mangodrum/placement"
-	"github.com/mangodrum/mangodrum/platform"
+	"github.com/mangodrum/mangodrum/provider"
 	"github.com/mangodrum/mangodrum/queue"
 	"github.com/mangodrum/mangodrum/structs"
 )
@@ -80,7 +80,7 @@
 	start    *task
 	attempt  int
 	worker   structs.WorkerID
-	ack      platform.AttemptRef
+	ack      provider.AttemptRef
 	reply    *Reply
 }
 
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -4,7 +4,7 @@
 	"container/heap"
 	"time"
 
-	"github.com/mangodrum/mangodrum/platform"
+	"github.com/mangodrum/mangodrum/provider"
 	"github.com/mangodrum/mangodrum/structs"
 )
 
@@ -39,8 +39,8 @@
 	info     structs.Worker
 	listed   bool
 	tasks    []*task               // placed here, in no particular order
-	acks     []platform.AttemptRef // for the next call
-	ending   map[platform.AttemptRef]ending
+	acks     []provider.AttemptRef // for the next call
+	ending   map[provider.AttemptRef]ending
 	reportAt structs.Timestamp // of the newest report, by the worker's clock
 	heard    structs.Timestamp // when the newest report arrived
 	asked    structs.Timestamp // first call since the last report; 0 if none is open
@@ -88,7 +88,7 @@
 func (s *State) worker(id structs.WorkerID) *worker {
 	w := s.workers[id]
 	if w == nil {
-		w = &worker{id: id, ending: map[platform.AttemptRef]ending{}, due: s.now}
+		w = &worker{id: id, ending: map[provider.AttemptRef]ending{}, due: s.now}
 		s.workers[id] = w
 		heap.Push(&s.due, w)
 	}
@@ -164,9 +164,9 @@
 }
 
 // serveTask adds what the attempt needs to the batch.
-func (s *State) serveTask(t *task, batch *platform.WorkerBatch) {
+func (s *State) serveTask(t *task, batch *provider.WorkerBatch) {
 	a := t.live
-	ref := platform.AttemptRef{Task: t.ID, Attempt: t.Attempt}
+	ref := provider.AttemptRef{Task: t.ID, Attempt: t.Attempt}
 	if a.stop != stopNone {
 		if a.sent && s.now.Sub(a.stopAt) >= resendAfter {
 			a.stopAt = s.now
@@ -185,7 +185,7 @@
 }
 
 // renew extends the lease of a running attempt once a third has passed.
-func (s *State) renew(t *task, batch *platform.WorkerBatch) {
+func (s *State) renew(t *task, batch *provider.WorkerBatch) {
 	a := t.live
 	lease := s.policy.Lease
 	if a.leaseEnd.Sub(s.now) > lease*2/3 && a.leaseEnd.Sub(s.now) <= lease {
@@ -196,7 +196,7 @@
 		return
 	}
 	a.leaseEnd = max(a.leaseEnd, end)
-	batch.Renewals = append(batch.Renewals, platform.LeaseRenewal{Task: t.ID, Attempt: t.Attempt, LeaseEnd: end})
+	batch.Renewals = append(batch.Renewals, provider.LeaseRenewal{Task: t.ID, Attempt: t.Attempt, LeaseEnd: end})
 }
 
 // nextLook returns when the attempt next needs a call to its worker.
--- a/settings/answer_test.go
+++ b/settings/answer_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"github.com/mangodrum/mangodrum/platform/standin"
+	"github.com/mangodrum/mangodrum/provider/standin"
 	"github.com/mangodrum/mangodrum/structs"
 )
 
--- a/settings/commit.go
+++ b/settings/commit.go
@@ -6,7 +6,7 @@
 	"strings"
 
 	"github.com/mangodrum/mangodrum/errs"
-	"github.com/mangodrum/mangodrum/platform"
+	"github.com/mangodrum/mangodrum/provider"
 	"github.com/mangodrum/mangodrum/structs"
 )
 
@@ -36,7 +36,7 @@
 // plan returns the transaction that makes the change the version after head,
 // on condition that the head row is unchanged and that neither the version nor
 // the change identifier exists.
-func plan(head Head, headRow uint64, base *Tree, c Commit, now structs.Timestamp) (platform.Txn, Version) {
+func plan(head Head, headRow uint64, base *Tree, c Commit, now structs.Timestamp) (provider.Txn, Version) {
 	version := Version{
 		Number: head.Number + 1, Base: head.Number,
 		Author: c.Author, Reason: c.Reason, ChangeID: c.ChangeID,
@@ -44,11 +44,11 @@
 	}
 	key, changeKey := VersionKey(version.Number), changePrefix+c.ChangeID
 	next := Head{Number: version.Number, Hash: version.Hash, ChangeID: c.ChangeID}
-	return platform.Txn{
-		Conditions: []platform.Condition{
+	return provider.Txn{
+		Conditions: []provider.Condition{
 			{Key: HeadKey, Version: headRow}, {Key: key, Version: 0}, {Key: changeKey, Version: 0},
 		},
-		Writes: []platform.Write{
+		Writes: []provider.Write{
 			{Key: HeadKey, Value: encodeRow(next)},
 			{Key: key, Value: encodeRow(version)},
 			{Key: changeKey, Value: encodeRow(version.Number)},
--- a/settings/store.go
+++ b/settings/store.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/mangodrum/mangodrum/errs"
-	"github.com/mangodrum/mangodrum/platform"
+	"github.com/mangodrum/mangodrum/provider"
 	"github.com/mangodrum/mangodrum/structs"
 )
 
@@ -26,8 +26,8 @@
 // Store keeps the versions of the settings in the platform's table and full
 // copies in its object store. It is safe for concurrent use.
 type Store struct {
-	table   platform.Table
-	objects platform.Objects
+	table   provider.Table
+	objects provider.Objects
 	now     func() structs.Timestamp
 	wait    func(ctx context.Context, d time.Duration) error
 
@@ -38,7 +38,7 @@
 
 // NewStore returns a store. now is the clock of new versions; wait delays
 // repeats and returns early when the context ends, nil means a timer.
-func NewStore(table platform.Table, objects platform.Objects, now func() structs.Timestamp,
+func NewStore(table provider.Table, objects provider.Objects, now func() structs.Timestamp,
 	wait func(ctx context.Context, d time.Duration) error) *Store {
 	if wait == nil {
 		wait = waitTimer
@@ -218,7 +218,7 @@
 // write commits the transaction. When a reply is lost it looks for the change
 // identifier; while that is absent it repeats the transaction, which cannot
 // take effect twice because of its conditions.
-func (s *Store) write(ctx context.Context, txn platform.Txn, version Version, c Commit) (Version, error) {
+func (s *Store) write(ctx context.Context, txn provider.Txn, version Version, c Commit) (Version, error) {
 	unknown := false
 	for attempt := range commitAttempts {
 		if attempt > 0 && s.wait(ctx, retryDelay<<(attempt-1)) != nil {
--- a/settings/store_test.go
+++ b/settings/store_test.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/mangodrum/mangodrum/errs"
-	"github.com/mangodrum/mangodrum/platform/standin"
+	"github.com/mangodrum/mangodrum/provider/standin"
 	"github.com/mangodrum/mangodrum/structs"
 )
 
