--- /dev/null
+++ b/cell/effects.go
@@ -0,0 +1,134 @@
+package cell
+
+import (
+	"time"
+
+	"github.com/mangodrum/mangodrum/dispatch"
+	"github.com/mangodrum/mangodrum/structs"
+)
+
+const (
+	// orderTimeout bounds a start or stop order: a round trip of 60 ms and a
+	// lost packet. Orders without an answer are repeated by the dispatcher.
+	orderTimeout = 400 * time.Millisecond
+	// leaseTimeout bounds a renewal beyond the time that the worker waits.
+	leaseTimeout = 500 * time.Millisecond
+	// adviceTimeout bounds advice beyond the time that the advisor takes.
+	adviceTimeout = 1200 * time.Millisecond
+)
+
+// execute carries out the effects of the dispatcher.
+func (l *leader) execute(effects []structs.Effect) {
+	for _, effect := range effects {
+		switch e := effect.(type) {
+		case dispatch.StartTask:
+			l.group.Go(func() {
+				outcome := l.instance.options.Workers.Start(&e.Worker, e.Order, orderTimeout)
+				l.post(dispatch.StartAnswered{Worker: e.Worker.ID, Task: e.Order.Task, Run: e.Order.Run, Outcome: outcome})
+			})
+		case dispatch.StopTask:
+			l.group.Go(func() {
+				outcome := l.instance.options.Workers.Stop(&e.Worker, e.Order, orderTimeout)
+				l.post(dispatch.StopAnswered{Worker: e.Worker.ID, Task: e.Order.Task, Run: e.Order.Run, Outcome: outcome})
+			})
+		case dispatch.RenewLease:
+			sentAt := l.now()
+			l.group.Go(func() {
+				report, outcome := l.instance.options.Workers.Lease(&e.Worker, e.Order, e.Order.Wait+leaseTimeout)
+				l.post(dispatch.LeaseAnswered{Worker: e.Worker.ID, SentAt: sentAt, Report: report, Outcome: outcome})
+			})
+		case dispatch.AskAdvice:
+			l.askAdvice(e)
+		case dispatch.Reply:
+			if ch := l.replies[e.Ref]; ch != nil {
+				delete(l.replies, e.Ref)
+				ch <- e
+			}
+		case dispatch.StepDown:
+			l.depose("a worker has seen a higher fencing token", 0)
+		case dispatch.Decision:
+			l.logDecision(e)
+		case dispatch.Observation:
+			l.instance.metrics.observe(e.Name, "queue", e.Queue, e.Value)
+		}
+	}
+}
+
+func (l *leader) logDecision(d dispatch.Decision) {
+	l.instance.metrics.count("decisions", "event", d.Event)
+	args := make([]any, 0, 12)
+	if d.Job != "" {
+		args = append(args, "job", string(d.Job))
+	}
+	if d.Task != "" {
+		args = append(args, "task", d.Task)
+	}
+	if d.Worker != "" {
+		args = append(args, "worker", string(d.Worker))
+	}
+	if d.Run != 0 {
+		args = append(args, "run", d.Run)
+	}
+	if d.Reason != "" {
+		args = append(args, "reason", d.Reason)
+	}
+	l.log.Info(d.Event, append(args, "value", d.Value)...)
+}
+
+// advisorLoad spreads calls for advice over the instances: the advisor
+// serves the calls of each instance one after the other.
+type advisorLoad struct {
+	busy map[structs.InstanceID]time.Duration // expected time of the calls on their way
+}
+
+func (a *advisorLoad) init() { a.busy = map[structs.InstanceID]time.Duration{} }
+
+// choose returns the instance with the least work among the candidates.
+func (a *advisorLoad) choose(candidates []structs.InstanceID) structs.InstanceID {
+	best := candidates[0]
+	for _, id := range candidates[1:] {
+		if a.busy[id] < a.busy[best] {
+			best = id
+		}
+	}
+	return best
+}
+
+// connected returns this instance and the followers heard of lately.
+func (l *leader) connected() []structs.InstanceID {
+	const recent = 800 * time.Millisecond // three heartbeats
+	list := []structs.InstanceID{l.instance.options.ID}
+	l.peersMu.Lock()
+	defer l.peersMu.Unlock()
+	for id, m := range l.peers {
+		if m.heardAt != 0 && l.now().Sub(m.heardAt) < recent {
+			list = append(list, id)
+		}
+	}
+	return list
+}
+
+func (l *leader) askAdvice(e dispatch.AskAdvice) {
+	via := l.advisors.choose(l.connected())
+	wait := l.advisors.busy[via] + e.Expected + adviceTimeout
+	l.advisors.busy[via] += e.Expected
+	call := adviseCall{Step: e.Step, Workers: e.Workers, Timeout: wait}
+	l.group.Go(func() {
+		started := time.Now()
+		var reply adviseReply
+		if via == l.instance.options.ID {
+			reply = l.instance.advise(call)
+		} else if err := l.instance.call(via, methodAdvise, call, &reply, wait); err != nil {
+			l.log.Warn("advice failed", "step", e.Step, "via", via, "error", err)
+			reply.Failed = true
+		}
+		l.instance.metrics.observe("advice", "via", string(via), time.Since(started))
+		select {
+		case l.inbox <- func() {
+			l.advisors.busy[via] -= e.Expected
+			l.reduce(dispatch.AdviceAnswered{Step: e.Step, Workers: e.Workers, Advice: reply.Advice, Failed: reply.Failed})
+		}:
+		case <-l.ctx.Done():
+		}
+	})
+}
--- /dev/null
+++ b/dispatch/order.go
@@ -0,0 +1,91 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/mangodrum/mangodrum/structs"
+)
+
+// rank orders the steps that compete for room. A burst makes the cell too
+// small for seconds at a time: work that can still meet its objective goes
+// before work that is late already, so that one late job does not make the
+// next one late, and urgent work before other work of the same kind.
+type rank int
+
+const (
+	rankUrgent   rank = iota // priority 0, can meet its objective
+	rankOnTime               // can meet its objective
+	rankLate                 // worth a part of its value
+	rankHopeless             // worth nothing, but accepted
+)
+
+// rankOf returns the rank of a step and the time by which its remaining chain
+// has to begin.
+func (c *Cell) rankOf(s *step) (rank, structs.Timestamp) {
+	j := s.job
+	from := j.accepted
+	if j.spec.Occurrences > 0 {
+		from = s.occ.due
+	}
+	tail := s.tail()
+	latest := from.Add(j.objective - tail)
+	if s.started() {
+		// Room already taken by a step is worth most when the step completes.
+		return min(rankOnTime, urgentRank(j)), latest
+	}
+	if !c.now.After(latest) {
+		return urgentRank(j), latest
+	}
+	if c.now.Before(from.Add(lateFactor*j.objective - tail)) {
+		return rankLate, latest
+	}
+	return rankHopeless, latest
+}
+
+func urgentRank(j *job) rank {
+	if j.queue.Priority == 0 {
+		return rankUrgent
+	}
+	return rankOnTime
+}
+
+func (s *step) started() bool { return s.left < len(s.tasks) || s.idle < s.left }
+
+// tail returns the estimated length of the longest chain from the step on.
+func (s *step) tail() time.Duration {
+	var behind time.Duration
+	for _, next := range s.occ.steps[s.index+1:] {
+		if slices.Contains(next.spec.After, s.index) {
+			behind = max(behind, next.tail())
+		}
+	}
+	return s.spec.Estimate + behind
+}
+
+type contender struct {
+	step   *step
+	rank   rank
+	latest structs.Timestamp
+}
+
+// contenders returns the steps with tasks to place in the order of placement.
+func (c *Cell) contenders() []contender {
+	list := make([]contender, 0, len(c.ready))
+	for _, s := range c.ready {
+		if s.idle == 0 || !s.job.durable || !s.job.active() {
+			continue
+		}
+		if c.unheard > 0 && s.job.recovered {
+			continue // a task may run on a worker that has not answered yet
+		}
+		r, latest := c.rankOf(s)
+		list = append(list, contender{s, r, latest})
+	}
+	slices.SortFunc(list, func(a, b contender) int {
+		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.latest, b.latest), strings.Compare(a.step.name, b.step.name))
+	})
+	return list
+}
--- /dev/null
+++ b/dispatch/place.go
@@ -0,0 +1,248 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/mangodrum/mangodrum/structs"
+)
+
+// place gives room to the steps that wait, in the order of contenders.
+func (c *Cell) place() {
+	for _, w := range c.order {
+		w.reserved = structs.Resources{}
+	}
+	reserving := 0
+	for _, contender := range c.contenders() {
+		s := contender.step
+		if s.spec.Gang {
+			placed := c.placeGang(s, contender.rank)
+			if !placed && reserving < c.policy.MaxReserving && contender.rank <= rankOnTime {
+				reserving++
+				c.reserve(s)
+			}
+			continue
+		}
+		c.placeTasks(s, contender.rank)
+	}
+}
+
+// eligible reports whether a worker may get new tasks of a step, as far as is
+// known without the advisor.
+func (c *Cell) eligible(s *step, w *worker) bool {
+	return w.known && w.listed && !w.unheard && !w.Draining && w.misses < missesBeforeSilent &&
+		!c.now.Before(w.restUntil) && w.Service == s.job.queue.Service &&
+		(s.spec.RequiredLabel == "" || w.HasLabel(s.spec.RequiredLabel)) &&
+		s.spec.Resources.Fits(w.Capacity)
+}
+
+// admitted returns the workers that may run a step.
+func (c *Cell) admitted(s *step) []*worker {
+	list := make([]*worker, 0, len(c.order))
+	for _, w := range c.order {
+		if !c.eligible(s, w) {
+			continue
+		}
+		if s.job.queue.Advisor != nil && !s.advice[w.ID].good {
+			continue
+		}
+		list = append(list, w)
+	}
+	return list
+}
+
+// free returns the room of a worker that a step of the given rank may use.
+// Urgent tasks are short and may use room that gangs wait for.
+func (c *Cell) free(w *worker, r rank) structs.Resources {
+	free := w.Capacity.Sub(w.used)
+	if r != rankUrgent {
+		free = free.Sub(w.reserved)
+	}
+	return free
+}
+
+func (s *step) roomForMore(w *worker) int {
+	if s.spec.MaxPerWorker == 0 {
+		return len(s.tasks)
+	}
+	return max(0, s.spec.MaxPerWorker-s.perWorker[w.ID])
+}
+
+// placeTasks places the waiting tasks of a step one by one.
+func (c *Cell) placeTasks(s *step, r rank) {
+	candidates := c.admitted(s)
+	for _, t := range s.tasks {
+		if t.state != taskWaiting || t.occupied() {
+			continue
+		}
+		w := c.choose(t, candidates, r)
+		if w == nil {
+			c.askMore(s)
+			return
+		}
+		c.allot(t, w)
+		c.startPlaced(s)
+	}
+}
+
+// occupied reports whether an earlier run of the task is still accounted for.
+func (t *task) occupied() bool { return t.at != nil }
+
+// choose returns the worker for one task: away from where it failed, at the
+// data's rack, and where the least room is left over, so that wide tasks
+// still find whole workers.
+func (c *Cell) choose(t *task, candidates []*worker, r rank) *worker {
+	var best *worker
+	var bestCost float64
+	s := t.step
+	for _, w := range candidates {
+		if s.roomForMore(w) == 0 || !s.spec.Resources.Fits(c.free(w, r)) || w.allocations[t.name] != nil {
+			continue
+		}
+		left := w.Capacity.Sub(w.used).Sub(s.spec.Resources)
+		cost := float64(left.DominantShare(w.Capacity))
+		if w.ID == t.avoid {
+			cost += avoidCost
+		}
+		if s.spec.DataRack != "" && w.Location.Rack != s.spec.DataRack {
+			cost += remoteCost
+		}
+		if r == rankUrgent && !s.spec.Resources.Fits(w.Capacity.Sub(w.used).Sub(w.reserved)) {
+			cost += reservedCost
+		}
+		if best == nil || cost < bestCost {
+			best, bestCost = w, cost
+		}
+	}
+	return best
+}
+
+// Costs in parts per million of a worker's capacity; each outweighs the
+// costs before it.
+const (
+	reservedCost = 2e6
+	remoteCost   = 4e6
+	avoidCost    = 8e6
+)
+
+// share is how many members of a gang go to a worker.
+type share struct {
+	worker *worker
+	tasks  int
+}
+
+// placeGang places all members of a gang, or none.
+func (c *Cell) placeGang(s *step, r rank) bool {
+	if s.idle < len(s.tasks) || s.isOccupied() {
+		return true // an earlier run is still ending; nothing to reserve
+	}
+	shares := c.spread(s, func(w *worker) structs.Resources { return c.free(w, r) })
+	if shares == nil {
+		c.askMore(s)
+		return false
+	}
+	next := 0
+	for _, sh := range shares {
+		for range sh.tasks {
+			c.allot(s.tasks[next], sh.worker)
+			next++
+		}
+	}
+	c.startPlaced(s)
+	return true
+}
+
+func (s *step) isOccupied() bool {
+	for _, t := range s.tasks {
+		if t.occupied() {
+			return true
+		}
+	}
+	return false
+}
+
+// spread distributes the members of a gang over admitted workers with the
+// given room, or returns nil if they do not fit. A gang that is slow across
+// racks goes to one rack where it fits.
+func (c *Cell) spread(s *step, room func(*worker) structs.Resources) []share {
+	candidates := c.admitted(s)
+	if s.spec.SameRack {
+		byRack := map[structs.Rack][]*worker{}
+		for _, w := range candidates {
+			byRack[w.Location.Rack] = append(byRack[w.Location.Rack], w)
+		}
+		for _, w := range candidates {
+			if shares := c.spreadOver(s, byRack[w.Location.Rack], room); shares != nil {
+				return shares
+			}
+		}
+	}
+	return c.spreadOver(s, candidates, room)
+}
+
+func (c *Cell) spreadOver(s *step, candidates []*worker, room func(*worker) structs.Resources) []share {
+	shares := make([]share, 0, len(candidates))
+	total := 0
+	for _, w := range candidates {
+		n := min(timesIn(s.spec.Resources, room(w)), s.roomForMore(w))
+		if n > 0 {
+			shares = append(shares, share{w, n})
+			total += n
+		}
+	}
+	if total < len(s.tasks) {
+		return nil
+	}
+	// Few workers for each gang leave whole workers for the next one.
+	slices.SortStableFunc(shares, func(a, b share) int { return cmp.Compare(b.tasks, a.tasks) })
+	left := len(s.tasks)
+	for n := range shares {
+		shares[n].tasks = min(shares[n].tasks, left)
+		left -= shares[n].tasks
+		if left == 0 {
+			return shares[:n+1]
+		}
+	}
+	return nil
+}
+
+// timesIn returns how many tasks of the size fit into the room.
+func timesIn(size, room structs.Resources) int {
+	if room.IsNegative() {
+		return 0
+	}
+	const many = 1 << 20 // a size of nothing fits any number of times
+	n := int64(many)
+	if size.MilliCPU > 0 {
+		n = min(n, room.MilliCPU/size.MilliCPU)
+	}
+	if size.MemoryBytes > 0 {
+		n = min(n, room.MemoryBytes/size.MemoryBytes)
+	}
+	if size.Accelerators > 0 {
+		n = min(n, room.Accelerators/size.Accelerators)
+	}
+	return int(n)
+}
+
+// reserve keeps room for a gang that does not fit yet. It answers the load
+// of many small tasks that would otherwise take each piece of room as it
+// becomes free, and starve wide gangs. The workers with the most free room
+// come first, since they are complete soonest.
+func (c *Cell) reserve(s *step) {
+	candidates := c.admitted(s)
+	slices.SortStableFunc(candidates, func(a, b *worker) int {
+		return cmp.Compare(b.Capacity.MilliCPU-b.used.MilliCPU-b.reserved.MilliCPU, a.Capacity.MilliCPU-a.used.MilliCPU-a.reserved.MilliCPU)
+	})
+	left := len(s.tasks)
+	for _, w := range candidates {
+		n := min(timesIn(s.spec.Resources, w.Capacity.Sub(w.reserved)), s.roomForMore(w), left)
+		if n <= 0 {
+			continue
+		}
+		w.reserved = w.reserved.Add(s.spec.Resources.Scale(int64(n)))
+		if left -= n; left == 0 {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/dispatch/reduce.go
@@ -0,0 +1,131 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/mangodrum/mangodrum/structs"
+)
+
+// Reduce applies an event at time now and returns the effects to carry out.
+// The slice is valid until the next call.
+func (c *Cell) Reduce(now structs.Timestamp, event structs.Event) []structs.Effect {
+	c.now = max(c.now, now)
+	c.effects = c.effects[:0]
+	switch e := event.(type) {
+	case SubmitJob:
+		c.submit(e)
+	case CancelJob:
+		c.cancel(e)
+	case WorkerSeen:
+		c.seeWorker(e.Worker)
+	case WorkerUnlisted:
+		c.unlistWorker(e.ID)
+	case LeaseAnswered:
+		c.leaseAnswered(e)
+	case StartAnswered:
+		c.startAnswered(e)
+	case StopAnswered:
+		c.stopAnswered(e)
+	case AdviceAnswered:
+		c.adviceAnswered(e)
+	case CommitAnswered:
+		c.committed(e.Sequence)
+	case Tick:
+		c.wallOffset = e.WallOffset
+		c.tick()
+	}
+	return c.effects
+}
+
+// Place runs a placement pass if anything changed since the last one.
+func (c *Cell) Place(now structs.Timestamp) []structs.Effect {
+	c.now = max(c.now, now)
+	c.effects = c.effects[:0]
+	if c.placeAgain {
+		c.placeAgain = false
+		c.place()
+	}
+	return c.effects
+}
+
+// Confirm records that a commit sent at the given time proved the leadership.
+func (c *Cell) Confirm(sentAt structs.Timestamp) { c.confirmed = max(c.confirmed, sentAt) }
+
+// Guard tells which services' workers reject what does not fit.
+func (c *Cell) Guard(guarded map[string]bool) { c.guarded = guarded }
+
+func (c *Cell) tick() {
+	c.startOccurrences()
+	for _, w := range c.order {
+		c.tickWorker(w)
+	}
+	c.refuseUncommitted()
+	c.endRecovery()
+	c.forgetEnded()
+	c.placeAgain = true
+}
+
+// endRecovery stops the wait for workers that do not answer once all leases
+// of the previous leader have expired.
+func (c *Cell) endRecovery() {
+	if c.unheard == 0 || c.now.Before(c.oldLeasesEnd) {
+		return
+	}
+	for _, w := range c.order {
+		c.hear(w)
+	}
+}
+
+// hear marks a worker as accounted for.
+func (c *Cell) hear(w *worker) {
+	if !w.unheard {
+		return
+	}
+	w.unheard = false
+	c.unheard--
+	c.placeAgain = true
+	if c.unheard == 0 {
+		c.decide(Decision{Event: "recovery_complete", Value: int64(len(c.jobs))})
+	}
+}
+
+func (c *Cell) forgetEnded() {
+	for len(c.ended) > 0 && c.now.Sub(c.ended[0].endedAt) > c.policy.KeepEnded {
+		j := c.ended[0]
+		c.ended = c.ended[1:]
+		c.markDirty(j) // the commit removes its rows
+	}
+}
+
+// refuseUncommitted refuses submissions that no commit carries yet, so that
+// callers can try elsewhere or later while the store is away.
+func (c *Cell) refuseUncommitted() {
+	kept := c.dirty[:0]
+	for _, j := range c.dirty {
+		if !c.mayRefuse(j) {
+			kept = append(kept, j)
+			continue
+		}
+		c.answer(&j.waiting, Refused, retryAfterStore)
+		c.decide(Decision{Event: "refuse", Job: j.spec.ID, Reason: "store does not answer", Value: int64(c.now.Sub(j.accepted) / time.Millisecond)})
+		c.dropAsking(j)
+		delete(c.jobs, j.spec.ID)
+	}
+	clear(c.dirty[len(kept):])
+	c.dirty = kept
+}
+
+func (c *Cell) mayRefuse(j *job) bool {
+	return !j.durable && j.inCommit == 0 && c.now.Sub(j.accepted) > c.policy.CommitWait
+}
+
+// retryAfterStore is what a refused caller is told while the store does not
+// answer; its outages last several seconds.
+const retryAfterStore = time.Second
+
+func (c *Cell) answer(refs *[]Ref, verdict Verdict, retryAfter time.Duration) {
+	for _, ref := range *refs {
+		c.emit(Reply{Ref: ref, Verdict: verdict, RetryAfter: retryAfter})
+	}
+	*refs = nil
+}
--- a/internal/daemon/command.go
+++ b/internal/daemon/command.go
@@ -34,7 +34,7 @@
 		Version:   instance.BuildVersion(),
 		Writer:    out,
 		ErrWriter: errOut,
-		Commands:  []*cli.Command{devCommand(), runCommand(), standinCommand()},
+		Commands:  []*cli.Command{devCommand(), runCommand(), serveCommand(), standinCommand()},
 		// The exit code is decided in Main.
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error {
--- /dev/null
+++ b/leadership/leadership.go
@@ -0,0 +1,200 @@
+// Package leadership decides when an instance claims the leadership of a
+// cell. It is a reducer without clock and I/O.
+//
+// The leadership is a row in the table store. Every commit of the leader
+// rewrites the row under the condition of its last version, so a claim, which
+// is a conditional write too, succeeds only if the leader has not committed
+// since the row was read. A leader that lives commits at least every
+// CommitInterval; a row that stays unchanged for longer has no living leader
+// that reaches the store.
+package leadership
+
+import (
+	"time"
+
+	"github.com/mangodrum/mangodrum/structs"
+)
+
+// Row is the stored leadership.
+type Row struct {
+	Epoch    structs.Epoch      `cbor:"1,keyasint"` // rises with each claim; the fencing token
+	Owner    structs.InstanceID `cbor:"2,keyasint"` // empty after a planned release
+	Process  uint64             `cbor:"3,keyasint"` // tells two processes of one instance apart
+	Address  string             `cbor:"4,keyasint"` // for peers
+	Sequence uint64             `cbor:"5,keyasint"` // of the commit
+	At       structs.Timestamp  `cbor:"6,keyasint"` // of the commit, on the store's clock
+}
+
+const (
+	// CommitInterval is the longest time between two commits of a leader.
+	CommitInterval = 300 * time.Millisecond
+	// heartbeatSilence is the time without a heartbeat after which a follower
+	// looks at the row; three heartbeats.
+	heartbeatSilence = 800 * time.Millisecond
+	// rowSilence is how long the row has to stay unchanged before a claim. It
+	// covers two commits, each with one way of 30 ms and a lost packet.
+	rowSilence = 800 * time.Millisecond
+	// readInterval separates reads of the row while the leader is suspected.
+	readInterval = 200 * time.Millisecond
+	// storeSilence is how long a leader may report an unreachable store.
+	storeSilence = 600 * time.Millisecond
+	// nearFactor delays claims of instances far from the store, so that one
+	// nearby leads: its commits take a fraction of the time.
+	nearFactor = 4
+	// maxDelay bounds that delay.
+	maxDelay = 400 * time.Millisecond
+)
+
+// Heard says that a heartbeat of a leader arrived.
+type Heard struct {
+	Epoch        structs.Epoch
+	StoreHealthy bool
+}
+
+// LinkLost says that the connection from the leader was closed.
+type LinkLost struct{}
+
+// RowRead is the result of ReadRow.
+type RowRead struct {
+	Row     Row
+	Version uint64 // 0: the row does not exist
+	Failed  bool
+	Took    time.Duration // round trip to the store
+}
+
+// ClaimFailed says that another write came first, or that the outcome of the
+// claim is settled as not applied.
+type ClaimFailed struct{}
+
+// Tick lets the time pass.
+type Tick struct{}
+
+// Kind implements structs.Event.
+func (Heard) Kind() string { return "leader_heard" }
+
+// Kind implements structs.Event.
+func (LinkLost) Kind() string { return "leader_link_lost" }
+
+// Kind implements structs.Event.
+func (RowRead) Kind() string { return "leader_row_read" }
+
+// Kind implements structs.Event.
+func (ClaimFailed) Kind() string { return "claim_failed" }
+
+// Kind implements structs.Event.
+func (Tick) Kind() string { return "tick" }
+
+// ReadRow reads the leadership row. It is answered by RowRead.
+type ReadRow struct{}
+
+// Claim writes the leadership row under the condition of Version. It is
+// answered by ClaimFailed, or ends the follower.
+type Claim struct {
+	Epoch    structs.Epoch
+	Version  uint64
+	Previous Row
+	Reason   string
+}
+
+// Kind implements structs.Effect.
+func (ReadRow) Kind() string { return "read_leader_row" }
+
+// Kind implements structs.Effect.
+func (Claim) Kind() string { return "claim" }
+
+// Follower is the state of an instance that does not lead.
+type Follower struct {
+	self      structs.InstanceID
+	process   uint64
+	epoch     structs.Epoch // highest seen
+	heardAt   structs.Timestamp
+	healthyAt structs.Timestamp // the leader last reported that it reaches the store
+	suspect   bool
+	busy      bool // a read or a claim is on its way
+	readAt    structs.Timestamp
+	version   uint64            // of the row that was read last
+	sinceAt   structs.Timestamp // when that version was first read
+	seen      bool
+	roundTrip time.Duration // to the store, smallest seen
+}
+
+// NewFollower returns a follower that knows no leader.
+func NewFollower(self structs.InstanceID, process uint64, now structs.Timestamp) *Follower {
+	return &Follower{self: self, process: process, heardAt: now.Add(-heartbeatSilence), healthyAt: now, roundTrip: maxDelay}
+}
+
+// Reduce applies an event at time now and returns the effects to carry out.
+func (f *Follower) Reduce(now structs.Timestamp, event structs.Event) []structs.Effect {
+	switch e := event.(type) {
+	case Heard:
+		f.heard(now, e)
+	case LinkLost:
+		f.heardAt = now.Add(-heartbeatSilence)
+	case RowRead:
+		return f.rowRead(now, e)
+	case ClaimFailed:
+		f.busy, f.seen = false, false
+		f.readAt = now
+	case Tick:
+		return f.tick(now)
+	}
+	return nil
+}
+
+func (f *Follower) heard(now structs.Timestamp, e Heard) {
+	if e.Epoch < f.epoch {
+		return
+	}
+	f.epoch = e.Epoch
+	f.heardAt = now
+	if e.StoreHealthy {
+		f.healthyAt = now
+	}
+}
+
+func (f *Follower) tick(now structs.Timestamp) []structs.Effect {
+	f.suspect = now.Sub(f.heardAt) >= heartbeatSilence || now.Sub(f.healthyAt) >= heartbeatSilence+storeSilence
+	if !f.suspect {
+		f.seen = false
+		return nil
+	}
+	if f.busy || now.Sub(f.readAt) < readInterval {
+		return nil
+	}
+	f.busy = true
+	return []structs.Effect{ReadRow{}}
+}
+
+func (f *Follower) rowRead(now structs.Timestamp, e RowRead) []structs.Effect {
+	f.busy = false
+	f.readAt = now
+	if e.Failed || !f.suspect {
+		return nil
+	}
+	f.roundTrip = min(f.roundTrip, max(e.Took, 0))
+	if !f.seen || e.Version != f.version {
+		f.seen, f.version, f.sinceAt = true, e.Version, now
+	}
+	f.epoch = max(f.epoch, e.Row.Epoch)
+	reason, wait := f.claimReason(e)
+	if now.Sub(f.sinceAt) < wait {
+		return nil
+	}
+	f.busy = true
+	return []structs.Effect{Claim{Epoch: e.Row.Epoch + 1, Version: e.Version, Previous: e.Row, Reason: reason}}
+}
+
+// claimReason returns why the row may be claimed and how long it must have
+// stayed unchanged before that.
+func (f *Follower) claimReason(e RowRead) (string, time.Duration) {
+	delay := min(nearFactor*f.roundTrip, maxDelay)
+	switch {
+	case e.Version == 0:
+		return "no leader yet", delay
+	case e.Row.Owner == "":
+		return "released", delay
+	case e.Row.Owner == f.self && e.Row.Process != f.process:
+		return "own earlier process", 0
+	}
+	return "row unchanged", rowSilence + delay
+}
--- a/peer/link.go
+++ b/peer/link.go
@@ -68,7 +68,7 @@
 }
 
 func (n *Node) dial(ctx context.Context, address string) (*websocket.Conn, error) {
-	dialer := websocket.Dialer{HandshakeTimeout: writeTimeout}
+	dialer := websocket.Dialer{HandshakeTimeout: writeTimeout, NetDialContext: n.options.Dial}
 	header := http.Header{}
 	header.Set(versionHeader, Version)
 	if n.options.Secret != "" {
--- a/peer/message.go
+++ b/peer/message.go
@@ -22,6 +22,8 @@
 	KindReply                     // Reply
 	KindCredits                   // credits.Message
 	KindHandover                  // Handover
+	KindLeader                    // a leader's heartbeat; the body is the receiver's business
+	KindEcho                      // the answer to KindLeader
 )
 
 // Message is the envelope of everything that instances send to each other.
--- a/peer/node.go
+++ b/peer/node.go
@@ -25,7 +25,7 @@
 	// readTimeout is several heartbeat intervals, so that a dead connection
 	// is closed even when TCP does not notice.
 	readTimeout    = 15 * time.Second
-	redialInterval = 500 * time.Millisecond
+	redialInterval = 200 * time.Millisecond // a restarted peer listens again within 0.3 s
 	path           = "/peer"
 	versionHeader  = "Mangodrum-Peer-Version"
 )
@@ -37,6 +37,10 @@
 	Logger hclog.Logger
 	// Receive is called for every message, from several goroutines.
 	Receive func(Message)
+	// Disconnected, if set, is called when a peer's connection has ended.
+	Disconnected func(structs.InstanceID)
+	// Dial opens connections to peers; nil stands for the ordinary dialer.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Node is this instance's end of the connections to its peers.
@@ -162,6 +166,12 @@
 	defer stop()
 	defer func() { _ = conn.Close() }()
 	conn.SetReadLimit(MaxMessageBytes)
+	var from structs.InstanceID
+	defer func() {
+		if n.options.Disconnected != nil && n.ctx.Err() == nil {
+			n.options.Disconnected(from)
+		}
+	}()
 	for {
 		_ = conn.SetReadDeadline(time.Now().Add(readTimeout))
 		kind, data, err := conn.ReadMessage()
@@ -172,6 +182,7 @@
 		if kind != websocket.BinaryMessage || Decode(data, &message) != nil {
 			return
 		}
+		from = message.From
 		n.options.Receive(message)
 	}
 }
--- /dev/null
+++ b/workflow/job.go
@@ -0,0 +1,131 @@
+package workflow
+
+import (
+	"time"
+
+	"github.com/mangodrum/mangodrum/errs"
+	"github.com/mangodrum/mangodrum/structs"
+)
+
+// Limits of one job. They bound the memory that one submission can take.
+const (
+	MaxSteps        = 64
+	MaxTasksPerStep = 10_000
+)
+
+// Job is a directed acyclic graph of steps.
+type Job struct {
+	ID    structs.JobID `cbor:"1,keyasint"`
+	Spec  string        `cbor:"2,keyasint"` // opaque text for the workers
+	Steps []Step        `cbor:"3,keyasint"`
+
+	// Occurrences is the number of times a scheduled job runs; 0 means that the
+	// job runs once, at once.
+	Occurrences int           `cbor:"4,keyasint,omitempty"`
+	FirstDue    time.Duration `cbor:"5,keyasint,omitempty"` // since the Unix epoch
+	Interval    time.Duration `cbor:"6,keyasint,omitempty"` // between occurrences
+}
+
+// Step is a number of equal tasks.
+type Step struct {
+	Tasks          int               `cbor:"1,keyasint"`
+	Resources      structs.Resources `cbor:"2,keyasint"`           // of one task
+	Estimate       time.Duration     `cbor:"3,keyasint"`           // rough run time of one task
+	After          []int             `cbor:"4,keyasint,omitempty"` // earlier steps that must have succeeded
+	Gang           bool              `cbor:"5,keyasint,omitempty"` // all tasks run at the same time or not at all
+	SameRack       bool              `cbor:"6,keyasint,omitempty"` // the gang is slow across racks
+	Checkpoints    bool              `cbor:"7,keyasint,omitempty"` // a later run resumes from the last checkpoint
+	RequiredLabel  string            `cbor:"8,keyasint,omitempty"` // label that the worker must have
+	DataRack       structs.Rack      `cbor:"9,keyasint,omitempty"` // rack that holds the data; others are slow
+	MaxPerWorker   int               `cbor:"10,keyasint,omitempty"`
+	Speculative    bool              `cbor:"11,keyasint,omitempty"` // copies may run in parallel
+	LongRunning    bool              `cbor:"12,keyasint,omitempty"` // runs until cancelled
+	Image          string            `cbor:"13,keyasint,omitempty"`
+	TailTarget     time.Duration     `cbor:"14,keyasint,omitempty"` // latency objective of a serving task
+	Filler         bool              `cbor:"15,keyasint,omitempty"` // uses idle processors only
+	MaxUnavailable int               `cbor:"16,keyasint,omitempty"`
+}
+
+// Queue is the policy of the queue that a job was submitted to. A job keeps
+// the policy that was in force when it was accepted.
+type Queue struct {
+	Name        string        `cbor:"1,keyasint"`
+	Service     string        `cbor:"2,keyasint"` // whose workers run the tasks
+	Priority    int           `cbor:"3,keyasint"` // 0 is the most urgent
+	MaxAttempts int           `cbor:"4,keyasint"` // failed runs of a task before the job fails; 0: no limit
+	Stretch     float64       `cbor:"5,keyasint"` // allowed multiple of the longest chain of work
+	Allowance   time.Duration `cbor:"6,keyasint"` // added to the stretched chain
+	Advisor     *Advisor      `cbor:"7,keyasint,omitempty"`
+}
+
+// Advisor describes the admission service that names the workers a step of a
+// queue may use.
+type Advisor struct {
+	BaseTime      time.Duration `cbor:"1,keyasint"` // of one call
+	TimePerWorker time.Duration `cbor:"2,keyasint"` // for each worker named in a call
+	Validity      time.Duration `cbor:"3,keyasint"` // of a ticket
+}
+
+// CallTime returns how long the advisor takes for a call that names n workers.
+func (a *Advisor) CallTime(n int) time.Duration { return a.BaseTime + time.Duration(n)*a.TimePerWorker }
+
+// State is what callers see of a job.
+type State string
+
+// Job states.
+const (
+	Pending   State = "pending"
+	Running   State = "running"
+	Done      State = "done"
+	Failed    State = "failed"
+	Cancelled State = "cancelled"
+)
+
+// IsTerminal reports whether a job in this state never changes again.
+func (s State) IsTerminal() bool { return s == Done || s == Failed || s == Cancelled }
+
+// Check reports the first fault of a job.
+func (j *Job) Check() error {
+	if j.ID == "" {
+		return errs.New(errs.InvalidInput, "name the job", "the job has no identifier")
+	}
+	if len(j.Steps) == 0 || len(j.Steps) > MaxSteps {
+		return errs.New(errs.InvalidInput, "give 1 to 64 steps", "job %s has %d steps", j.ID, len(j.Steps))
+	}
+	for n := range j.Steps {
+		if err := j.checkStep(n); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (j *Job) checkStep(n int) error {
+	step := &j.Steps[n]
+	if step.Tasks < 1 || step.Tasks > MaxTasksPerStep {
+		return errs.New(errs.InvalidInput, "give 1 to 10000 tasks", "step %d of job %s has %d tasks", n, j.ID, step.Tasks)
+	}
+	if step.Resources.IsNegative() {
+		return errs.New(errs.InvalidInput, "give sizes of 0 or more", "step %d of job %s asks for less than nothing", n, j.ID)
+	}
+	for _, before := range step.After {
+		if before < 0 || before >= n {
+			return errs.New(errs.InvalidInput, "name earlier steps only", "step %d of job %s waits for step %d", n, j.ID, before)
+		}
+	}
+	return nil
+}
+
+// Chain returns the estimated length of the longest chain of steps.
+func (j *Job) Chain() time.Duration {
+	ends := make([]time.Duration, len(j.Steps))
+	var longest time.Duration
+	for n, step := range j.Steps {
+		for _, before := range step.After {
+			ends[n] = max(ends[n], ends[before])
+		}
+		ends[n] += step.Estimate
+		longest = max(longest, ends[n])
+	}
+	return longest
+}
