--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -197,6 +197,9 @@
 // succeed records the success of a task, or of a whole gang.
 func (c *Cell) succeed(t *task) {
 	s := t.step
+	if t.state == taskDone {
+		return // a member of a gang that is done already
+	}
 	if s.spec.Gang {
 		for _, member := range s.tasks {
 			c.taskSucceeded(member)
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -310,8 +310,8 @@
 		if a.task == nil || a.state != taskRunning || a.task.step.spec.LongRunning || c.now.Sub(a.movedAt) < stalledAfter {
 			continue
 		}
-		if a.task.step.spec.Gang && !a.task.step.allRunning() {
-			a.movedAt = c.now
+		if a.task.step.spec.Gang && (a.percent >= complete || !a.task.step.allRunning()) {
+			a.movedAt = c.now // it waits for the other members
 			continue
 		}
 		c.decide(Decision{Event: "task_stalled", Job: a.task.step.job.spec.ID, Task: a.name, Worker: w.ID, Run: a.run, Value: int64(a.percent)})
@@ -321,6 +321,9 @@
 	}
 }
 
+// complete is the progress of a gang member whose own work is done.
+const complete = 100
+
 func (s *step) allRunning() bool {
 	for _, t := range s.tasks {
 		if t.state != taskRunning {
