dispatch, cell: ration advice, retry lost answers, call the store by way of a peer

Change: an instance gets a call for advice only when it is free, in the order of placement; a lost renewal is retried at once; failed runs are counted by number; store calls that are turned away go by way of a peer.

--- a/cell/callers.go
+++ b/cell/callers.go
@@ -168,15 +168,15 @@
 		case local != nil:
 			reply = local.jobCall(method, in, left)
 			sent = sent || !reply.NotLeader
-			if !reply.NotLeader {
+			if !reply.NotLeader && reply.Verdict != dispatch.Unknown {
 				return reply, nil
 			}
 		case remote != "":
 			err := i.call(remote, method, in, &reply, min(left, callTry))
-			if err == nil && !reply.NotLeader {
+			if err == nil && !reply.NotLeader && reply.Verdict != dispatch.Unknown {
 				return reply, nil
 			}
-			sent = sent || errs.Is(err, errs.OutcomeUnknown)
+			sent = sent || errs.Is(err, errs.OutcomeUnknown) || reply.Verdict == dispatch.Unknown
 		}
 		wait := min(time.Until(deadline), time.Until(noLeaderUntil))
 		if wait <= 0 {
--- a/cell/effects.go
+++ b/cell/effects.go
@@ -75,25 +75,6 @@
 	l.log.Info(d.Event, append(args, "value", d.Value)...)
 }
 
-// advisorLoad spreads calls for advice over the instances: the advisor
-// serves the calls of each instance one after the other.
-type advisorLoad struct {
-	busy map[structs.InstanceID]time.Duration // expected time of the calls on their way
-}
-
-func (a *advisorLoad) init() { a.busy = map[structs.InstanceID]time.Duration{} }
-
-// choose returns the instance with the least work among the candidates.
-func (a *advisorLoad) choose(candidates []structs.InstanceID) structs.InstanceID {
-	best := candidates[0]
-	for _, id := range candidates[1:] {
-		if a.busy[id] < a.busy[best] {
-			best = id
-		}
-	}
-	return best
-}
-
 // connected returns this instance and the followers heard of lately.
 func (l *leader) connected() []structs.InstanceID {
 	const recent = 800 * time.Millisecond // three heartbeats
@@ -108,27 +89,22 @@
 	return list
 }
 
+// askAdvice calls the advisor through the instance that the dispatcher chose.
 func (l *leader) askAdvice(e dispatch.AskAdvice) {
-	via := l.advisors.choose(l.connected())
-	wait := l.advisors.busy[via] + e.Expected + adviceTimeout
-	l.advisors.busy[via] += e.Expected
+	wait := e.Expected + adviceTimeout
 	call := adviseCall{Step: e.Step, Workers: e.Workers, Timeout: wait}
 	l.group.Go(func() {
 		started := time.Now()
 		var reply adviseReply
-		if via == l.instance.options.ID {
+		if e.Via == l.instance.options.ID {
 			reply = l.instance.advise(call)
-		} else if err := l.instance.call(via, methodAdvise, call, &reply, wait); err != nil {
-			l.log.Warn("advice failed", "step", e.Step, "via", via, "error", err)
+		} else if err := l.instance.call(e.Via, methodAdvise, call, &reply, wait); err != nil {
+			l.log.Warn("advice failed", "step", e.Step, "via", e.Via, "error", err)
 			reply.Failed = true
 		}
-		l.instance.metrics.observe("advice", "via", string(via), time.Since(started))
-		select {
-		case l.inbox <- func() {
-			l.advisors.busy[via] -= e.Expected
-			l.reduce(dispatch.AdviceAnswered{Step: e.Step, Workers: e.Workers, Advice: reply.Advice, Failed: reply.Failed})
-		}:
-		case <-l.ctx.Done():
-		}
+		l.instance.metrics.observe("advice", "via", string(e.Via), time.Since(started))
+		l.post(dispatch.AdviceAnswered{
+			Step: e.Step, Workers: e.Workers, Via: e.Via, Expected: e.Expected, Advice: reply.Advice, Failed: reply.Failed,
+		})
 	})
 }
--- a/cell/feed.go
+++ b/cell/feed.go
@@ -65,7 +65,7 @@
 		part = Part
 	}
 	for {
-		page, err := f.instance.options.Store.Scan(tablestore.Range{Table: f.table, Part: part, From: from}, storeTimeout)
+		page, err := f.instance.store.Scan(tablestore.Range{Table: f.table, Part: part, From: from}, storeTimeout)
 		if err != nil {
 			return 0, err
 		}
@@ -88,7 +88,7 @@
 }
 
 func (f *feed) follow(after uint64) (uint64, error) {
-	page, err := f.instance.options.Store.Follow(f.table, after, feedWait, feedTimeout)
+	page, err := f.instance.store.Follow(f.table, after, feedWait, feedTimeout)
 	if err != nil {
 		return after, err
 	}
--- a/cell/instance.go
+++ b/cell/instance.go
@@ -48,17 +48,19 @@
 
 // Instance is one instance of a cell.
 type Instance struct {
-	options Options
-	log     hclog.Logger
-	clock   *clock
-	process uint64
-	metrics *instruments
-	node    *peer.Node
-	calls   *callTable
-	config  configHolder
-	group   conc.WaitGroup
-	ctx     context.Context
-	cancel  context.CancelFunc
+	options    Options
+	log        hclog.Logger
+	clock      *clock
+	process    uint64
+	metrics    *instruments
+	store      tablestore.Store // directly or by way of a peer
+	helperTurn atomic.Uint32
+	node       *peer.Node
+	calls      *callTable
+	config     configHolder
+	group      conc.WaitGroup
+	ctx        context.Context
+	cancel     context.CancelFunc
 
 	draining atomic.Bool
 	stepAway chan struct{} // closed when the instance must not lead any more
@@ -89,6 +91,7 @@
 		ctx: ctx, cancel: cancel, stepAway: make(chan struct{}), changed: make(chan struct{}),
 		follower: make(chan structs.Event, 64), metrics: newInstruments(),
 	}
+	i.store = &assistedStore{instance: i, direct: options.Store}
 	i.node = peer.New(peer.Options{Self: options.ID, Logger: options.Logger, Receive: i.receive, Disconnected: i.disconnected, Dial: options.DialPeer})
 	return i
 }
@@ -166,7 +169,7 @@
 	tx := tablestore.Tx{Part: Part, Puts: []tablestore.Put{{Table: peerTable, Key: string(i.options.ID), Value: value}}}
 	const retry, timeout = 500 * time.Millisecond, 2 * time.Second
 	for i.ctx.Err() == nil {
-		if _, err = i.options.Store.Commit(tx, timeout); err == nil {
+		if _, err = i.store.Commit(tx, timeout); err == nil {
 			i.log.Info("registered", "address", i.options.PeerAddress)
 			return
 		}
--- a/cell/leader.go
+++ b/cell/leader.go
@@ -40,9 +40,8 @@
 	nextRef   dispatch.Ref
 	released  bool
 
-	peersMu  sync.Mutex
-	peers    map[structs.InstanceID]*member
-	advisors advisorLoad
+	peersMu sync.Mutex
+	peers   map[structs.InstanceID]*member
 }
 
 // member is another instance as the leader knows it.
@@ -90,7 +89,6 @@
 		offset:  structs.Timestamp(c.store) - c.at,
 		replies: map[dispatch.Ref]chan dispatch.Reply{}, peers: map[structs.InstanceID]*member{},
 	}
-	l.advisors.init()
 	l.okSince, l.idleSince = l.now(), l.now()
 	defer l.end()
 	if !i.setLeader(l, i.options.ID, l.epoch) {
@@ -147,7 +145,7 @@
 	}
 	lastCommit := previous.At
 	if previous.Epoch == 0 {
-		lastCommit = 0
+		lastCommit = dispatch.NoPreviousLeader
 	}
 	if err := l.cell.Recover(rows, lastCommit); err != nil {
 		return err
@@ -162,7 +160,7 @@
 	var rows []tablestore.Row
 	from, attempts := "", 0
 	for {
-		page, err := l.instance.options.Store.Scan(tablestore.Range{Table: table, Part: Part, From: from}, maxCommitTimeout)
+		page, err := l.instance.store.Scan(tablestore.Range{Table: table, Part: Part, From: from}, maxCommitTimeout)
 		if err != nil {
 			if attempts++; attempts >= loadAttempts || l.ctx.Err() != nil {
 				return nil, err
@@ -197,6 +195,7 @@
 			_ = event // the election rests while this instance leads
 		case <-ticker.C:
 			l.instance.noteSuspension(l.instance.clock.Adjust())
+			l.reduce(dispatch.InstancesConnected{IDs: l.connected()})
 			l.reduce(dispatch.Tick{WallOffset: time.Duration(time.Now().UnixNano()) - time.Duration(l.now())})
 			if now := l.now(); now.Sub(beatAt) >= heartbeatEvery {
 				beatAt = now
@@ -298,7 +297,7 @@
 func (l *leader) sendCommit(p *pendingCommit, sentAt structs.Timestamp) {
 	tx := p.tx
 	tx.Conditions = []tablestore.Condition{{Table: dispatch.CellTable, Key: leaderKey, Version: l.version}}
-	page, err := l.instance.options.Store.Commit(tx, p.timeout)
+	page, err := l.instance.store.Commit(tx, p.timeout)
 	select {
 	case l.inbox <- func() { l.commitAnswered(p, sentAt, page, err) }:
 	case <-l.ctx.Done():
@@ -376,7 +375,7 @@
 		l.log.Error("the leader row could not be encoded", "error", err)
 		return
 	}
-	_, err = l.instance.options.Store.Commit(tablestore.Tx{
+	_, err = l.instance.store.Commit(tablestore.Tx{
 		Part:       Part,
 		Conditions: []tablestore.Condition{{Table: dispatch.CellTable, Key: leaderKey, Version: l.version}},
 		Puts:       []tablestore.Put{{Table: dispatch.CellTable, Key: leaderKey, Value: value}},
--- a/cell/messages.go
+++ b/cell/messages.go
@@ -4,7 +4,9 @@
 	"time"
 
 	"github.com/mangodrum/mangodrum/dispatch"
+	"github.com/mangodrum/mangodrum/errs"
 	"github.com/mangodrum/mangodrum/structs"
+	"github.com/mangodrum/mangodrum/tablestore"
 	"github.com/mangodrum/mangodrum/workflow"
 )
 
@@ -31,6 +33,7 @@
 	methodState   = "state"
 	methodWaiting = "waiting"
 	methodAdvise  = "advise"
+	methodStore   = "store"
 )
 
 // jobCall is the body of submit, cancel, state and waiting.
@@ -62,3 +65,24 @@
 	Advice workflow.Advice `cbor:"1,keyasint"`
 	Failed bool            `cbor:"2,keyasint"`
 }
+
+// storeCall asks a peer to call the store; one of its fields is set.
+type storeCall struct {
+	Tx     *tablestore.Tx    `cbor:"1,keyasint,omitempty"`
+	Scan   *tablestore.Range `cbor:"2,keyasint,omitempty"`
+	Follow *followCall       `cbor:"3,keyasint,omitempty"`
+	Limit  time.Duration     `cbor:"4,keyasint"` // for the call
+}
+
+type followCall struct {
+	Table string        `cbor:"1,keyasint"`
+	After uint64        `cbor:"2,keyasint"`
+	Wait  time.Duration `cbor:"3,keyasint"`
+}
+
+// storeReply answers a storeCall. Kind is the kind of the error, if any.
+type storeReply struct {
+	Page    tablestore.Page `cbor:"1,keyasint"`
+	Kind    errs.Kind       `cbor:"2,keyasint,omitempty"`
+	Message string          `cbor:"3,keyasint,omitempty"`
+}
--- a/cell/peers.go
+++ b/cell/peers.go
@@ -181,6 +181,11 @@
 		if err = peer.Decode(call.Body, &in); err == nil {
 			out = i.advise(in)
 		}
+	case methodStore:
+		var in storeCall
+		if err = peer.Decode(call.Body, &in); err == nil {
+			out = i.serveStore(in)
+		}
 	default:
 		var in jobCall
 		if err = peer.Decode(call.Body, &in); err == nil {
--- /dev/null
+++ b/cell/store.go
@@ -0,0 +1,168 @@
+package cell
+
+import (
+	"sync"
+	"time"
+
+	"github.com/mangodrum/mangodrum/errs"
+	"github.com/mangodrum/mangodrum/structs"
+	"github.com/mangodrum/mangodrum/tablestore"
+)
+
+// assistedStore calls the store, and where the store turns this instance away
+// asks a peer to make the call. Every call of the cell may be repeated: reads
+// change nothing, and writes are conditional or have the same effect twice.
+type assistedStore struct {
+	instance *Instance
+	direct   tablestore.Store
+
+	mu         sync.Mutex
+	directFrom time.Time // no direct call before this time
+	assistFrom time.Time // no assisted call before this time
+	turnedAway bool
+}
+
+const (
+	// directPause is how long direct calls rest after one failed while a peer
+	// reached the store.
+	directPause = time.Second
+	// assistPause is how long assisted calls rest after one failed: the store
+	// is probably away for all.
+	assistPause = 600 * time.Millisecond
+	// assistMargin covers the way to the peer and back.
+	assistMargin = 150 * time.Millisecond
+)
+
+var _ tablestore.Store = (*assistedStore)(nil)
+
+// Commit implements tablestore.Store.
+func (s *assistedStore) Commit(tx tablestore.Tx, timeout time.Duration) (tablestore.Page, error) {
+	return s.call(storeCall{Tx: &tx, Limit: timeout})
+}
+
+// Scan implements tablestore.Store.
+func (s *assistedStore) Scan(q tablestore.Range, timeout time.Duration) (tablestore.Page, error) {
+	return s.call(storeCall{Scan: &q, Limit: timeout})
+}
+
+// Follow implements tablestore.Store.
+func (s *assistedStore) Follow(table string, after uint64, wait, timeout time.Duration) (tablestore.Page, error) {
+	return s.call(storeCall{Follow: &followCall{table, after, wait}, Limit: timeout})
+}
+
+// call makes a direct call, an assisted one, or the second after the first.
+func (s *assistedStore) call(c storeCall) (tablestore.Page, error) {
+	useDirect, useAssist := s.ways()
+	var page tablestore.Page
+	err := errs.New(errs.NotRun, "try again later", "the store has turned this instance away")
+	if useDirect {
+		page, err = callStore(s.direct, c)
+		if isAnswer(err) {
+			s.directWorks()
+			return page, err
+		}
+	}
+	if !useAssist {
+		return page, err
+	}
+	helper, ok := s.instance.helper()
+	if !ok {
+		return page, err
+	}
+	helped, helpErr := s.assist(helper, c)
+	if isAnswer(helpErr) {
+		s.directRests(helper)
+		return helped, helpErr
+	}
+	s.assistRests()
+	if errs.Is(helpErr, errs.OutcomeUnknown) {
+		return page, helpErr
+	}
+	return page, err
+}
+
+// isAnswer reports whether the store itself has answered.
+func isAnswer(err error) bool {
+	return err == nil || errs.Is(err, errs.Conflict) || errs.Is(err, errs.NotFound) || errs.Is(err, errs.InvalidInput)
+}
+
+func (s *assistedStore) ways() (direct, assist bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	assist = !now.Before(s.assistFrom)
+	return !assist || !now.Before(s.directFrom), assist
+}
+
+func (s *assistedStore) directWorks() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.turnedAway {
+		s.turnedAway = false
+		s.instance.log.Info("dependency", "name", "store", "healthy", true, "way", "direct")
+	}
+}
+
+func (s *assistedStore) directRests(helper structs.InstanceID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.directFrom = time.Now().Add(directPause)
+	if !s.turnedAway {
+		s.turnedAway = true
+		s.instance.log.Info("dependency", "name", "store", "healthy", false, "way", "assisted", "by", helper)
+	}
+}
+
+func (s *assistedStore) assistRests() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.assistFrom = time.Now().Add(assistPause)
+	s.directFrom = time.Time{}
+}
+
+func (s *assistedStore) assist(helper structs.InstanceID, c storeCall) (tablestore.Page, error) {
+	var reply storeReply
+	if err := s.instance.call(helper, methodStore, c, &reply, c.Limit+assistMargin); err != nil {
+		return tablestore.Page{}, err
+	}
+	if reply.Kind != "" {
+		return reply.Page, errs.New(reply.Kind, "", "%s, by way of %s", reply.Message, helper)
+	}
+	return reply.Page, nil
+}
+
+// callStore makes the call that c describes.
+func callStore(store tablestore.Store, c storeCall) (tablestore.Page, error) {
+	switch {
+	case c.Tx != nil:
+		return store.Commit(*c.Tx, c.Limit)
+	case c.Scan != nil:
+		return store.Scan(*c.Scan, c.Limit)
+	case c.Follow != nil:
+		return store.Follow(c.Follow.Table, c.Follow.After, c.Follow.Wait, c.Limit)
+	}
+	return tablestore.Page{}, errs.New(errs.InvalidInput, "run the same version on all instances", "a peer's store call is empty")
+}
+
+// serveStore makes a store call for a peer, directly.
+func (i *Instance) serveStore(c storeCall) storeReply {
+	page, err := callStore(i.options.Store, c)
+	if err == nil {
+		return storeReply{Page: page}
+	}
+	return storeReply{Page: page, Kind: errs.KindOf(err), Message: errs.DetailOf(err)}
+}
+
+// helper returns a peer that may reach the store: the leader, or for the
+// leader each of its followers in turn.
+func (i *Instance) helper() (structs.InstanceID, bool) {
+	local, remote, _ := i.current()
+	if local == nil {
+		return remote, remote != ""
+	}
+	candidates := local.connected()[1:]
+	if len(candidates) == 0 {
+		return "", false
+	}
+	return candidates[int(i.helperTurn.Add(1))%len(candidates)], true
+}
--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -95,9 +95,17 @@
 	return int(math.Ceil(need*surplus/max(share, 0.05))) + adviceExtra
 }
 
-func (c *Cell) ask(s *step, names []structs.WorkerID) {
+// ask sends a call for advice if an instance is free for it.
+func (c *Cell) ask(s *step, names []structs.WorkerID) bool {
+	expected := s.job.queue.Advisor.CallTime(len(names))
+	slot := c.freeAdvisor(expected)
+	if slot == nil {
+		return false
+	}
+	slot.busy += expected
 	s.asking++
-	c.emit(AskAdvice{Step: s.name, Workers: names, Expected: s.job.queue.Advisor.CallTime(len(names))})
+	c.emit(AskAdvice{Step: s.name, Via: slot.id, Workers: names, Expected: expected})
+	return true
 }
 
 // dropAsking marks the steps of a job that is gone, so that late advice finds
@@ -105,6 +113,7 @@
 func (c *Cell) dropAsking(j *job) { j.state = jobCancelled }
 
 func (c *Cell) adviceAnswered(e AdviceAnswered) {
+	c.adviceEnded(e)
 	s := c.findStep(e.Step)
 	if s == nil {
 		return
@@ -175,8 +184,8 @@
 			missing = append(missing, t.at.ID)
 		}
 	}
-	if len(missing) > 0 && s.asking == 0 && !c.now.Before(s.askAfter) {
-		c.ask(s, missing)
+	if len(missing) > 0 && s.asking == 0 && (c.now.Before(s.askAfter) || !c.ask(s, missing)) {
+		c.unplaceWithoutTicket(s)
 	}
 	if len(ready) == 0 || (s.spec.Gang && len(ready) < len(s.tasks)) {
 		return
@@ -193,6 +202,16 @@
 	}
 }
 
+// unplaceWithoutTicket gives up places that would stand idle until an
+// instance is free to renew their tickets.
+func (c *Cell) unplaceWithoutTicket(s *step) {
+	for _, t := range s.tasks {
+		if t.state == taskPlaced && (s.spec.Gang || !c.hasTicket(t)) {
+			c.unplace(t)
+		}
+	}
+}
+
 func (c *Cell) unplaceAll(s *step) {
 	for _, t := range s.tasks {
 		c.unplace(t)
--- a/dispatch/commit.go
+++ b/dispatch/commit.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -47,10 +48,9 @@
 }
 
 type taskRow struct {
-	Index      int    `cbor:"1,keyasint"`
-	Failed     int    `cbor:"2,keyasint,omitempty"`
-	FailedRun  uint64 `cbor:"3,keyasint,omitempty"`
-	Checkpoint string `cbor:"4,keyasint,omitempty"`
+	Index      int      `cbor:"1,keyasint"`
+	FailedRuns []uint64 `cbor:"2,keyasint,omitempty"`
+	Checkpoint string   `cbor:"3,keyasint,omitempty"`
 }
 
 // Commit is a set of rows to write in one transaction.
@@ -160,8 +160,8 @@
 	for n, t := range s.tasks {
 		if t.state == taskDone {
 			row.Done[n/8] |= 1 << (n % 8)
-		} else if t.failed > 0 || t.checkpoint != "" {
-			row.Tasks = append(row.Tasks, taskRow{n, t.failed, t.failedRun, t.checkpoint})
+		} else if len(t.failedRuns) > 0 || t.checkpoint != "" {
+			row.Tasks = append(row.Tasks, taskRow{n, slices.Clone(t.failedRuns), t.checkpoint})
 		}
 	}
 	return row
--- a/dispatch/events.go
+++ b/dispatch/events.go
@@ -55,12 +55,17 @@
 
 // AdviceAnswered is the result of AskAdvice.
 type AdviceAnswered struct {
-	Step    string
-	Workers []structs.WorkerID // that were asked about
-	Advice  workflow.Advice
-	Failed  bool
+	Step     string
+	Workers  []structs.WorkerID // that were asked about
+	Via      structs.InstanceID
+	Expected time.Duration // of the call, as in AskAdvice
+	Advice   workflow.Advice
+	Failed   bool
 }
 
+// InstancesConnected names the instances that can call the advisor.
+type InstancesConnected struct{ IDs []structs.InstanceID }
+
 // CommitAnswered says that a commit returned by Cell.NextCommit is durable.
 type CommitAnswered struct{ Sequence uint64 }
 
@@ -93,6 +98,9 @@
 // Kind implements structs.Event.
 func (AdviceAnswered) Kind() string { return "advice_answered" }
 
+// Kind implements structs.Event.
+func (InstancesConnected) Kind() string { return "instances_connected" }
+
 // Kind implements structs.Event.
 func (CommitAnswered) Kind() string { return "commit_answered" }
 
@@ -117,9 +125,11 @@
 	Order  workflow.LeaseOrder
 }
 
-// AskAdvice asks the advisor about workers. It is answered by AdviceAnswered.
+// AskAdvice asks the advisor about workers through one instance. It is
+// answered by AdviceAnswered.
 type AskAdvice struct {
 	Step     string
+	Via      structs.InstanceID
 	Workers  []structs.WorkerID
 	Expected time.Duration // of the call
 }
--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -254,15 +254,14 @@
 	if t.step.spec.Gang {
 		owner = t.step.tasks[0] // the attempts of a gang are counted once
 	}
-	if run <= owner.failedRun {
-		return
+	if slices.Contains(owner.failedRuns, run) {
+		return // its worker listed it to the previous leader, too
 	}
-	owner.failedRun = run
-	owner.failed++
+	owner.failedRuns = append(owner.failedRuns, run)
 	j := t.step.job
 	c.markDirty(j)
 	limit := j.queue.MaxAttempts
-	if limit > 0 && owner.failed >= limit && !t.step.spec.LongRunning && j.active() {
+	if limit > 0 && len(owner.failedRuns) >= limit && !t.step.spec.LongRunning && j.active() {
 		c.endJob(j, jobFailed)
 	}
 }
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -152,6 +152,7 @@
 		w.restUntil = c.now.Add(restAfterRejection)
 	case workflow.NotSent:
 		c.missed(w, outcome)
+		w.askAt = 0
 	case workflow.NoRoom:
 		w.restUntil = c.now.Add(restAfterRejection)
 	case workflow.LeaseOver:
@@ -185,7 +186,7 @@
 		c.fail(t, a.run)
 	}
 	if end.How != workflow.EndDone {
-		c.decide(Decision{Event: "run_ended", Job: t.step.job.spec.ID, Task: t.name, Worker: w.ID, Run: a.run, Reason: string(end.How), Value: int64(t.failed)})
+		c.decide(Decision{Event: "run_ended", Job: t.step.job.spec.ID, Task: t.name, Worker: w.ID, Run: a.run, Reason: string(end.How), Value: int64(len(t.failedRuns))})
 	}
 	if t.state == taskDone {
 		return
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -30,7 +30,7 @@
 // eligible reports whether a worker may get new tasks of a step, as far as is
 // known without the advisor.
 func (c *Cell) eligible(s *step, w *worker) bool {
-	return w.known && w.listed && !w.unheard && !w.Draining && w.misses < missesBeforeSilent &&
+	return w.known && w.listed && !w.unheard && !w.Draining && w.misses < missesBeforeSilent && (w.misses == 0 || !s.spec.Gang) &&
 		!c.now.Before(w.restUntil) && w.Service == s.job.queue.Service &&
 		(s.spec.RequiredLabel == "" || w.HasLabel(s.spec.RequiredLabel)) &&
 		s.spec.Resources.Fits(w.Capacity)
@@ -78,11 +78,11 @@
 		w := c.choose(t, candidates, r)
 		if w == nil {
 			c.askMore(s)
-			return
+			break
 		}
 		c.allot(t, w)
-		c.startPlaced(s)
 	}
+	c.startPlaced(s)
 }
 
 // occupied reports whether an earlier run of the task is still accounted for.
@@ -101,6 +101,9 @@
 		}
 		left := w.Capacity.Sub(w.used).Sub(s.spec.Resources)
 		cost := float64(left.DominantShare(w.Capacity))
+		if w.misses > 0 {
+			cost += silentCost
+		}
 		if w.ID == t.avoid {
 			cost += avoidCost
 		}
@@ -122,7 +125,8 @@
 const (
 	reservedCost = 2e6
 	remoteCost   = 4e6
-	avoidCost    = 8e6
+	silentCost   = 8e6
+	avoidCost    = 16e6
 )
 
 // share is how many members of a gang go to a worker.
--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -56,5 +56,5 @@
 	lateFactor = 3
 	// missesBeforeSilent is the number of failed renewals after which a worker
 	// gets no new tasks.
-	missesBeforeSilent = 1
+	missesBeforeSilent = 2
 )
--- a/dispatch/recover.go
+++ b/dispatch/recover.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -11,6 +12,9 @@
 	"github.com/mangodrum/mangodrum/workflow"
 )
 
+// NoPreviousLeader is the lastCommit of a cell that starts for the first time.
+const NoPreviousLeader = structs.Timestamp(math.MinInt64 / 2)
+
 // Recover builds the state of a new leader from the stored rows. lastCommit
 // is when the previous leader last proved its leadership; its leases end at
 // the latest a horizon after that.
@@ -94,8 +98,10 @@
 		for _, kept := range stored.Tasks {
 			if kept.Index < len(s.tasks) {
 				t := s.tasks[kept.Index]
-				t.failed, t.failedRun, t.checkpoint = kept.Failed, kept.FailedRun, kept.Checkpoint
-				t.run = kept.FailedRun
+				t.failedRuns, t.checkpoint = kept.FailedRuns, kept.Checkpoint
+				for _, run := range kept.FailedRuns {
+					t.run = max(t.run, run)
+				}
 			}
 		}
 		if s.left == 0 {
--- a/dispatch/reduce.go
+++ b/dispatch/reduce.go
@@ -28,6 +28,8 @@
 		c.stopAnswered(e)
 	case AdviceAnswered:
 		c.adviceAnswered(e)
+	case InstancesConnected:
+		c.setAdvisors(e.IDs)
 	case CommitAnswered:
 		c.committed(e.Sequence)
 	case Tick:
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -34,7 +34,8 @@
 	inCommit       bool
 	workersChanged bool
 	placeAgain     bool
-	wallOffset     time.Duration      // time of day less the cell's time
+	wallOffset     time.Duration // time of day less the cell's time
+	advisors       []*advisorSlot
 	goodShare      map[string]float64 // share of advised workers that were good, by queue
 }
 
@@ -131,8 +132,7 @@
 	state      taskState
 	at         *worker
 	run        uint64
-	failed     int    // runs that ended as failed
-	failedRun  uint64 // highest run that was counted as failed
+	failedRuns []uint64 // runs that ended as failed, each counted once
 	checkpoint string
 	avoid      structs.WorkerID // where it failed last
 	readyAt    structs.Timestamp
@@ -170,6 +170,7 @@
 
 	renewing bool
 	misses   int
+	silent   bool              // has missed too many renewals
 	clock    time.Duration     // the worker's clock
 	clockAt  structs.Timestamp // when clock was received
 	leaseEnd structs.Timestamp // everything granted so far has expired by then
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -101,7 +101,9 @@
 	order := workflow.LeaseOrder{Fence: c.epoch, Acknowledged: w.acknowledged}
 	if w.known {
 		order.Deadline = c.extendLease(w)
-		order.Wait = c.policy.LeaseWait
+		if w.misses == 0 {
+			order.Wait = c.policy.LeaseWait
+		}
 	}
 	c.emit(RenewLease{Worker: w.Worker, Order: order})
 }
@@ -145,10 +147,18 @@
 const renewalRetry = 250 * time.Millisecond
 
 func (c *Cell) missed(w *worker, outcome workflow.Outcome) {
-	if w.misses == 0 {
+	w.misses++
+	if outcome == workflow.NotSent {
+		w.misses = max(w.misses, missesBeforeSilent) // nothing listens there
+	}
+	if w.misses >= missesBeforeSilent && !w.silent {
+		w.silent = true
 		c.decide(Decision{Event: "worker_silent", Worker: w.ID, Reason: string(outcome), Value: int64(len(w.allocations))})
 	}
-	w.misses++
+	if w.misses == 1 {
+		c.renew(w) // one lost answer is common; a short renewal tells
+		return
+	}
 	w.askAt = c.now.Add(renewalRetry)
 }
 
@@ -182,7 +192,8 @@
 	if w.known && w.Incarnation != 0 && r.Incarnation != w.Incarnation {
 		c.lifeEnded(w, "a report of another incarnation")
 	}
-	if w.misses > 0 {
+	if w.silent {
+		w.silent = false
 		c.decide(Decision{Event: "worker_back", Worker: w.ID, Value: int64(w.misses)})
 	}
 	first := !w.known
