--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -99,11 +99,9 @@
 	}
 	w.renewing = true
 	order := workflow.LeaseOrder{Fence: c.epoch, Acknowledged: w.acknowledged}
-	if w.known {
+	if w.known && w.misses == 0 {
 		order.Deadline = c.extendLease(w)
-		if w.misses == 0 {
-			order.Wait = c.policy.LeaseWait
-		}
+		order.Wait = c.policy.LeaseWait
 	}
 	c.emit(RenewLease{Worker: w.Worker, Order: order})
 }
@@ -115,6 +113,11 @@
 	if granted <= 0 || !w.known {
 		return 0
 	}
+	if w.misses > 0 {
+		// A renewal without an answer may have been carried out. Extending the
+		// lease with each try would keep a dead worker's tasks for ever.
+		return w.deadline
+	}
 	w.deadline = max(w.deadline, w.clock+c.now.Sub(w.clockAt)+granted)
 	w.leaseEnd = max(w.leaseEnd, c.now.Add(time.Duration(float64(granted)/slowClock)+leaseMargin))
 	return w.deadline
@@ -231,6 +234,9 @@
 
 // endElsewhere processes an end of a run that this leader did not start.
 func (c *Cell) endElsewhere(t *task, end workflow.EndedTask) {
+	c.decide(Decision{
+		Event: "run_of_previous_leader_ended", Job: t.step.job.spec.ID, Task: t.name, Run: end.Run, Reason: string(end.How),
+	})
 	switch end.How {
 	case workflow.EndDone:
 		if t.state != taskDone && t.step.job.active() {
