dispatch: play fault schedules; three faults that they found

Change: only a report or the end of all old leases makes a worker heard; a run of unknown size takes all the room; a task that is done stays done and its other copies are stopped. TestFaultSchedules plays seeded faults of workers, orders, the store and leaders in virtual time and checks every start.

--- /dev/null
+++ b/dispatch/faults_test.go
@@ -0,0 +1,115 @@
+package dispatch
+
+import (
+	"flag"
+	"testing"
+	"time"
+
+	"github.com/mangodrum/mangodrum/structs"
+	"github.com/mangodrum/mangodrum/workflow"
+)
+
+var (
+	schedules = flag.Int("schedules", 150, "number of fault schedules")
+	firstSeed = flag.Int("first-seed", 0, "seed of the first fault schedule")
+)
+
+// faults draws the faults of a schedule.
+func (s *simulation) faults(length time.Duration) {
+	s.lost = 0.05 * s.rng.Float64()
+	s.late = 0.04 * s.rng.Float64()
+	for range 2 + s.rng.IntN(6) {
+		at := time.Duration(s.rng.Int64N(int64(length)))
+		w := s.workers[s.rng.IntN(len(s.workers))]
+		switch s.rng.IntN(6) {
+		case 0:
+			s.at(at, func() { s.crashWorker(w) })
+		case 1:
+			s.at(at, func() { w.darkTill = s.now.Add(time.Duration(1+s.rng.IntN(8)) * time.Second) })
+		case 2:
+			s.at(at, func() { w.failsAll = true })
+			s.at(at+4*time.Second, func() { w.failsAll = false })
+		case 3:
+			s.at(at, func() { s.replaceLeader(false) })
+		case 4:
+			s.at(at, func() { s.replaceLeader(true) })
+		case 5:
+			s.at(at, func() { s.leader.cut = true })
+			s.at(at+3*time.Second, func() { s.replaceLeader(true) })
+		}
+	}
+}
+
+func (s *simulation) crashWorker(w *fakeWorker) {
+	if !w.up {
+		return
+	}
+	w.crash()
+	s.at(time.Duration(500+s.rng.IntN(6000))*time.Millisecond, func() {
+		w.restart()
+		s.leader.reduce(WorkerSeen{Worker: w.seen()})
+	})
+}
+
+// replaceLeader elects a new leader. The old one dies, or lives on cut off
+// from the store and keeps sending orders until a worker refuses one.
+func (s *simulation) replaceLeader(livesOn bool) {
+	old := s.leader
+	old.cut = true
+	old.alive = livesOn
+	s.at(1500*time.Millisecond, func() {
+		if s.leader == old {
+			s.elect()
+		}
+	})
+}
+
+// TestFaultSchedules guards against work that runs twice, exceeds a worker,
+// starts out of order or too often, or is lost, under random faults of
+// workers, orders, the store and leaders.
+func TestFaultSchedules(t *testing.T) {
+	const jobs, length = 60, 20 * time.Second
+	for seed := uint64(*firstSeed); seed < uint64(*firstSeed+*schedules); seed++ {
+		s := newSimulation(t, seed, 10)
+		s.elect()
+		for n := range jobs {
+			job := s.randomJob(n)
+			s.at(time.Duration(s.rng.Int64N(int64(length))), func() { s.submit(job) })
+		}
+		s.faults(length)
+		s.run(structs.Timestamp(120 * time.Second))
+		s.checkEnd(seed)
+		if t.Failed() {
+			t.Fatalf("seed %d", seed)
+		}
+	}
+}
+
+// checkEnd demands that every accepted job has ended the way it should.
+func (s *simulation) checkEnd(seed uint64) {
+	for id, job := range s.jobs {
+		state, known := s.leader.cell.State(id)
+		switch {
+		case !job.accepted:
+			s.t.Errorf("seed %d: job %s was never accepted", seed, id)
+		case !known:
+			s.t.Errorf("seed %d: job %s is not known", seed, id)
+		case !state.IsTerminal():
+			s.t.Errorf("seed %d: job %s (%s) is still %s", seed, id, job.queue.Name, state)
+		case state == workflow.Done && job.poison:
+			s.t.Errorf("seed %d: job %s cannot succeed and is shown as done", seed, id)
+		case state == workflow.Done:
+			s.checkAllDone(seed, job)
+		}
+	}
+}
+
+func (s *simulation) checkAllDone(seed uint64, job *simJob) {
+	for n, st := range job.job.Steps {
+		for i := range st.Tasks {
+			if !s.everDone[taskName(stepName(job.job.ID, 0, n), i)] {
+				s.t.Errorf("seed %d: job %s is shown as done, and task %d of step %d is not", seed, job.job.ID, i, n)
+			}
+		}
+	}
+}
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -116,9 +116,7 @@
 	default:
 		if a.sends > 1 {
 			// An earlier copy may still be carried out.
-			if a.task != nil {
-				a.task.state = taskStopping
-			}
+			a.task.stopping()
 			c.sendStop(w, a)
 			return
 		}
@@ -129,7 +127,7 @@
 func (c *Cell) started(w *worker, a *allocation) {
 	a.state = taskRunning
 	a.confirmed, a.movedAt = c.now, c.now
-	if t := a.task; t != nil {
+	if t := a.task; t != nil && t.state != taskDone {
 		t.state = taskRunning
 		if !t.step.job.started {
 			t.step.job.started = true
@@ -228,11 +226,19 @@
 	if a == nil || a.state == taskStopping {
 		return
 	}
-	t.state = taskStopping
+	t.stopping()
 	c.decide(Decision{Event: "stop", Job: t.step.job.spec.ID, Task: t.name, Worker: w.ID, Run: a.run, Reason: reason, Value: int64(a.percent)})
 	c.sendStop(w, a)
 }
 
+// stopping notes that a run of the task is being stopped. A task that has
+// succeeded in another run stays so.
+func (t *task) stopping() {
+	if t != nil && t.state != taskDone {
+		t.state = taskStopping
+	}
+}
+
 func (c *Cell) sendStop(w *worker, a *allocation) {
 	if a.state != taskStopping {
 		a.state = taskStopping
@@ -279,9 +285,7 @@
 	case taskStarting:
 		if a.sends >= startsBeforeStop || (w.misses > 0 && a.sends > 0) {
 			c.decide(Decision{Event: "start_unanswered", Task: a.name, Worker: w.ID, Run: a.run, Value: int64(a.sends)})
-			if a.task != nil {
-				a.task.state = taskStopping
-			}
+			a.task.stopping()
 			c.sendStop(w, a)
 			return
 		}
--- /dev/null
+++ b/dispatch/sim_test.go
@@ -0,0 +1,466 @@
+package dispatch
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/mangodrum/mangodrum/structs"
+	"github.com/mangodrum/mangodrum/tablestore"
+	"github.com/mangodrum/mangodrum/workflow"
+)
+
+// simulation plays a cell in virtual time: fake workers and a fake advisor,
+// leaders that are replaced, a store that commits in order, and faults drawn
+// from a seed.
+type simulation struct {
+	t       *testing.T
+	rng     *rand.Rand
+	policy  Policy
+	now     structs.Timestamp
+	queue   timerHeap
+	sent    uint64
+	workers []*fakeWorker
+	leader  *fakeLeader
+	epoch   structs.Epoch
+	rows    map[[2]string][]byte
+	lastRow structs.Timestamp // of the last commit
+	gangs   map[string]*fakeGang
+	tickets map[string]structs.Timestamp
+
+	jobs     map[structs.JobID]*simJob
+	done     map[string]uint64 // task: run that ended as done
+	everDone map[string]bool   // tasks that some run has ended as done
+	failures map[string]int    // task, or step of a gang: runs that ended as failed
+	evidence map[string]int    // lists that show an end: "how/task or step/run"
+	lost     float64           // probability that the answer of an order is lost
+	late     float64           // probability that an order is carried out late
+}
+
+type simJob struct {
+	job      workflow.Job
+	queue    workflow.Queue
+	accepted bool
+	poison   bool
+}
+
+type timer struct {
+	at  structs.Timestamp
+	seq uint64
+	do  func()
+}
+
+type timerHeap []timer
+
+func (h timerHeap) Len() int { return len(h) }
+func (h timerHeap) Less(i, j int) bool {
+	return h[i].at < h[j].at || (h[i].at == h[j].at && h[i].seq < h[j].seq)
+}
+func (h timerHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *timerHeap) Push(x any)   { *h = append(*h, x.(timer)) }
+func (h *timerHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return last
+}
+
+func (s *simulation) at(d time.Duration, do func()) {
+	s.sent++
+	heap.Push(&s.queue, timer{s.now.Add(max(d, 0)), s.sent, do})
+}
+
+func (s *simulation) run(until structs.Timestamp) {
+	for len(s.queue) > 0 && s.queue[0].at <= until && !s.t.Failed() {
+		next := heap.Pop(&s.queue).(timer)
+		s.now = next.at
+		next.do()
+	}
+	s.now = until
+}
+
+func newSimulation(t *testing.T, seed uint64, workers int) *simulation {
+	s := &simulation{
+		t: t, rng: rand.New(rand.NewPCG(seed, 1)), policy: DefaultPolicy(), now: structs.Timestamp(time.Second),
+		rows: map[[2]string][]byte{}, gangs: map[string]*fakeGang{}, tickets: map[string]structs.Timestamp{},
+		jobs: map[structs.JobID]*simJob{}, done: map[string]uint64{}, failures: map[string]int{}, evidence: map[string]int{}, everDone: map[string]bool{},
+		lastRow: NoPreviousLeader,
+	}
+	for n := range workers {
+		s.workers = append(s.workers, &fakeWorker{
+			sim: s, up: true, rate: 0.98 + 0.04*s.rng.Float64(), bornAt: s.now.Add(-time.Duration(s.rng.IntN(100)) * time.Second),
+			running: map[string]*fakeRun{}, highest: map[string]uint64{}, forgotten: map[uint64]bool{},
+			Worker: workflow.Worker{
+				ID: structs.WorkerID(fmt.Sprintf("w%02d", n)), Incarnation: 1, Service: "svc", Address: fmt.Sprintf("w%02d:1", n),
+				Capacity: structs.Resources{MilliCPU: 32_000, MemoryBytes: 128 << 30},
+			},
+		})
+	}
+	return s
+}
+
+// fakeLeader drives a cell the way the shell does.
+type fakeLeader struct {
+	sim    *simulation
+	cell   *Cell
+	epoch  structs.Epoch
+	alive  bool
+	cut    bool // from the store
+	commit bool // on its way
+}
+
+// elect replaces the leader by one that has read the stored rows.
+func (s *simulation) elect() {
+	s.epoch++
+	l := &fakeLeader{sim: s, cell: New(s.policy, s.epoch, s.now), epoch: s.epoch, alive: true}
+	rows := make([]tablestore.Row, 0, len(s.rows))
+	for key, value := range s.rows {
+		rows = append(rows, tablestore.Row{Table: key[0], Key: key[1], Value: value})
+	}
+	slices.SortFunc(rows, func(a, b tablestore.Row) int { return strings.Compare(a.Table+a.Key, b.Table+b.Key) })
+	if err := l.cell.Recover(rows, s.lastRow); err != nil {
+		s.t.Fatal(err)
+	}
+	s.leader = l
+	for _, w := range s.workers {
+		if w.up {
+			l.reduce(WorkerSeen{Worker: w.seen()})
+		}
+	}
+	l.reduce(InstancesConnected{IDs: []structs.InstanceID{"a", "b", "c", "d"}})
+	l.tick()
+}
+
+func (l *fakeLeader) tick() {
+	if !l.alive {
+		return
+	}
+	l.reduce(Tick{})
+	l.execute(l.cell.Place(l.sim.now))
+	l.flush()
+	l.sim.at(25*time.Millisecond, l.tick)
+}
+
+func (l *fakeLeader) flush() {
+	s := l.sim
+	if l.commit || l.cut {
+		return
+	}
+	commit, err := l.cell.NextCommit(s.now)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	l.commit = true
+	sentAt := s.now
+	s.at(s.way(10, 80), func() {
+		if l.epoch != s.epoch || l.cut {
+			return // deposed, or the store does not answer
+		}
+		s.lastRow = sentAt
+		for _, p := range commit.Puts {
+			s.rows[[2]string{p.Table, p.Key}] = p.Value
+		}
+		for _, r := range commit.Removes {
+			delete(s.rows, [2]string{r.Table, r.Key})
+		}
+		if !l.alive {
+			return
+		}
+		l.commit = false
+		l.cell.Confirm(sentAt)
+		l.reduce(CommitAnswered{Sequence: commit.Sequence})
+	})
+}
+
+func (l *fakeLeader) reduce(event structs.Event) {
+	if l.alive {
+		l.execute(slices.Clone(l.cell.Reduce(l.sim.now, event)))
+	}
+}
+
+func (l *fakeLeader) execute(effects []structs.Effect) {
+	s := l.sim
+	for _, effect := range slices.Clone(effects) {
+		switch e := effect.(type) {
+		case StartTask:
+			s.order(e.Worker, func(w *fakeWorker) workflow.Outcome { return w.start(e.Order, e.Worker.Incarnation) },
+				func(o workflow.Outcome) {
+					l.reduce(StartAnswered{Worker: e.Worker.ID, Task: e.Order.Task, Run: e.Order.Run, Outcome: o})
+				})
+		case StopTask:
+			s.order(e.Worker, func(w *fakeWorker) workflow.Outcome { return w.stop(e.Order, e.Worker.Incarnation) },
+				func(o workflow.Outcome) {
+					l.reduce(StopAnswered{Worker: e.Worker.ID, Task: e.Order.Task, Run: e.Order.Run, Outcome: o})
+				})
+		case RenewLease:
+			l.renew(e)
+		case AskAdvice:
+			s.at(e.Expected+s.way(1, 60), func() { l.advise(e) })
+		case Reply:
+			s.answered(e)
+		case StepDown:
+			l.alive = false
+		}
+	}
+}
+
+// order carries an order to a worker with the faults of the schedule.
+func (s *simulation) order(to workflow.Worker, do func(*fakeWorker) workflow.Outcome, answer func(workflow.Outcome)) {
+	w := s.worker(to.ID)
+	const timeout = 400 * time.Millisecond
+	if s.rng.Float64() < s.late {
+		s.at(time.Duration(2000+s.rng.IntN(10_000))*time.Millisecond, func() {
+			if w.up {
+				do(w)
+			}
+		})
+		s.at(timeout, func() { answer(workflow.Unanswered) })
+		return
+	}
+	s.at(s.way(1, 30), func() {
+		if !w.up {
+			answer(workflow.NotSent)
+			return
+		}
+		if s.now.Before(w.darkTill) {
+			s.at(timeout, func() { answer(workflow.Unanswered) })
+			return
+		}
+		outcome := do(w)
+		if s.rng.Float64() < s.lost {
+			s.at(timeout, func() { answer(workflow.Unanswered) })
+			return
+		}
+		s.at(s.way(1, 30), func() { answer(outcome) })
+	})
+}
+
+func (l *fakeLeader) renew(e RenewLease) {
+	var report workflow.Report
+	sentAt := l.sim.now
+	wait := min(e.Order.Wait, 300*time.Millisecond)
+	l.sim.at(wait, func() {
+		l.sim.order(e.Worker, func(w *fakeWorker) workflow.Outcome {
+			var outcome workflow.Outcome
+			report, outcome = w.lease(e.Order, e.Worker.Incarnation)
+			return outcome
+		}, func(o workflow.Outcome) {
+			l.reduce(LeaseAnswered{Worker: e.Worker.ID, SentAt: sentAt, Report: report, Outcome: o})
+		})
+	})
+}
+
+const ticketTime = 1500 * time.Millisecond
+
+func (l *fakeLeader) advise(e AskAdvice) {
+	s := l.sim
+	answer := AdviceAnswered{Step: e.Step, Workers: e.Workers, Via: e.Via, Expected: e.Expected}
+	answer.Failed = s.rng.Float64() < s.lost
+	answer.Advice.Validity = ticketTime
+	for _, id := range e.Workers {
+		w := s.worker(id)
+		if id < "w04" || hash(e.Step+string(id))%100 < 45 { // every gang fits on the first four
+			token := fmt.Sprintf("%s/%s/%d", e.Step, id, w.Incarnation)
+			s.tickets[token] = s.now.Add(ticketTime)
+			answer.Advice.Good = append(answer.Advice.Good, workflow.Ticket{Worker: id, Token: token})
+		}
+	}
+	l.reduce(answer)
+}
+
+func (s *simulation) ticketValid(step string, w *fakeWorker, token string) bool {
+	want := fmt.Sprintf("%s/%s/%d", step, w.ID, w.Incarnation)
+	return token == want && s.now.Before(s.tickets[token])
+}
+
+func (s *simulation) way(fromMS, toMS int) time.Duration {
+	return time.Duration(fromMS*1000+s.rng.IntN((toMS-fromMS+1)*1000)) * time.Microsecond
+}
+
+func (s *simulation) worker(id structs.WorkerID) *fakeWorker {
+	for _, w := range s.workers {
+		if w.ID == id {
+			return w
+		}
+	}
+	s.t.Fatalf("no worker %s", id)
+	return nil
+}
+
+func (s *simulation) lookup(taskName string) (*simJob, *workflow.Step, string) {
+	parts := strings.Split(taskName, ".")
+	job := s.jobs[structs.JobID(parts[0])]
+	var index int
+	if _, err := fmt.Sscan(parts[2], &index); err != nil {
+		s.t.Fatal(err)
+	}
+	return job, &job.job.Steps[index], strings.Join(parts[:3], ".")
+}
+
+// duration is the true run time of a task: up to twice or half the estimate.
+func (s *simulation) duration(taskName string, st *workflow.Step) time.Duration {
+	return time.Duration(float64(st.Estimate) * (0.5 + 1.5*float64(hash(taskName)%1000)/1000))
+}
+
+func (s *simulation) resultOf(w *fakeWorker, taskName string) workflow.EndKind {
+	if job, _, _ := s.lookup(taskName); job.poison || w.failsAll {
+		return workflow.EndFailed
+	}
+	return workflow.EndDone
+}
+
+// checkStart checks the guarantees that a start could break.
+func (s *simulation) checkStart(w *fakeWorker, order workflow.StartOrder, job *simJob, st *workflow.Step, step string) {
+	used := st.Resources
+	onWorker := 1
+	for _, r := range w.running {
+		used = used.Add(r.size)
+		if strings.HasPrefix(r.task, step+".") {
+			onWorker++
+		}
+	}
+	if !used.Fits(w.Capacity) {
+		s.t.Errorf("%v: start of %s run %d exceeds the capacity of %s", s.now, order.Task, order.Run, w.ID)
+	}
+	if st.MaxPerWorker > 0 && onWorker > st.MaxPerWorker {
+		s.t.Errorf("%v: %d tasks of %s on %s, at most %d allowed", s.now, onWorker, step, w.ID, st.MaxPerWorker)
+	}
+	for _, other := range s.workers {
+		if other != w && other.up && other.running[order.Task] != nil {
+			s.t.Errorf("%v: %s run %d starts on %s while run %d is on %s", s.now, order.Task, order.Run, w.ID, other.running[order.Task].run, other.ID)
+		}
+	}
+	if run := s.done[order.Task]; run != 0 {
+		s.t.Errorf("%v: %s starts again after its run %d was done", s.now, order.Task, run)
+	}
+	key := order.Task
+	if st.Gang {
+		key = step
+	}
+	if s.failures[key] >= job.queue.MaxAttempts {
+		s.t.Errorf("%v: %s starts again after %d failed runs", s.now, order.Task, s.failures[key])
+	}
+	for _, before := range st.After {
+		for n := range job.job.Steps[before].Tasks {
+			name := fmt.Sprintf("%s.0.%d.%d", job.job.ID, before, n)
+			if !s.everDone[name] {
+				s.t.Errorf("%v: %s starts before %s is done", s.now, order.Task, name)
+			}
+		}
+	}
+	if !job.accepted && s.rows[[2]string{JobTable, string(job.job.ID)}] == nil {
+		s.t.Errorf("%v: %s starts before its job is durable", s.now, order.Task)
+	}
+}
+
+// endKey names an end for evidence: members of a gang share one.
+func (s *simulation) endKey(task string, run uint64, how workflow.EndKind) (string, string) {
+	_, st, step := s.lookup(task)
+	owner := task
+	if st.Gang {
+		owner = step
+	}
+	return fmt.Sprintf("%s/%s/%d", how, owner, run), owner
+}
+
+// noteEnd records the truth about an end that a worker lists.
+func (s *simulation) noteEnd(task string, run uint64, how workflow.EndKind) {
+	key, owner := s.endKey(task, run, how)
+	s.evidence[key]++
+	if s.evidence[key] > 1 {
+		return
+	}
+	switch how {
+	case workflow.EndDone:
+		for _, name := range s.tasksOf(task) {
+			s.done[name] = run
+			s.everDone[name] = true
+		}
+	case workflow.EndFailed:
+		s.failures[owner]++
+	}
+}
+
+// forgetEnd takes back an end that nobody can learn of any more: its worker's
+// life or lease ended before it was acknowledged.
+func (s *simulation) forgetEnd(task string, run uint64, how workflow.EndKind) {
+	key, owner := s.endKey(task, run, how)
+	s.evidence[key]--
+	if s.evidence[key] > 0 {
+		return
+	}
+	switch how {
+	case workflow.EndDone:
+		for _, name := range s.tasksOf(task) {
+			delete(s.done, name)
+		}
+	case workflow.EndFailed:
+		s.failures[owner]--
+	}
+}
+
+// tasksOf returns the tasks that end as done with the given one.
+func (s *simulation) tasksOf(task string) []string {
+	_, st, step := s.lookup(task)
+	if !st.Gang {
+		return []string{task}
+	}
+	names := make([]string, st.Tasks)
+	for n := range names {
+		names[n] = taskName(step, n)
+	}
+	return names
+}
+
+func (s *simulation) answered(r Reply) {
+	for _, job := range s.jobs {
+		if refOf(job.job.ID) == r.Ref && r.Verdict == Accepted {
+			job.accepted = true
+		}
+	}
+}
+
+func refOf(id structs.JobID) Ref { return Ref(hash(string(id))) }
+
+// submit hands a job to the leader and repeats it until it is accepted.
+func (s *simulation) submit(job *simJob) {
+	s.jobs[job.job.ID] = job
+	var try func()
+	try = func() {
+		if job.accepted {
+			return
+		}
+		s.leader.reduce(SubmitJob{Ref: refOf(job.job.ID), Job: job.job, Queue: job.queue})
+		s.at(time.Second, try)
+	}
+	try()
+}
+
+// randomJob draws a job: urgent pairs, arrays with steps, and gangs.
+func (s *simulation) randomJob(n int) *simJob {
+	id := structs.JobID(fmt.Sprintf("%016x", n+1))
+	queue := workflow.Queue{Name: "urgent", Service: "svc", MaxAttempts: 2, Stretch: 1.5, Allowance: 600 * time.Millisecond}
+	step := workflow.Step{Tasks: 1 + s.rng.IntN(4), Estimate: 800 * time.Millisecond, Resources: structs.Resources{MilliCPU: 2800, MemoryBytes: 8 << 30}}
+	steps := []workflow.Step{step}
+	switch s.rng.IntN(4) {
+	case 0:
+		queue.Name, queue.Priority, queue.MaxAttempts, queue.Stretch = "batch", 2, 4, 4
+		step.Tasks, step.Estimate, step.MaxPerWorker = 2+s.rng.IntN(8), 2*time.Second, 2
+		second := step
+		second.After = []int{0}
+		steps = []workflow.Step{step, second}
+	case 1:
+		queue.Name, queue.Priority, queue.MaxAttempts, queue.Stretch = "gang", 1, 4, 2.2
+		step.Tasks, step.Estimate, step.Gang = 2+s.rng.IntN(6), 3*time.Second, true
+		step.Resources = structs.Resources{MilliCPU: 9000, MemoryBytes: 19 << 30}
+		steps = []workflow.Step{step}
+	}
+	if s.rng.IntN(3) > 0 {
+		queue.Advisor = &workflow.Advisor{BaseTime: 40 * time.Millisecond, TimePerWorker: time.Millisecond, Validity: ticketTime}
+	}
+	return &simJob{job: workflow.Job{ID: id, Spec: "spec", Steps: steps}, queue: queue, poison: s.rng.IntN(30) == 0}
+}
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -56,14 +56,14 @@
 }
 
 // lifeEnded forgets everything of a life of a worker that is certainly over.
+// A worker that has not been heard stays so: its next life may run tasks of
+// the previous leader, too.
 func (c *Cell) lifeEnded(w *worker, reason string) {
 	if !w.known && len(w.allocations) == 0 {
-		c.hear(w)
 		return
 	}
 	c.decide(Decision{Event: "worker_restarted", Worker: w.ID, Reason: reason, Value: int64(len(w.allocations))})
 	c.loseAll(w)
-	c.hear(w)
 	w.known = false
 	w.processed, w.acknowledged, w.unacked = 0, 0, nil
 	w.clock, w.clockAt, w.deadline, w.leaseEnd = 0, 0, 0, 0
@@ -241,6 +241,7 @@
 	case workflow.EndDone:
 		if t.state != taskDone && t.step.job.active() {
 			c.succeed(t)
+			c.stopCopies(t, end.Run)
 		}
 	case workflow.EndFailed:
 		c.fail(t, end.Run)
@@ -249,6 +250,16 @@
 	c.keepCheckpoint(t, end.Checkpoint)
 }
 
+// stopCopies stops the runs of a task, or of its gang, that were started
+// after the lease of a run that has succeeded was taken as over.
+func (c *Cell) stopCopies(t *task, run uint64) {
+	for _, member := range t.step.tasks {
+		if member.run != run && (member == t || t.step.spec.Gang) {
+			c.stopTask(member, "an earlier run has succeeded")
+		}
+	}
+}
+
 func (c *Cell) keepCheckpoint(t *task, checkpoint string) {
 	if checkpoint == "" || !t.step.spec.Checkpoints {
 		return
@@ -287,6 +298,7 @@
 func (c *Cell) adopt(w *worker, r workflow.RunningTask) *allocation {
 	t := c.findTask(r.Task)
 	a := &allocation{name: r.Task, run: r.Run, state: taskRunning, confirmed: c.now, startedAt: c.now, movedAt: c.now}
+	a.resources = w.Capacity // the size is no longer stored once a job has ended
 	if t != nil {
 		a.resources = t.step.spec.Resources
 	}
