cell: remember which peers reach the store; refuse at once while it is away

Change: a call tries up to four peers and prefers the last one that worked; after two failed tries of a commit submissions are refused at once; renewals are 60 ms apart.

--- a/cell/instance.go
+++ b/cell/instance.go
@@ -48,19 +48,18 @@
 
 // Instance is one instance of a cell.
 type Instance struct {
-	options    Options
-	log        hclog.Logger
-	clock      *clock
-	process    uint64
-	metrics    *instruments
-	store      tablestore.Store // directly or by way of a peer
-	helperTurn atomic.Uint32
-	node       *peer.Node
-	calls      *callTable
-	config     configHolder
-	group      conc.WaitGroup
-	ctx        context.Context
-	cancel     context.CancelFunc
+	options Options
+	log     hclog.Logger
+	clock   *clock
+	process uint64
+	metrics *instruments
+	store   tablestore.Store // directly or by way of a peer
+	node    *peer.Node
+	calls   *callTable
+	config  configHolder
+	group   conc.WaitGroup
+	ctx     context.Context
+	cancel  context.CancelFunc
 
 	draining atomic.Bool
 	stepAway chan struct{} // closed when the instance must not lead any more
@@ -91,7 +90,7 @@
 		ctx: ctx, cancel: cancel, stepAway: make(chan struct{}), changed: make(chan struct{}),
 		follower: make(chan structs.Event, 64), metrics: newInstruments(),
 	}
-	i.store = &assistedStore{instance: i, direct: options.Store}
+	i.store = &assistedStore{instance: i, direct: options.Store, resting: map[structs.InstanceID]time.Time{}}
 	i.node = peer.New(peer.Options{Self: options.ID, Logger: options.Logger, Receive: i.receive, Disconnected: i.disconnected, Dial: options.DialPeer})
 	return i
 }
--- a/cell/leader.go
+++ b/cell/leader.go
@@ -52,12 +52,13 @@
 }
 
 type pendingCommit struct {
-	commit  dispatch.Commit
-	tx      tablestore.Tx
-	row     leadership.Row
-	timeout time.Duration
-	retryAt structs.Timestamp
-	sending bool
+	commit   dispatch.Commit
+	tx       tablestore.Tx
+	row      leadership.Row
+	timeout  time.Duration
+	retryAt  structs.Timestamp
+	sending  bool
+	failures int // tries without a usable answer
 }
 
 const (
@@ -72,7 +73,9 @@
 	firstCommitTimeout = 500 * time.Millisecond
 	maxCommitTimeout   = 3 * time.Second
 	commitRetry        = 100 * time.Millisecond
-	maxCommitRetry     = 500 * time.Millisecond
+	maxCommitRetry     = 250 * time.Millisecond
+	// failuresUntilAway tells one lost answer from a store that is away.
+	failuresUntilAway = 2
 	// unhealthyAfter is the age of the last commit at which the leader tells
 	// its followers that it does not reach the store.
 	unhealthyAfter = 900 * time.Millisecond
@@ -315,8 +318,9 @@
 	case errs.Is(err, errs.Conflict):
 		l.commitConflict(p, sentAt, page)
 	default:
-		if l.healthy() {
+		if p.failures++; p.failures == failuresUntilAway {
 			l.log.Info("dependency", "name", "store", "healthy", false, "error", err.Error())
+			l.reduce(dispatch.StoreHealth{Away: true})
 		}
 		l.instance.metrics.count("commit_failures", "kind", string(errs.KindOf(err)))
 		p.timeout = min(p.timeout*8/5, maxCommitTimeout)
@@ -341,7 +345,8 @@
 
 func (l *leader) commitDone(p *pendingCommit, sentAt structs.Timestamp, version uint64) {
 	now := l.now()
-	if now.Sub(l.okSince) > unhealthyAfter {
+	if p.failures >= failuresUntilAway {
+		l.reduce(dispatch.StoreHealth{})
 		l.log.Info("dependency", "name", "store", "healthy", true, "away_ms", int64(now.Sub(l.okSince)/time.Millisecond))
 	}
 	l.instance.metrics.observe("commit", "kind", "leader", now.Sub(sentAt))
--- a/cell/store.go
+++ b/cell/store.go
@@ -20,6 +20,8 @@
 	directFrom time.Time // no direct call before this time
 	assistFrom time.Time // no assisted call before this time
 	turnedAway bool
+	lastHelper structs.InstanceID
+	resting    map[structs.InstanceID]time.Time // helpers that failed, until when
 }
 
 const (
@@ -29,6 +31,11 @@
 	// assistPause is how long assisted calls rest after one failed: the store
 	// is probably away for all.
 	assistPause = 600 * time.Millisecond
+	// helperPause is how long a helper rests after it failed; the store turns
+	// instances away for seconds.
+	helperPause = 2 * time.Second
+	// maxHelpers is how many peers one call may try.
+	maxHelpers = 4
 	// assistMargin covers the way to the peer and back.
 	assistMargin = 150 * time.Millisecond
 )
@@ -65,22 +72,39 @@
 	if !useAssist {
 		return page, err
 	}
-	helper, ok := s.instance.helper()
-	if !ok {
+	helped, helpErr, asked := s.assisted(c)
+	if !asked {
 		return page, err
 	}
-	helped, helpErr := s.assist(helper, c)
-	if isAnswer(helpErr) {
-		s.directRests(helper)
+	if isAnswer(helpErr) || errs.Is(helpErr, errs.OutcomeUnknown) {
 		return helped, helpErr
 	}
-	s.assistRests()
-	if errs.Is(helpErr, errs.OutcomeUnknown) {
-		return page, helpErr
-	}
 	return page, err
 }
 
+// assisted tries peers until the store answers one of them or a call may have
+// been carried out.
+func (s *assistedStore) assisted(c storeCall) (page tablestore.Page, err error, asked bool) {
+	for range maxHelpers {
+		helper, ok := s.helper()
+		if !ok {
+			break
+		}
+		asked = true
+		page, err = s.assist(helper, c)
+		if isAnswer(err) {
+			s.assistWorks(helper)
+			return page, err, true
+		}
+		s.helperRests(helper)
+		if errs.Is(err, errs.OutcomeUnknown) {
+			return page, err, true
+		}
+	}
+	s.assistRests()
+	return page, err, asked
+}
+
 // isAnswer reports whether the store itself has answered.
 func isAnswer(err error) bool {
 	return err == nil || errs.Is(err, errs.Conflict) || errs.Is(err, errs.NotFound) || errs.Is(err, errs.InvalidInput)
@@ -103,10 +127,11 @@
 	}
 }
 
-func (s *assistedStore) directRests(helper structs.InstanceID) {
+func (s *assistedStore) assistWorks(helper structs.InstanceID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.directFrom = time.Now().Add(directPause)
+	s.lastHelper = helper
 	if !s.turnedAway {
 		s.turnedAway = true
 		s.instance.log.Info("dependency", "name", "store", "healthy", false, "way", "assisted", "by", helper)
@@ -153,16 +178,40 @@
 	return storeReply{Page: page, Kind: errs.KindOf(err), Message: errs.DetailOf(err)}
 }
 
-// helper returns a peer that may reach the store: the leader, or for the
-// leader each of its followers in turn.
-func (i *Instance) helper() (structs.InstanceID, bool) {
+// helper returns a peer that may reach the store: the one that did last, or
+// another that has not failed lately.
+func (s *assistedStore) helper() (structs.InstanceID, bool) {
+	candidates := s.instance.helpers()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	var found structs.InstanceID
+	for _, id := range candidates {
+		if now.Before(s.resting[id]) {
+			continue
+		}
+		if found == "" || id == s.lastHelper {
+			found = id
+		}
+	}
+	return found, found != ""
+}
+
+func (s *assistedStore) helperRests(id structs.InstanceID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.resting[id] = time.Now().Add(helperPause)
+}
+
+// helpers returns the peers that this instance can ask: the leader, or for
+// the leader its followers.
+func (i *Instance) helpers() []structs.InstanceID {
 	local, remote, _ := i.current()
-	if local == nil {
-		return remote, remote != ""
+	if local != nil {
+		return local.connected()[1:]
 	}
-	candidates := local.connected()[1:]
-	if len(candidates) == 0 {
-		return "", false
+	if remote == "" {
+		return nil
 	}
-	return candidates[int(i.helperTurn.Add(1))%len(candidates)], true
+	return []structs.InstanceID{remote}
 }
--- a/dispatch/events.go
+++ b/dispatch/events.go
@@ -69,6 +69,9 @@
 // CommitAnswered says that a commit returned by Cell.NextCommit is durable.
 type CommitAnswered struct{ Sequence uint64 }
 
+// StoreHealth says whether commits succeed.
+type StoreHealth struct{ Away bool }
+
 // Tick lets the time pass.
 type Tick struct {
 	WallOffset time.Duration // time of day less the cell's time
@@ -101,6 +104,9 @@
 // Kind implements structs.Event.
 func (InstancesConnected) Kind() string { return "instances_connected" }
 
+// Kind implements structs.Event.
+func (StoreHealth) Kind() string { return "store_health" }
+
 // Kind implements structs.Event.
 func (CommitAnswered) Kind() string { return "commit_answered" }
 
--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -18,6 +18,11 @@
 		j.waiting = append(j.waiting, e.Ref)
 		return
 	}
+	if c.storeAway {
+		c.emit(Reply{Ref: e.Ref, Verdict: Refused, RetryAfter: retryAfterStore})
+		c.decide(Decision{Event: "refuse", Job: e.Job.ID, Reason: "the store is away"})
+		return
+	}
 	j = c.newJob(e.Job, e.Queue, c.now)
 	j.waiting = []Ref{e.Ref}
 	c.jobs[e.Job.ID] = j
--- a/dispatch/reduce.go
+++ b/dispatch/reduce.go
@@ -30,6 +30,8 @@
 		c.adviceAnswered(e)
 	case InstancesConnected:
 		c.setAdvisors(e.IDs)
+	case StoreHealth:
+		c.storeAway = e.Away
 	case CommitAnswered:
 		c.committed(e.Sequence)
 	case Tick:
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -34,6 +34,7 @@
 	inCommit       bool
 	workersChanged bool
 	placeAgain     bool
+	storeAway      bool          // commits fail; new submissions are refused at once
 	wallOffset     time.Duration // time of day less the cell's time
 	advisors       []*advisorSlot
 	goodShare      map[string]float64 // share of advised workers that were good, by queue
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -143,9 +143,13 @@
 		c.missed(w, e.Outcome)
 		return
 	}
-	c.renew(w)
+	w.askAt = c.now.Add(renewalPause)
 }
 
+// renewalPause lets ends that come close together share one renewal; each
+// renewal is billed.
+const renewalPause = 60 * time.Millisecond
+
 // renewalRetry is the pause after a renewal that failed.
 const renewalRetry = 250 * time.Millisecond
 
