--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -168,23 +168,20 @@
 // startPlaced starts the placed tasks that have tickets and asks for the
 // tickets that are missing. A gang starts when all members have one.
 func (c *Cell) startPlaced(s *step) {
+	c.unplaceNotAdmitted(s)
 	var ready []*task
-	var missing []structs.WorkerID
+	missing := false
 	for _, t := range s.tasks {
 		if t.state != taskPlaced {
 			continue
 		}
-		if s.job.queue.Advisor != nil && !s.advice[t.at.ID].good {
-			c.unplace(t) // the worker's next life is not admitted
-			continue
-		}
 		if c.hasTicket(t) {
 			ready = append(ready, t)
-		} else if !slices.Contains(missing, t.at.ID) {
-			missing = append(missing, t.at.ID)
+		} else {
+			missing = true
 		}
 	}
-	if len(missing) > 0 && s.asking == 0 && (c.now.Before(s.askAfter) || !c.ask(s, missing)) {
+	if missing && s.asking == 0 && (c.now.Before(s.askAfter) || !c.ask(s, c.ticketsToRenew(s))) {
 		c.unplaceWithoutTicket(s)
 	}
 	if len(ready) == 0 || (s.spec.Gang && len(ready) < len(s.tasks)) {
@@ -202,6 +199,40 @@
 	}
 }
 
+// unplaceNotAdmitted gives up places on workers whose next life is not
+// admitted.
+func (c *Cell) unplaceNotAdmitted(s *step) {
+	if s.job.queue.Advisor == nil {
+		return
+	}
+	for _, t := range s.tasks {
+		if t.state == taskPlaced && !s.advice[t.at.ID].good {
+			c.unplace(t)
+		}
+	}
+}
+
+// ticketsToRenew returns the workers of placed tasks whose tickets are missing
+// or, for a gang, lapse before the others are there: all members need a valid
+// one at the same time, and a call may take half as long as a ticket is valid.
+func (c *Cell) ticketsToRenew(s *step) []structs.WorkerID {
+	var names []structs.WorkerID
+	validUntil := c.now
+	if s.spec.Gang {
+		validUntil = c.now.Add(s.job.queue.Advisor.CallTime(len(s.tasks)) + ticketMargin)
+	}
+	for _, t := range s.tasks {
+		if t.state != taskPlaced || slices.Contains(names, t.at.ID) {
+			continue
+		}
+		known := s.advice[t.at.ID]
+		if known.life != t.at.Incarnation || !validUntil.Before(known.until) {
+			names = append(names, t.at.ID)
+		}
+	}
+	return names
+}
+
 // unplaceWithoutTicket gives up places that would stand idle until an
 // instance is free to renew their tickets.
 func (c *Cell) unplaceWithoutTicket(s *step) {
--- /dev/null
+++ b/dispatch/orders_test.go
@@ -0,0 +1,135 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/mangodrum/mangodrum/structs"
+	"github.com/mangodrum/mangodrum/workflow"
+)
+
+var roomy = structs.Resources{MilliCPU: 32_000, MemoryBytes: 1 << 40}
+
+// submitted returns a scene with one accepted job whose first starts are kept.
+func submitted(t *testing.T, workers int, job workflow.Job, queue workflow.Queue) (*scene, []StartTask) {
+	s := newScene(t, workers, roomy)
+	s.reduce(SubmitJob{Ref: 1, Job: job, Queue: queue})
+	s.commit()
+	return s, take[StartTask](s)
+}
+
+func arrayJob(tasks int, gang bool) workflow.Job {
+	step := workflow.Step{Tasks: tasks, Gang: gang, Estimate: time.Second, Resources: structs.Resources{MilliCPU: 9000}}
+	next := step
+	next.After = []int{0}
+	return workflow.Job{ID: "0000000000000001", Steps: []workflow.Step{step, next}}
+}
+
+// TestGangSucceedsOnce guards against counting the success of a gang once for
+// each member, which showed jobs as done with a step missing.
+func TestGangSucceedsOnce(t *testing.T) {
+	s, starts := submitted(t, 1, arrayJob(3, true), batchQueue(nil))
+	for n, start := range starts {
+		s.reduce(StartAnswered{Worker: "w0", Task: start.Order.Task, Run: start.Order.Run, Outcome: workflow.OK})
+		_ = n
+	}
+	var ends []workflow.EndedTask
+	for n, start := range starts {
+		ends = append(ends, workflow.EndedTask{Number: uint64(n + 1), Task: start.Order.Task, Run: start.Order.Run, How: workflow.EndDone})
+	}
+	s.report("w0", time.Second, ends...)
+	s.commit()
+	if state, _ := s.cell.State("0000000000000001"); state != workflow.Running {
+		t.Errorf("state with one of two steps done: %s", state)
+	}
+	if next := take[StartTask](s); len(next) != 3 || next[0].Order.Task != "0000000000000001.0.1.0" {
+		t.Errorf("starts of the second step: %d, want 3", len(next))
+	}
+}
+
+// TestFailedRunsCountByNumber guards against losing a failed run when two
+// workers list their ends to a new leader in the opposite order, which
+// started a task again after its last attempt.
+func TestFailedRunsCountByNumber(t *testing.T) {
+	queue := batchQueue(nil)
+	queue.MaxAttempts = 2
+	s, _ := submitted(t, 2, arrayJob(1, false), queue)
+	task := s.cell.findTask("0000000000000001.0.0.0")
+	s.cell.fail(task, 1002)
+	s.cell.fail(task, 1001)
+	s.cell.fail(task, 1002) // listed again
+	if task.step.job.state != jobFailed {
+		t.Errorf("%d failed runs counted, want 2 and a failed job", len(task.failedRuns))
+	}
+}
+
+// TestSilentWorkersLeaseEnds guards against renewals that extend the assumed
+// lease of a worker that does not answer: its tasks were never run again.
+func TestSilentWorkersLeaseEnds(t *testing.T) {
+	s, starts := submitted(t, 1, arrayJob(1, false), batchQueue(nil))
+	s.reduce(StartAnswered{Worker: "w0", Task: starts[0].Order.Task, Run: starts[0].Order.Run, Outcome: workflow.OK})
+	s.reduce(WorkerSeen{Worker: workflow.Worker{ID: "w1", Incarnation: 1, Service: "svc", Address: "w1", Capacity: roomy}})
+	s.report("w1", 0)
+	for range 80 {
+		s.pass(100 * time.Millisecond)
+		for _, e := range take[RenewLease](s) {
+			if e.Worker.ID == "w1" {
+				s.report("w1", time.Minute)
+				continue
+			}
+			s.reduce(LeaseAnswered{Worker: e.Worker.ID, SentAt: s.now, Outcome: workflow.Unanswered})
+		}
+		if again := s.cell.findTask("0000000000000001.0.0.0"); again.at != nil && again.at.ID == "w1" {
+			return
+		}
+	}
+	t.Error("the task of a silent worker was not started elsewhere within 8 s")
+}
+
+// TestNewLifeIsHeardByReport guards against starting tasks again while a
+// worker that restarted under the previous leader has not said what it runs.
+func TestNewLifeIsHeardByReport(t *testing.T) {
+	c := New(DefaultPolicy(), 2, structs.Timestamp(time.Minute))
+	c.oldLeasesEnd = structs.Timestamp(time.Minute + 5*time.Second)
+	c.addWorker(workflow.Worker{ID: "w0", Incarnation: 1, Service: "svc", Address: "w0", Capacity: roomy})
+	c.Reduce(c.now, WorkerSeen{Worker: workflow.Worker{ID: "w0", Incarnation: 2, Service: "svc", Address: "w0", Capacity: roomy}})
+	if c.unheard != 1 {
+		t.Errorf("%d workers unheard after a directory entry, want 1", c.unheard)
+	}
+	c.Reduce(c.now, LeaseAnswered{Worker: "w0", SentAt: c.now, Outcome: workflow.OK, Report: workflow.Report{Incarnation: 2}})
+	if c.unheard != 0 {
+		t.Errorf("%d workers unheard after a report, want 0", c.unheard)
+	}
+}
+
+// TestUnknownRunTakesAllRoom guards against exceeding a worker that still
+// stops a task of an ended job, whose size is no longer stored.
+func TestUnknownRunTakesAllRoom(t *testing.T) {
+	s := newScene(t, 1, roomy)
+	s.reduce(LeaseAnswered{Worker: "w0", SentAt: s.now, Outcome: workflow.OK, Report: workflow.Report{
+		Incarnation: 1, Running: []workflow.RunningTask{{Task: "00000000000000ff.0.0.0", Run: 7}},
+	}})
+	if stops := take[StopTask](s); len(stops) != 1 {
+		t.Errorf("%d stop orders for an unknown run, want 1", len(stops))
+	}
+	s.reduce(SubmitJob{Ref: 1, Job: arrayJob(1, false), Queue: batchQueue(nil)})
+	s.commit()
+	if starts := take[StartTask](s); len(starts) != 0 {
+		t.Errorf("%d starts beside a run of unknown size, want 0", len(starts))
+	}
+}
+
+// TestRefusesAtOnceWhileStoreIsAway guards against holding callers back until
+// their time is over when nothing can be accepted.
+func TestRefusesAtOnceWhileStoreIsAway(t *testing.T) {
+	s := newScene(t, 1, roomy)
+	s.reduce(StoreHealth{Away: true})
+	s.reduce(SubmitJob{Ref: 5, Job: arrayJob(1, false), Queue: batchQueue(nil)})
+	replies := take[Reply](s)
+	if len(replies) != 1 || replies[0].Verdict != Refused || replies[0].RetryAfter <= 0 {
+		t.Errorf("replies %v, want one refusal with a time to come back", replies)
+	}
+	if _, known := s.cell.State("0000000000000001"); known || s.cell.IsPending("0000000000000001") {
+		t.Error("a refused job is kept, and could run")
+	}
+}
