--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -176,7 +176,6 @@
 	clockAt  structs.Timestamp // when clock was received
 	leaseEnd structs.Timestamp // everything granted so far has expired by then
 	deadline time.Duration     // latest lease end on the worker's clock
-	renewAt  structs.Timestamp
 	askAt    structs.Timestamp // earliest next renewal
 
 	failures    int // failed runs since the last success
