leadership: prefer instances with a larger processor share; dispatch: cheaper passes

Change: a claim waits up to 0.7 s in proportion to the share that the instance lacks against the strongest; a pass walks the admitted workers of a step only, a tick looks at orders that are due only.

--- a/cell/instance.go
+++ b/cell/instance.go
@@ -27,7 +27,8 @@
 // Options configures an Instance.
 type Options struct {
 	ID          structs.InstanceID
-	PeerAddress string // listener for other instances, as they reach it
+	PeerAddress string  // listener for other instances, as they reach it
+	Share       float64 // of a processor, in cores
 
 	Callers net.Listener
 	Ready   net.Listener
@@ -158,9 +159,15 @@
 	}
 }
 
+// instanceRow is what an instance tells future leaders.
+type instanceRow struct {
+	Address string  `cbor:"1,keyasint"` // for peers
+	Share   float64 `cbor:"2,keyasint"` // of a processor, in cores
+}
+
 // register writes the instance's address where leaders find it.
 func (i *Instance) register() {
-	value, err := cbor.Marshal(i.options.PeerAddress)
+	value, err := cbor.Marshal(instanceRow{i.options.PeerAddress, i.options.Share})
 	if err != nil {
 		i.log.Error("encode the peer address", "error", err)
 		return
@@ -216,7 +223,7 @@
 // follow runs the election and returns the successful claim, or nil when the
 // instance stops.
 func (i *Instance) follow() (*leadership.Claim, claimed) {
-	follower := leadership.NewFollower(i.options.ID, i.process, i.clock.Now())
+	follower := leadership.NewFollower(i.options.ID, i.process, i.options.Share, i.clock.Now())
 	ticker := time.NewTicker(electionTick)
 	defer ticker.Stop()
 	for {
--- a/cell/leader.go
+++ b/cell/leader.go
@@ -47,6 +47,7 @@
 // member is another instance as the leader knows it.
 type member struct {
 	address string
+	share   float64 // of a processor, in cores
 	heardAt structs.Timestamp
 	config  uint64 // version that it has
 }
@@ -394,12 +395,14 @@
 	version := l.instance.config.version()
 	l.peersMu.Lock()
 	behind := map[structs.InstanceID]bool{}
+	strongest := l.instance.options.Share
 	for id, m := range l.peers {
+		strongest = max(strongest, m.share)
 		behind[id] = m.config < version && m.heardAt != 0
 	}
 	l.peersMu.Unlock()
 	for id, old := range behind {
-		b := heartbeat{Epoch: l.epoch, Address: l.instance.options.PeerAddress, StoreHealthy: l.healthy(), ConfigVersion: version}
+		b := heartbeat{Epoch: l.epoch, Address: l.instance.options.PeerAddress, StoreHealthy: l.healthy(), ConfigVersion: version, Strongest: strongest}
 		if old {
 			b.Config = l.instance.config.value()
 		}
@@ -430,25 +433,25 @@
 func (l *leader) followPeers() {
 	f := feed{instance: l.instance, table: peerTable, apply: func(row tablestore.Row) {
 		id := structs.InstanceID(row.Key)
-		var address string
-		if !row.Deleted && cbor.Unmarshal(row.Value, &address) != nil {
+		var stored instanceRow
+		if !row.Deleted && cbor.Unmarshal(row.Value, &stored) != nil {
 			l.log.Warn("an instance's row was dropped", "instance", id)
 			return
 		}
-		l.setPeer(id, address)
+		l.setPeer(id, stored)
 	}}
 	f.run(l.ctx)
 }
 
-func (l *leader) setPeer(id structs.InstanceID, address string) {
+func (l *leader) setPeer(id structs.InstanceID, row instanceRow) {
 	if id == l.instance.options.ID || l.ctx.Err() != nil {
 		return
 	}
 	l.peersMu.Lock()
-	if address == "" {
+	if row.Address == "" {
 		delete(l.peers, id)
-	} else if m := l.peers[id]; m == nil || m.address != address {
-		l.peers[id] = &member{address: address}
+	} else if m := l.peers[id]; m == nil || m.address != row.Address {
+		l.peers[id] = &member{address: row.Address, share: row.Share}
 	}
 	list := make([]structs.InstanceInfo, 0, len(l.peers))
 	for id, m := range l.peers {
--- a/cell/messages.go
+++ b/cell/messages.go
@@ -18,6 +18,7 @@
 	ConfigVersion uint64        `cbor:"4,keyasint"`
 	Config        []byte        `cbor:"5,keyasint,omitempty"` // for a follower with an older version
 	Ended         bool          `cbor:"6,keyasint,omitempty"` // the sender leads no more
+	Strongest     float64       `cbor:"7,keyasint,omitempty"` // largest processor share of an instance, in cores
 }
 
 // echo is a follower's answer to a heartbeat.
--- a/cell/peers.go
+++ b/cell/peers.go
@@ -142,7 +142,7 @@
 		answer.Config = i.config.value()
 	}
 	i.send(m.From, peer.KindEcho, 0, answer)
-	i.hint(leadership.Heard{Epoch: beat.Epoch, StoreHealthy: beat.StoreHealthy})
+	i.hint(leadership.Heard{Epoch: beat.Epoch, StoreHealthy: beat.StoreHealthy, Strongest: beat.Strongest})
 }
 
 // receiveEcho notes which configuration a follower has.
--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -55,7 +55,7 @@
 // askMore asks the advisor about workers that a step knows nothing of.
 func (c *Cell) askMore(s *step) {
 	advisor := s.job.queue.Advisor
-	if advisor == nil || s.asking > 0 || c.now.Before(s.askAfter) {
+	if advisor == nil || s.asking > 0 || c.now.Before(s.askAfter) || c.freeAdvisor(advisor.CallTime(1)) == nil {
 		return
 	}
 	var unknown []*worker
@@ -136,6 +136,12 @@
 			good: true, token: ticket.Token, until: c.now.Add(e.Advice.Validity - ticketMargin), life: w.Incarnation,
 		}
 	}
+	s.good = s.good[:0]
+	for _, w := range c.order {
+		if s.advice[w.ID].good {
+			s.good = append(s.good, w)
+		}
+	}
 	c.learnGoodShare(s, len(e.Workers), len(e.Advice.Good))
 	c.decide(Decision{Event: "advice", Job: s.job.spec.ID, Task: s.name, Value: int64(len(e.Advice.Good)), Reason: s.job.queue.Name})
 	c.startPlaced(s)
--- a/dispatch/advice_test.go
+++ b/dispatch/advice_test.go
@@ -14,7 +14,6 @@
 	t    *testing.T
 	cell *Cell
 	now  structs.Timestamp
-	seq  uint64
 	kept []structs.Effect
 }
 
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -276,11 +276,13 @@
 // repeated.
 const stopGrace = 1500 * time.Millisecond
 
-// retryOrder repeats orders without an answer.
+// isOrderDue reports whether an order without an answer has to be repeated.
+func (c *Cell) isOrderDue(a *allocation) bool {
+	return (a.state == taskStarting || a.state == taskStopping) && a.retryAt != 0 && !c.now.Before(a.retryAt)
+}
+
+// retryOrder repeats an order without an answer.
 func (c *Cell) retryOrder(w *worker, a *allocation) {
-	if a.retryAt == 0 || c.now.Before(a.retryAt) {
-		return
-	}
 	switch a.state {
 	case taskStarting:
 		if a.sends >= startsBeforeStop || (w.misses > 0 && a.sends > 0) {
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -38,15 +38,15 @@
 
 // admitted returns the workers that may run a step.
 func (c *Cell) admitted(s *step) []*worker {
-	list := make([]*worker, 0, len(c.order))
-	for _, w := range c.order {
-		if !c.eligible(s, w) {
-			continue
-		}
-		if s.job.queue.Advisor != nil && !s.advice[w.ID].good {
-			continue
+	known := c.order
+	if s.job.queue.Advisor != nil {
+		known = s.good
+	}
+	list := make([]*worker, 0, len(known))
+	for _, w := range known {
+		if c.eligible(s, w) {
+			list = append(list, w)
 		}
-		list = append(list, w)
 	}
 	return list
 }
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -99,12 +99,11 @@
 	gangRun    uint64
 	checkpoint string
 
-	advice    map[structs.WorkerID]admission
-	asking    int  // advice calls without an answer
-	askedAll  bool // every eligible worker has been asked about
-	askAfter  structs.Timestamp
-	readyAt   structs.Timestamp
-	reserving bool
+	advice   map[structs.WorkerID]admission
+	good     []*worker // admitted workers, by identifier
+	asking   int       // advice calls without an answer
+	askAfter structs.Timestamp
+	readyAt  structs.Timestamp
 }
 
 // admission is what is known of a worker's admission to a step.
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -27,9 +27,11 @@
 	if w.Address != seen.Address || !w.listed {
 		c.workersChanged = true
 	}
+	if w.Draining != seen.Draining || !w.listed {
+		c.placeAgain = true
+	}
 	w.Worker = seen
 	w.listed = true
-	c.placeAgain = true
 	c.renew(w)
 }
 
@@ -84,9 +86,17 @@
 // sortedAllocations returns the allocations in the order of their names, so
 // that the reducer stays deterministic.
 func sortedAllocations(w *worker) []*allocation {
-	list := make([]*allocation, 0, len(w.allocations))
+	return w.allocationsThat(func(*allocation) bool { return true })
+}
+
+// allocationsThat returns the allocations that match, in the order of their
+// names. Most calls match none and allocate nothing.
+func (w *worker) allocationsThat(match func(*allocation) bool) []*allocation {
+	var list []*allocation
 	for _, a := range w.allocations {
-		list = append(list, a)
+		if match(a) {
+			list = append(list, a)
+		}
 	}
 	slices.SortFunc(list, func(a, b *allocation) int { return strings.Compare(a.name, b.name) })
 	return list
@@ -180,7 +190,7 @@
 		return
 	}
 	c.renew(w)
-	for _, a := range sortedAllocations(w) {
+	for _, a := range w.allocationsThat(c.isOrderDue) {
 		c.retryOrder(w, a)
 	}
 }
@@ -324,10 +334,10 @@
 
 // endMissing ends runs that the worker had confirmed and no longer lists.
 func (c *Cell) endMissing(w *worker, listed map[string]uint64, sentAt structs.Timestamp) {
-	for _, a := range sortedAllocations(w) {
-		if listed[a.name] >= a.run || a.confirmed == 0 || !a.confirmed.Before(sentAt) || a.state == taskPlaced {
-			continue
-		}
+	missing := w.allocationsThat(func(a *allocation) bool {
+		return listed[a.name] < a.run && a.confirmed != 0 && a.confirmed.Before(sentAt) && a.state != taskPlaced
+	})
+	for _, a := range missing {
 		c.decide(Decision{Event: "run_missing", Task: a.name, Worker: w.ID, Run: a.run})
 		c.runEnded(w, a, EndLostHere)
 	}
@@ -339,10 +349,10 @@
 
 // checkStalled stops tasks that make no progress and lets the worker rest.
 func (c *Cell) checkStalled(w *worker) {
-	for _, a := range sortedAllocations(w) {
-		if a.task == nil || a.state != taskRunning || a.task.step.spec.LongRunning || c.now.Sub(a.movedAt) < stalledAfter {
-			continue
-		}
+	stalled := w.allocationsThat(func(a *allocation) bool {
+		return a.task != nil && a.state == taskRunning && !a.task.step.spec.LongRunning && c.now.Sub(a.movedAt) >= stalledAfter
+	})
+	for _, a := range stalled {
 		if a.task.step.spec.Gang && (a.percent >= complete || !a.task.step.allRunning()) {
 			a.movedAt = c.now // it waits for the other members
 			continue
--- a/leadership/leadership.go
+++ b/leadership/leadership.go
@@ -43,12 +43,22 @@
 	nearFactor = 4
 	// maxDelay bounds that delay.
 	maxDelay = 400 * time.Millisecond
+	// minDelay is too short to be worth another read of the row.
+	minDelay = 10 * time.Millisecond
+	// weakDelay delays claims of instances in proportion to the processor
+	// share that they lack against the strongest one, so that a leader can
+	// carry the whole cell; a claim is tried every readInterval.
+	weakDelay = 700 * time.Millisecond
+	// unknownStrongest stands for the largest processor share while no leader
+	// has told it.
+	unknownStrongest = 1.0
 )
 
 // Heard says that a heartbeat of a leader arrived.
 type Heard struct {
 	Epoch        structs.Epoch
 	StoreHealthy bool
+	Strongest    float64 // largest processor share of an instance, in cores
 }
 
 // LinkLost says that the connection from the leader was closed.
@@ -116,11 +126,13 @@
 	sinceAt   structs.Timestamp // when that version was first read
 	seen      bool
 	roundTrip time.Duration // to the store, smallest seen
+	share     float64       // processor share of this instance, in cores
+	strongest float64
 }
 
 // NewFollower returns a follower that knows no leader.
-func NewFollower(self structs.InstanceID, process uint64, now structs.Timestamp) *Follower {
-	return &Follower{self: self, process: process, heardAt: now.Add(-heartbeatSilence), healthyAt: now, roundTrip: maxDelay}
+func NewFollower(self structs.InstanceID, process uint64, share float64, now structs.Timestamp) *Follower {
+	return &Follower{self: self, process: process, heardAt: now.Add(-heartbeatSilence), healthyAt: now, roundTrip: maxDelay, share: share, strongest: unknownStrongest}
 }
 
 // Reduce applies an event at time now and returns the effects to carry out.
@@ -147,6 +159,9 @@
 	}
 	f.epoch = e.Epoch
 	f.heardAt = now
+	if e.Strongest > 0 {
+		f.strongest = e.Strongest
+	}
 	if e.StoreHealthy {
 		f.healthyAt = now
 	}
@@ -187,7 +202,11 @@
 // claimReason returns why the row may be claimed and how long it must have
 // stayed unchanged before that.
 func (f *Follower) claimReason(e RowRead) (string, time.Duration) {
-	delay := min(nearFactor*f.roundTrip, maxDelay)
+	lack := 1 - f.share/max(f.strongest, f.share)
+	delay := min(nearFactor*f.roundTrip, maxDelay) + time.Duration(lack*float64(weakDelay))
+	if delay < minDelay {
+		delay = 0
+	}
 	switch {
 	case e.Version == 0:
 		return "no leader yet", delay
--- /dev/null
+++ b/leadership/leadership_test.go
@@ -0,0 +1,100 @@
+package leadership
+
+import (
+	"testing"
+	"time"
+
+	"github.com/mangodrum/mangodrum/structs"
+)
+
+// play runs a follower against a fixed row and returns the time until its
+// claim, or 0 without one within 5 s.
+func play(f *Follower, start structs.Timestamp, row Row, version uint64, roundTrip time.Duration, alive func(time.Duration) uint64) time.Duration {
+	for passed := time.Duration(0); passed < 5*time.Second; passed += 50 * time.Millisecond {
+		now := start.Add(passed)
+		for _, effect := range f.Reduce(now, Tick{}) {
+			if _, ok := effect.(ReadRow); !ok {
+				continue
+			}
+			current := version
+			if alive != nil {
+				current = alive(passed)
+			}
+			for _, answer := range f.Reduce(now.Add(roundTrip), RowRead{Row: row, Version: current, Took: roundTrip}) {
+				if _, ok := answer.(Claim); ok {
+					return passed
+				}
+			}
+		}
+	}
+	return 0
+}
+
+const start = structs.Timestamp(time.Hour)
+
+func follower(share float64) *Follower {
+	f := NewFollower("me", 7, share, start)
+	f.Reduce(start, Heard{Epoch: 1, StoreHealthy: true, Strongest: 0.8})
+	return f
+}
+
+// TestClaimsAfterSilence guards against time without a leader: a dead leader
+// is replaced within two seconds.
+func TestClaimsAfterSilence(t *testing.T) {
+	took := play(follower(0.8), start, Row{Epoch: 1, Owner: "other"}, 5, time.Millisecond, nil)
+	if took < heartbeatSilence+rowSilence || took > 2*time.Second {
+		t.Errorf("claim after %s, want between %s and 2s", took, heartbeatSilence+rowSilence)
+	}
+}
+
+// TestLeavesLivingLeader guards against claims by a follower that is cut off
+// from a leader which still commits.
+func TestLeavesLivingLeader(t *testing.T) {
+	alive := func(passed time.Duration) uint64 { return uint64(passed / CommitInterval) }
+	if took := play(follower(0.8), start, Row{Epoch: 1, Owner: "other"}, 0, time.Millisecond, alive); took != 0 {
+		t.Errorf("claim after %s although the row changes", took)
+	}
+}
+
+// TestStrongAndNearClaimFirst guards against a leader that cannot carry the
+// cell: on a mixed fleet one with a quarter of the processor share served a
+// fifth of a day (sadm-drum-grown trouble-3).
+func TestStrongAndNearClaimFirst(t *testing.T) {
+	row := Row{Epoch: 1, Owner: "other"}
+	strong := play(follower(0.8), start, row, 5, time.Millisecond, nil)
+	weak := play(follower(0.192), start, row, 5, time.Millisecond, nil)
+	far := play(follower(0.8), start, row, 5, 60*time.Millisecond, nil)
+	if weak < strong+readInterval || far < strong+readInterval {
+		t.Errorf("claims after %s (strong, near), %s (weak), %s (far)", strong, weak, far)
+	}
+}
+
+// TestClaimsReleasedAndOwnRowAtOnce guards against waiting for a leader that
+// certainly is gone.
+func TestClaimsReleasedAndOwnRowAtOnce(t *testing.T) {
+	released := follower(0.8)
+	released.Reduce(start, LinkLost{})
+	if took := play(released, start, Row{Epoch: 1}, 5, time.Millisecond, nil); took > readInterval {
+		t.Errorf("claim of a released row after %s", took)
+	}
+	own := follower(0.8)
+	own.Reduce(start, LinkLost{})
+	claimed := play(own, start, Row{Epoch: 1, Owner: "me", Process: 6}, 5, time.Millisecond, nil)
+	if claimed > readInterval {
+		t.Errorf("claim of the row of an earlier process after %s", claimed)
+	}
+}
+
+// TestSuspectsLeaderWithoutStore guards against a leader that lives and can
+// commit nothing.
+func TestSuspectsLeaderWithoutStore(t *testing.T) {
+	f := follower(0.8)
+	for passed := time.Duration(0); passed < 3*time.Second; passed += 50 * time.Millisecond {
+		now := start.Add(passed)
+		f.Reduce(now, Heard{Epoch: 1, StoreHealthy: false})
+		if len(f.Reduce(now, Tick{})) > 0 {
+			return
+		}
+	}
+	t.Error("no look at the row within 3 s of a leader that does not reach the store")
+}
