dispatch: long-running tasks, fillers and occurrences

Change: long-running steps are never late, fillers take no processors, an end makes a job one that has begun. Before: three tests fail.

--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -85,7 +85,7 @@
 	}
 	each := 1
 	for _, w := range c.order {
-		each = max(each, min(timesIn(s.spec.Resources, w.Capacity), s.roomForMore(w)))
+		each = max(each, min(timesIn(s.spec.Size(), w.Capacity), s.roomForMore(w)))
 	}
 	surplus := adviceSurplus
 	if s.spec.Gang {
--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -26,6 +26,9 @@
 // has to begin.
 func (c *Cell) rankOf(s *step) (rank, structs.Timestamp) {
 	j := s.job
+	if s.spec.LongRunning {
+		return urgentRank(j), s.readyAt // it earns for as long as it runs
+	}
 	from := j.accepted
 	if j.spec.Occurrences > 0 {
 		from = s.occ.due
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -9,7 +9,7 @@
 
 // allot takes room on a worker for a task.
 func (c *Cell) allot(t *task, w *worker) *allocation {
-	a := &allocation{task: t, name: t.name, resources: t.step.spec.Resources, state: taskPlaced}
+	a := &allocation{task: t, name: t.name, resources: t.step.spec.Size(), state: taskPlaced}
 	w.allocations[t.name] = a
 	w.used = w.used.Add(a.resources)
 	t.state, t.at = taskPlaced, w
@@ -173,6 +173,9 @@
 		return
 	}
 	c.keepCheckpoint(t, end.Checkpoint)
+	if end.Number != 0 {
+		t.step.job.started = true // the end may arrive before the answer to the start
+	}
 	switch end.How {
 	case workflow.EndDone:
 		w.noteSuccess()
--- a/dispatch/orders_test.go
+++ b/dispatch/orders_test.go
@@ -133,3 +133,64 @@
 		t.Error("a refused job is kept, and could run")
 	}
 }
+
+// TestLongRunningTaskRestarts guards against long-running work that falls
+// behind everything else after a failure, or fails for good.
+func TestLongRunningTaskRestarts(t *testing.T) {
+	queue := batchQueue(nil)
+	queue.MaxAttempts = 1
+	step := workflow.Step{Tasks: 1, LongRunning: true, Resources: structs.Resources{MilliCPU: 9000}}
+	s, starts := submitted(t, 2, workflow.Job{ID: "0000000000000001", Steps: []workflow.Step{step}}, queue)
+	order := starts[0].Order
+	s.reduce(StartAnswered{Worker: starts[0].Worker.ID, Task: order.Task, Run: order.Run, Outcome: workflow.OK})
+	s.report(starts[0].Worker.ID, time.Minute, workflow.EndedTask{Number: 1, Task: order.Task, Run: order.Run, How: workflow.EndFailed})
+	s.place()
+	again := take[StartTask](s)
+	if len(again) != 1 || again[0].Worker.ID == starts[0].Worker.ID {
+		t.Errorf("starts after a failure: %v, want one on the other worker", again)
+	}
+}
+
+// TestFillerTakesNoProcessors guards against work on idle processors that
+// waits for room.
+func TestFillerTakesNoProcessors(t *testing.T) {
+	step := workflow.Step{Tasks: 5, Filler: true, Resources: structs.Resources{MilliCPU: 20_000, MemoryBytes: 1 << 30}}
+	_, starts := submitted(t, 1, workflow.Job{ID: "0000000000000001", Steps: []workflow.Step{step}}, batchQueue(nil))
+	if len(starts) != 5 {
+		t.Errorf("%d of 5 fillers of 20 cores start on 32 cores, want all", len(starts))
+	}
+}
+
+// TestOccurrencesStartWhenDue guards against a scheduled job that starts
+// early or is done before its last occurrence.
+func TestOccurrencesStartWhenDue(t *testing.T) {
+	s := newScene(t, 1, roomy)
+	job := workflow.Job{
+		ID: "0000000000000001", Occurrences: 2, FirstDue: time.Hour, Interval: time.Second,
+		Steps: []workflow.Step{{Tasks: 1, Estimate: time.Second, Resources: structs.Resources{MilliCPU: 1000}}},
+	}
+	s.reduce(SubmitJob{Ref: 1, Job: job, Queue: batchQueue(nil)})
+	s.commit()
+	wall := func(at time.Duration) { // the time of day is at
+		s.reduce(Tick{WallOffset: at - time.Duration(s.now)})
+		s.place()
+	}
+	wall(time.Hour - time.Millisecond)
+	if starts := take[StartTask](s); len(starts) != 0 {
+		t.Fatalf("%d starts before the time", len(starts))
+	}
+	wall(time.Hour)
+	first := take[StartTask](s)
+	if len(first) != 1 || first[0].Order.Task != "0000000000000001.0.0.0" {
+		t.Fatalf("starts when due: %v", first)
+	}
+	s.report("w0", time.Minute, workflow.EndedTask{Number: 1, Task: first[0].Order.Task, Run: first[0].Order.Run, How: workflow.EndDone})
+	s.commit()
+	if state, _ := s.cell.State(job.ID); state != workflow.Running {
+		t.Errorf("state between two occurrences: %s", state)
+	}
+	wall(time.Hour + time.Second)
+	if second := take[StartTask](s); len(second) != 1 || second[0].Order.Task != "0000000000000001.1.0.0" {
+		t.Errorf("starts of the second occurrence: %v", second)
+	}
+}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -33,7 +33,7 @@
 	return w.known && w.listed && !w.unheard && !w.Draining && w.misses < missesBeforeSilent && (w.misses == 0 || !s.spec.Gang) &&
 		!c.now.Before(w.restUntil) && w.Service == s.job.queue.Service &&
 		(s.spec.RequiredLabel == "" || w.HasLabel(s.spec.RequiredLabel)) &&
-		s.spec.Resources.Fits(w.Capacity)
+		s.spec.Size().Fits(w.Capacity)
 }
 
 // admitted returns the workers that may run a step.
@@ -96,10 +96,10 @@
 	var bestCost float64
 	s := t.step
 	for _, w := range candidates {
-		if s.roomForMore(w) == 0 || !s.spec.Resources.Fits(c.free(w, r)) || w.allocations[t.name] != nil {
+		if s.roomForMore(w) == 0 || !s.spec.Size().Fits(c.free(w, r)) || w.allocations[t.name] != nil {
 			continue
 		}
-		left := w.Capacity.Sub(w.used).Sub(s.spec.Resources)
+		left := w.Capacity.Sub(w.used).Sub(s.spec.Size())
 		cost := float64(left.DominantShare(w.Capacity))
 		if w.misses > 0 {
 			cost += silentCost
@@ -110,7 +110,7 @@
 		if s.spec.DataRack != "" && w.Location.Rack != s.spec.DataRack {
 			cost += remoteCost
 		}
-		if r == rankUrgent && !s.spec.Resources.Fits(w.Capacity.Sub(w.used).Sub(w.reserved)) {
+		if r == rankUrgent && !s.spec.Size().Fits(w.Capacity.Sub(w.used).Sub(w.reserved)) {
 			cost += reservedCost
 		}
 		if best == nil || cost < bestCost {
@@ -188,7 +188,7 @@
 	shares := make([]share, 0, len(candidates))
 	total := 0
 	for _, w := range candidates {
-		n := min(timesIn(s.spec.Resources, room(w)), s.roomForMore(w))
+		n := min(timesIn(s.spec.Size(), room(w)), s.roomForMore(w))
 		if n > 0 {
 			shares = append(shares, share{w, n})
 			total += n
@@ -240,11 +240,11 @@
 	})
 	left := len(s.tasks)
 	for _, w := range candidates {
-		n := min(timesIn(s.spec.Resources, w.Capacity.Sub(w.reserved)), s.roomForMore(w), left)
+		n := min(timesIn(s.spec.Size(), w.Capacity.Sub(w.reserved)), s.roomForMore(w), left)
 		if n <= 0 {
 			continue
 		}
-		w.reserved = w.reserved.Add(s.spec.Resources.Scale(int64(n)))
+		w.reserved = w.reserved.Add(s.spec.Size().Scale(int64(n)))
 		if left -= n; left == 0 {
 			return
 		}
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -314,7 +314,7 @@
 	a := &allocation{name: r.Task, run: r.Run, state: taskRunning, confirmed: c.now, startedAt: c.now, movedAt: c.now}
 	a.resources = w.Capacity // the size is no longer stored once a job has ended
 	if t != nil {
-		a.resources = t.step.spec.Resources
+		a.resources = t.step.spec.Size()
 	}
 	w.allocations[r.Task] = a
 	w.used = w.used.Add(a.resources)
--- a/workflow/job.go
+++ b/workflow/job.go
@@ -116,6 +116,16 @@
 	return nil
 }
 
+// Size returns the room that one task takes. Fillers use idle processors, so
+// theirs are not counted.
+func (s *Step) Size() structs.Resources {
+	size := s.Resources
+	if s.Filler {
+		size.MilliCPU = 0
+	}
+	return size
+}
+
 // Chain returns the estimated length of the longest chain of steps.
 func (j *Job) Chain() time.Duration {
 	ends := make([]time.Duration, len(j.Steps))
