dispatch: fewer rows a commit

Change: acceptance is one row; progress within a job waits up to 0.4 s, which most urgent jobs end in; a commit is filled by entries. An end is acknowledged once the version of its job is durable.

--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -34,7 +34,7 @@
 			s.good = append(s.good, w)
 		}
 	}
-	for range steps/maxJobsPerCommit + 1 {
+	for range 2*steps/maxEntries + 1 {
 		commit, err := c.NextCommit(now)
 		if err != nil {
 			tb.Fatal(err)
--- a/dispatch/commit.go
+++ b/dispatch/commit.go
@@ -60,18 +60,52 @@
 	Removes  []tablestore.Name
 }
 
-// maxJobsPerCommit keeps a transaction within the store's 100 entries: two
-// rows a job, and a few of the cell's own.
-const maxJobsPerCommit = 46
+const (
+	// maxEntries keeps a transaction within the store's 100 entries; the
+	// leadership row and the list of workers come on top.
+	maxEntries = 96
+	// entriesPerJob is the most that one job takes.
+	entriesPerJob = 2
+	// lazyDelay is how long progress within a job may wait for a commit. Most
+	// urgent jobs end within it, so that a burst of them costs two rows a job
+	// instead of one for each task.
+	lazyDelay = 400 * time.Millisecond
+)
 
+// markDirty makes the next commit carry the state of a job.
 func (c *Cell) markDirty(j *job) {
-	if j.dirtyAt != 0 {
+	j.version++
+	if j.queued {
 		return
 	}
-	j.dirtyAt = max(c.now, 1)
+	j.queued = true
 	c.dirty = append(c.dirty, j)
 }
 
+// markProgress makes a commit carry the state of a job within lazyDelay.
+func (c *Cell) markProgress(j *job) {
+	j.version++
+	if j.queued || j.lazyAt != 0 {
+		return
+	}
+	j.lazyAt = c.now
+	c.lazy = append(c.lazy, j)
+}
+
+// queueProgress moves progress that has waited long enough to the next
+// commit.
+func (c *Cell) queueProgress() {
+	for len(c.lazy) > 0 && (c.lazy[0].lazyAt == 0 || c.now.Sub(c.lazy[0].lazyAt) >= lazyDelay) {
+		j := c.lazy[0]
+		c.lazy = c.lazy[1:]
+		if j.lazyAt != 0 && !j.queued {
+			j.queued = true
+			c.dirty = append(c.dirty, j)
+		}
+		j.lazyAt = 0
+	}
+}
+
 // NeedsCommit reports whether a commit would write anything.
 func (c *Cell) NeedsCommit() bool { return len(c.dirty) > 0 || c.workersChanged }
 
@@ -80,57 +114,43 @@
 func (c *Cell) NextCommit(now structs.Timestamp) (Commit, error) {
 	c.now = max(c.now, now)
 	c.sequence++
-	c.inCommit = true
 	commit := Commit{Sequence: c.sequence}
 	c.committing = c.committing[:0]
-	count := min(len(c.dirty), maxJobsPerCommit)
-	for _, j := range c.dirty[:count] {
+	taken := 0
+	for _, j := range c.dirty {
+		if len(commit.Puts)+len(commit.Removes)+entriesPerJob > maxEntries {
+			break
+		}
+		taken++
 		if err := c.write(&commit, j); err != nil {
 			return commit, err
 		}
-		j.dirtyAt = 0
-		j.inCommit = c.sequence
+		j.queued, j.lazyAt = false, 0
+		j.writing = j.version
 		c.committing = append(c.committing, j)
 	}
-	c.dirty = append(c.dirty[:0], c.dirty[count:]...)
+	c.dirty = append(c.dirty[:0], c.dirty[taken:]...)
 	if c.workersChanged {
 		c.workersChanged = false
 		if err := c.writeWorkers(&commit); err != nil {
 			return commit, err
 		}
 	}
-	// Ends processed so far are durable with this commit only if no dirty job
-	// is left over.
-	if len(c.dirty) > 0 {
-		c.postponeAcks()
-	}
 	return commit, nil
 }
 
-// postponeAcks moves the acknowledgement of ends to the next commit.
-func (c *Cell) postponeAcks() {
-	for _, w := range c.order {
-		for n := range w.unacked {
-			if w.unacked[n].sequence >= c.sequence {
-				w.unacked[n].sequence = c.sequence + 1
-			}
-		}
-	}
-}
-
+// write adds the rows of a job: the specification when it is accepted, then
+// its progress, and only the outcome once it has ended.
 func (c *Cell) write(commit *Commit, j *job) error {
 	id := string(j.spec.ID)
-	if !j.active() && j.durable && c.now.Sub(j.endedAt) > c.policy.KeepEnded {
-		commit.Removes = append(commit.Removes, tablestore.Name{Table: ProgressTable, Key: id}, tablestore.Name{Table: JobTable, Key: id})
+	switch {
+	case !j.active() && j.durable && c.now.Sub(j.endedAt) > c.policy.KeepEnded:
+		commit.Removes = append(commit.Removes, tablestore.Name{Table: ProgressTable, Key: id})
 		delete(c.jobs, j.spec.ID)
 		return nil
-	}
-	if !j.durable && j.inCommit == 0 {
-		if err := put(commit, JobTable, id, jobRow{j.spec, j.queue, j.accepted}); err != nil {
-			return err
-		}
-	}
-	if !j.active() && j.durable && !j.dropSpec {
+	case j.active() && j.writing == 0 && !j.recovered:
+		return put(commit, JobTable, id, jobRow{j.spec, j.queue, j.accepted})
+	case !j.active() && !j.dropSpec && (j.writing > 0 || j.recovered):
 		commit.Removes = append(commit.Removes, tablestore.Name{Table: JobTable, Key: id})
 		j.dropSpec = true
 	}
@@ -186,17 +206,20 @@
 
 // committed processes a commit that is durable.
 func (c *Cell) committed(sequence uint64) {
-	c.inCommit = false
+	if sequence != c.sequence {
+		return
+	}
 	for _, j := range c.committing {
 		c.jobCommitted(j)
 	}
 	for _, w := range c.order {
-		c.acknowledge(w, sequence)
+		w.acknowledge()
 	}
 	c.placeAgain = true
 }
 
 func (c *Cell) jobCommitted(j *job) {
+	j.committed = j.writing
 	if !j.durable {
 		j.durable = true
 		c.emit(Observation{Name: "accept", Queue: j.queue.Name, Value: c.now.Sub(j.accepted)})
@@ -208,23 +231,24 @@
 		}
 	}
 	c.answer(&j.waiting, Accepted, 0)
-	if j.dirtyAt != 0 || j.active() {
-		return // an end that is not in this commit is not visible yet
+	if j.active() || j.committed < j.endedIn {
+		return
 	}
 	c.answer(&j.cancels, Accepted, 0)
 	if !j.visible.IsTerminal() {
 		j.visible = visibleState(j)
 		c.ended = append(c.ended, j)
 		c.emit(Observation{Name: "turnaround", Queue: j.queue.Name, Value: c.now.Sub(j.accepted)})
-		if !j.dropSpec {
-			c.markDirty(j) // removes the specification
-		}
 	}
 }
 
-func (c *Cell) acknowledge(w *worker, sequence uint64) {
-	for len(w.unacked) > 0 && w.unacked[0].sequence <= sequence {
+// acknowledge moves the acknowledged end up to the first one whose effect is
+// not durable.
+func (w *worker) acknowledge() {
+	for len(w.unacked) > 0 && w.unacked[0].isDurable() {
 		w.acknowledged = max(w.acknowledged, w.unacked[0].number)
 		w.unacked = w.unacked[1:]
 	}
 }
+
+func (a *ackPoint) isDurable() bool { return a.job == nil || a.job.committed >= a.version }
--- /dev/null
+++ b/dispatch/commit_test.go
@@ -0,0 +1,76 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/mangodrum/mangodrum/structs"
+	"github.com/mangodrum/mangodrum/workflow"
+)
+
+// TestBurstCostsTwoRowsAJob guards against commits that cannot keep up with a
+// burst of small urgent jobs: at 300 jobs a second each end of a task wrote a
+// row, accepting took 0.85 s and submissions were refused (sadm-drum-grown
+// scale-2).
+func TestBurstCostsTwoRowsAJob(t *testing.T) {
+	const jobs, tasks = 60, 3
+	s := newScene(t, 30, roomy)
+	step := workflow.Step{Tasks: tasks, Estimate: 300 * time.Millisecond, Resources: structs.Resources{MilliCPU: 2500}}
+	for n := range jobs {
+		job := workflow.Job{ID: structs.JobID(fmt.Sprintf("%016x", n)), Steps: []workflow.Step{step}}
+		s.reduce(SubmitJob{Ref: Ref(n), Job: job, Queue: batchQueue(nil)})
+	}
+	rows := 0
+	flush := func() {
+		for s.cell.NeedsCommit() {
+			commit, err := s.cell.NextCommit(s.now)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if entries := len(commit.Puts) + len(commit.Removes); entries > 98 {
+				t.Fatalf("a commit of %d entries, the store takes 100 with the leadership row", entries)
+			}
+			rows += len(commit.Puts) + len(commit.Removes)
+			s.reduce(CommitAnswered{Sequence: commit.Sequence})
+			s.place()
+		}
+	}
+	flush()
+	starts := take[StartTask](s)
+	if len(starts) != jobs*tasks {
+		t.Fatalf("%d starts, want %d", len(starts), jobs*tasks)
+	}
+	numbers := map[structs.WorkerID]uint64{}
+	for n, start := range starts { // the tasks end one after the other
+		numbers[start.Worker.ID]++
+		s.now = s.now.Add(time.Millisecond)
+		s.report(start.Worker.ID, time.Second, workflow.EndedTask{
+			Number: numbers[start.Worker.ID], Task: start.Order.Task, Run: start.Order.Run, How: workflow.EndDone,
+		})
+		if n%10 == 0 {
+			flush()
+		}
+	}
+	flush()
+	const want = jobs*3 + 10 // the specification, its removal and the outcome of each job; the list of workers
+	if rows > want {
+		t.Errorf("%d rows for %d jobs of %d tasks, want at most %d", rows, jobs, tasks, want)
+	}
+}
+
+// TestEndIsAcknowledgedWhenDurable guards against losing an end: a worker
+// forgets what is acknowledged.
+func TestEndIsAcknowledgedWhenDurable(t *testing.T) {
+	s, starts := submitted(t, 1, arrayJob(2, false), batchQueue(nil))
+	order := starts[0].Order
+	s.report("w0", time.Second, workflow.EndedTask{Number: 1, Task: order.Task, Run: order.Run, How: workflow.EndDone})
+	w := s.cell.workers["w0"]
+	if s.commit(); w.acknowledged != 0 {
+		t.Error("an end is acknowledged although its progress waits for a later commit")
+	}
+	s.pass(lazyDelay)
+	if s.commit(); w.acknowledged != 1 {
+		t.Errorf("acknowledged through %d after the commit with the progress, want 1", w.acknowledged)
+	}
+}
--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -133,6 +133,7 @@
 		}
 	}
 	c.markDirty(j)
+	j.endedIn = j.version
 }
 
 // endStep takes a step out of the queue and stops its tasks.
@@ -212,7 +213,7 @@
 	} else {
 		c.taskSucceeded(t)
 	}
-	c.markDirty(s.job)
+	c.markProgress(s.job)
 	if s.left > 0 || !s.job.active() {
 		return
 	}
@@ -264,7 +265,7 @@
 	}
 	owner.failedRuns = append(owner.failedRuns, run)
 	j := t.step.job
-	c.markDirty(j)
+	c.markProgress(j)
 	limit := j.queue.MaxAttempts
 	if limit > 0 && len(owner.failedRuns) >= limit && !t.step.spec.LongRunning && j.active() {
 		c.endJob(j, jobFailed)
--- a/dispatch/recover.go
+++ b/dispatch/recover.go
@@ -1,7 +1,9 @@
 package dispatch
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -37,6 +39,10 @@
 		if err := c.recoverJob(row, specs); err != nil {
 			return err
 		}
+		delete(specs, row.Key)
+	}
+	for _, key := range slices.Sorted(maps.Keys(specs)) {
+		c.recoverAccepted(specs[key]) // nothing has happened to it yet
 	}
 	horizon := time.Duration(float64(c.policy.Horizon)/slowClock) + leaseMargin
 	c.oldLeasesEnd = lastCommit.Add(horizon)
@@ -80,6 +86,16 @@
 	return nil
 }
 
+// recoverAccepted takes over a job without stored progress.
+func (c *Cell) recoverAccepted(spec jobRow) {
+	j := c.newJob(spec.Spec, spec.Queue, spec.Accepted)
+	j.durable, j.recovered = true, true
+	c.jobs[j.spec.ID] = j
+	for _, occ := range j.runs {
+		c.queueReady(occ)
+	}
+}
+
 // restore applies the stored progress of an occurrence.
 func (o *occurrence) restore(run runRow) {
 	for n, stored := range run.Steps {
--- a/dispatch/reduce.go
+++ b/dispatch/reduce.go
@@ -60,6 +60,7 @@
 
 func (c *Cell) tick() {
 	c.startOccurrences()
+	c.queueProgress()
 	for _, w := range c.order {
 		c.tickWorker(w)
 	}
@@ -120,7 +121,7 @@
 }
 
 func (c *Cell) mayRefuse(j *job) bool {
-	return !j.durable && j.inCommit == 0 && c.now.Sub(j.accepted) > c.policy.CommitWait
+	return !j.durable && j.writing == 0 && c.now.Sub(j.accepted) > c.policy.CommitWait
 }
 
 // retryAfterStore is what a refused caller is told while the store does not
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -28,10 +28,10 @@
 	oldLeasesEnd   structs.Timestamp
 	confirmed      structs.Timestamp // the last commit that proved the leadership was sent at this time
 	guarded        map[string]bool
-	dirty          []*job
+	dirty          []*job // for the next commit
+	lazy           []*job // for a commit within lazyDelay
 	committing     []*job // jobs of the commit that is on its way
 	sequence       uint64
-	inCommit       bool
 	workersChanged bool
 	placeAgain     bool
 	storeAway      bool          // commits fail; new submissions are refused at once
@@ -52,8 +52,12 @@
 	nextDue   int // next occurrence to create
 	waiting   []Ref
 	cancels   []Ref
-	dirtyAt   structs.Timestamp // when it became dirty; 0 if it is not
-	inCommit  uint64            // sequence of the commit that carries its newest state
+	version   uint64            // rises with each change
+	writing   uint64            // version in the newest commit
+	committed uint64            // newest durable version
+	endedIn   uint64            // version with the end
+	queued    bool              // in Cell.dirty
+	lazyAt    structs.Timestamp // since when in Cell.lazy; 0 if it is not
 	endedAt   structs.Timestamp
 	started   bool
 	recovered bool // taken over from a previous leader
@@ -183,10 +187,12 @@
 	lastContact structs.Timestamp
 }
 
-// ackPoint says that the ends up to number are durable with a commit.
+// ackPoint says which version of a job an end is part of. The end may be
+// acknowledged once that version is durable.
 type ackPoint struct {
-	number   uint64
-	sequence uint64
+	number  uint64
+	job     *job // nil if the end changed nothing
+	version uint64
 }
 
 // New returns the dispatcher of a leader with the given fencing token.
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -238,12 +238,21 @@
 		return
 	}
 	w.processed = end.Number
+	t := c.findTask(end.Task)
+	point := ackPoint{number: end.Number}
+	if t != nil {
+		point.job = t.step.job
+	}
 	if a := w.allocations[end.Task]; a != nil && a.run == end.Run {
 		c.runEnded(w, a, end)
-	} else if t := c.findTask(end.Task); t != nil {
+	} else if t != nil {
 		c.endElsewhere(t, end)
 	}
-	w.unacked = append(w.unacked, ackPoint{end.Number, c.sequence + 1})
+	if point.job != nil {
+		point.version = point.job.version
+	}
+	w.unacked = append(w.unacked, point)
+	w.acknowledge()
 }
 
 // endElsewhere processes an end of a run that this leader did not start.
