--- a/cell/leader.go
+++ b/cell/leader.go
@@ -46,10 +46,12 @@
 
 // member is another instance as the leader knows it.
 type member struct {
-	address string
-	share   float64 // of a processor, in cores
-	heardAt structs.Timestamp
-	config  uint64 // version that it has
+	address  string
+	share    float64 // of a processor, in cores
+	heardAt  structs.Timestamp
+	config   uint64            // version that it has
+	behindAt structs.Timestamp // since when that is not the newest
+	helpedAt structs.Timestamp // it was last sent the newest
 }
 
 type pendingCommit struct {
@@ -390,26 +392,55 @@
 	l.log.Info("release", "error", errText(err))
 }
 
+const (
+	// configPatience is how long a follower may be behind before the leader
+	// sends it the configuration: it reads the store itself, and a
+	// configuration may be large.
+	configPatience = time.Second
+	// configRepeat separates two such messages to one follower.
+	configRepeat = time.Second
+)
+
 // beat sends heartbeats to the other instances.
 func (l *leader) beat() {
-	version := l.instance.config.version()
+	now, version := l.now(), l.instance.config.version()
 	l.peersMu.Lock()
-	behind := map[structs.InstanceID]bool{}
+	helped := map[structs.InstanceID]bool{}
 	strongest := l.instance.options.Share
 	for id, m := range l.peers {
 		strongest = max(strongest, m.share)
-		behind[id] = m.config < version && m.heardAt != 0
+		helped[id] = m.needsConfig(version, now)
 	}
 	l.peersMu.Unlock()
-	for id, old := range behind {
-		b := heartbeat{Epoch: l.epoch, Address: l.instance.options.PeerAddress, StoreHealthy: l.healthy(), ConfigVersion: version, Strongest: strongest}
-		if old {
+	for id, help := range helped {
+		b := heartbeat{
+			Epoch: l.epoch, Address: l.instance.options.PeerAddress, StoreHealthy: l.healthy(),
+			ConfigVersion: version, Strongest: strongest,
+		}
+		if help {
 			b.Config = l.instance.config.value()
 		}
 		l.instance.send(id, peer.KindLeader, 0, b)
 	}
 }
 
+// needsConfig reports whether the follower has been behind for so long that
+// it probably does not reach the store.
+func (m *member) needsConfig(version uint64, now structs.Timestamp) bool {
+	if m.config >= version || m.heardAt == 0 {
+		m.behindAt = 0
+		return false
+	}
+	if m.behindAt == 0 {
+		m.behindAt = now
+	}
+	if now.Sub(m.behindAt) < configPatience || now.Sub(m.helpedAt) < configRepeat {
+		return false
+	}
+	m.helpedAt = now
+	return true
+}
+
 func (l *leader) members() []structs.InstanceID {
 	l.peersMu.Lock()
 	defer l.peersMu.Unlock()
