--- a/cell/store.go
+++ b/cell/store.go
@@ -9,8 +9,8 @@
 	"github.com/mangodrum/mangodrum/tablestore"
 )
 
-// assistedStore calls the store, and where the store turns this instance away
-// asks a peer to make the call. Every call of the cell may be repeated: reads
+// assistedStore calls the store, and where the store turns a leader away asks
+// a follower to make the call. Every call of the cell may be repeated: reads
 // change nothing, and writes are conditional or have the same effect twice.
 type assistedStore struct {
 	instance *Instance
@@ -203,15 +203,13 @@
 	s.resting[id] = time.Now().Add(helperPause)
 }
 
-// helpers returns the peers that this instance can ask: the leader, or for
-// the leader its followers.
+// helpers returns the followers that a leader can ask. A follower asks nobody:
+// it needs the store for the configuration only, which the leader sends it,
+// and the calls of many followers would take the leader's own connections.
 func (i *Instance) helpers() []structs.InstanceID {
-	local, remote, _ := i.current()
-	if local != nil {
-		return local.connected()[1:]
-	}
-	if remote == "" {
+	local, _, _ := i.current()
+	if local == nil {
 		return nil
 	}
-	return []structs.InstanceID{remote}
+	return local.connected()[1:]
 }
