cell: report slow commits

Cause: a slow acceptance could not be traced to its commit from the logs. Change: a line with the time, the tries and the entries of a commit over 0.3 s. Before and after: not measured.

--- a/cell/leader.go
+++ b/cell/leader.go
@@ -62,6 +62,7 @@
 	retryAt  structs.Timestamp
 	sending  bool
 	failures int // tries without a usable answer
+	madeAt   structs.Timestamp
 }
 
 const (
@@ -77,6 +78,8 @@
 	maxCommitTimeout   = 3 * time.Second
 	commitRetry        = 100 * time.Millisecond
 	maxCommitRetry     = 250 * time.Millisecond
+	// slowCommit is several times what a commit takes from the far region.
+	slowCommit = 300 * time.Millisecond
 	// failuresUntilAway tells one lost answer from a store that is away.
 	failuresUntilAway = 2
 	// unhealthyAfter is the age of the last commit at which the leader tells
@@ -294,7 +297,7 @@
 	}
 	puts := append([]tablestore.Put{{Table: dispatch.CellTable, Key: leaderKey, Value: value}}, commit.Puts...)
 	l.pending = &pendingCommit{
-		commit: commit, row: row, timeout: firstCommitTimeout,
+		commit: commit, row: row, timeout: firstCommitTimeout, madeAt: now,
 		tx: tablestore.Tx{Part: Part, Puts: puts, Removes: commit.Removes},
 	}
 	return true
@@ -353,6 +356,10 @@
 		l.log.Info("dependency", "name", "store", "healthy", true, "away_ms", int64(now.Sub(l.okSince)/time.Millisecond))
 	}
 	l.instance.metrics.observe("commit", "kind", "leader", now.Sub(sentAt))
+	if took := now.Sub(p.madeAt); took > slowCommit {
+		l.log.Warn("slow commit", "took", took.String(), "last_try", now.Sub(sentAt).String(), "tries", p.failures+1,
+			"entries", len(p.tx.Puts)+len(p.tx.Removes))
+	}
 	l.row, l.version, l.okSince, l.pending = p.row, version, now, nil
 	l.cell.Confirm(sentAt)
 	l.reduce(dispatch.CommitAnswered{Sequence: p.commit.Sequence})
