cell: name the figure of each decision in the log

Cause: the field value meant something else in every line. Change: the figure has the name of what it is, by event. Before and after: not measured. Conclusion: kept.

--- a/cell/effects.go
+++ b/cell/effects.go
@@ -54,6 +54,16 @@
 	}
 }
 
+// decisionInputs names the figure that decided, by event.
+var decisionInputs = map[string]string{
+	"accept": "since_submit_ms", "refuse": "since_submit_ms",
+	"start": "since_ready_ms", "stop": "percent", "run_ended": "failed_runs", "start_unanswered": "tries",
+	"job_done": "since_submit_ms", "job_failed": "since_submit_ms", "job_cancelled": "since_submit_ms",
+	"advice": "good_workers", "task_stalled": "percent", "quarantine": "failures",
+	"worker_silent": "runs", "worker_restarted": "runs", "lease_over": "runs", "worker_back": "missed_renewals",
+	"worker_draining": "remaining_ms", "recovery_complete": "jobs",
+}
+
 func (l *leader) logDecision(d dispatch.Decision) {
 	l.instance.metrics.count("decisions", "event", d.Event)
 	args := make([]any, 0, 12)
@@ -72,7 +82,10 @@
 	if d.Reason != "" {
 		args = append(args, "reason", d.Reason)
 	}
-	l.log.Info(d.Event, append(args, "value", d.Value)...)
+	if input := decisionInputs[d.Event]; input != "" {
+		args = append(args, input, d.Value)
+	}
+	l.log.Info(d.Event, args...)
 }
 
 // connected returns this instance and the followers heard of lately.
