gateway: a superseded attempt keeps its slot until its executor is done

Cause: when a hedge or the first attempt won, the other one's connection was closed and its slot given away at once, while the executor went on working. Ruled out with hedging switched off: eight copies of TestSlotsUnderFlood side by side then fail for ports only; the copies took each other's ports. Change: the losing attempt's request direction is closed, and its slot is free when the executor answers or closes, at the latest at the attempt's deadline; freePortBase starts at a place of its own in each process.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -75,6 +75,10 @@
 
 // abort closes the attempt's connection and reports how the attempt ended.
 func (c *call) abort(conn *execConn, send router.Send, kind router.ResultKind) bool {
+	if kind == router.Broken && c.flightOf(&send).isSuperseded() {
+		c.linger(conn, send)
+		return c.gone.Load()
+	}
 	c.flightOf(&send).detach()
 	conn.pool.discard(conn)
 	return c.failed(send, kind)
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -80,6 +80,9 @@
 		close(g.stop)
 		g.mu.Lock()
 		g.closing = true
+		for conn := range g.lingering {
+			_ = conn.Close()
+		}
 		for _, c := range g.calls {
 			c.flights[1].cancel()
 		}
--- a/gateway/flight.go
+++ b/gateway/flight.go
@@ -4,6 +4,7 @@
 	"math"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/mangodrum/mangodrum/router"
 	"github.com/mangodrum/mangodrum/structs"
@@ -17,6 +18,9 @@
 	attempt   int
 	conn      *execConn
 	cancelled bool
+	// superseded: another attempt's answer is passed on. The executor is told
+	// by the end of the request's direction, and may still work.
+	superseded bool
 }
 
 func (f *flight) attach(conn *execConn, send *router.Send) {
@@ -24,7 +28,7 @@
 	defer f.mu.Unlock()
 	f.attempt = send.Attempt
 	f.conn = conn
-	f.cancelled = false
+	f.cancelled, f.superseded = false, false
 	f.until.Store(int64(send.Deadline))
 }
 
@@ -49,6 +53,33 @@
 	_ = f.conn.Close()
 }
 
+// supersede ends the request's direction of the attempt's connection and
+// interrupts its reader. The other direction stays open: the executor holds
+// its slot until it answers or closes.
+func (f *flight) supersede() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.conn == nil || f.cancelled {
+		return
+	}
+	f.cancelled = true
+	half, ok := f.conn.Conn.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil || f.conn.SetReadDeadline(longAgo) != nil {
+		_ = f.conn.Close()
+		return
+	}
+	f.superseded = true
+}
+
+// longAgo is a deadline that interrupts a blocked read.
+var longAgo = time.Unix(1, 0)
+
+func (f *flight) isSuperseded() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.superseded
+}
+
 func (f *flight) is(attempt int) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -66,7 +97,12 @@
 // cancelAttempt closes the connection of one attempt.
 func (c *call) cancelAttempt(attempt int) {
 	for i := range c.flights {
-		if f := &c.flights[i]; f.is(attempt) {
+		f := &c.flights[i]
+		switch {
+		case !f.is(attempt):
+		case c.winner.Load() != 0:
+			f.supersede()
+		default:
 			f.cancel()
 		}
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -49,6 +49,8 @@
 	loops conc.WaitGroup
 	// hedges has one goroutine per second attempt.
 	hedges conc.WaitGroup
+	// lingering holds connections of superseded attempts.
+	lingering map[*execConn]bool
 }
 
 // New returns a gateway with its background loops running. Close or Drain
@@ -59,9 +61,9 @@
 		opts:    opts,
 		pools:   newPoolSet(opts.Limits),
 		metrics: newMeters(opts.Metrics),
-		calls:   map[router.Ref]*call{},
-		stop:    make(chan struct{}),
-		wake:    make(chan struct{}, 1),
+		calls:   map[router.Ref]*call{}, lingering: map[*execConn]bool{},
+		stop: make(chan struct{}),
+		wake: make(chan struct{}, 1),
 	}
 	g.state = router.New(router.Config{
 		Instance: opts.Instance, Location: opts.Location, Seed: opts.Seed,
--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -29,7 +29,7 @@
 // touches neither the request nor the response of the caller's connection.
 func (c *call) hedge(send router.Send) {
 	kind, ok := c.tryHedge(&send)
-	if ok {
+	if ok || kind == lingering {
 		return
 	}
 	switch {
@@ -60,34 +60,74 @@
 			return 0, true
 		}
 	}
+	if flight.isSuperseded() {
+		c.linger(conn, *send)
+		return lingering, false
+	}
 	flight.detach()
 	conn.pool.discard(conn)
 	return kind, false
 }
 
-// handOver makes the hedge's answer the one that is passed on. Answers that a
-// retry may better do not count.
-func (c *call) handOver(conn *execConn, send *router.Send, latency time.Duration) bool {
+// lingering stands for the result of a superseded attempt that is reported
+// when its executor is done.
+const lingering = router.ResultKind(-1)
+
+// linger keeps the slot of a superseded attempt until its executor answers or
+// closes the connection, at the latest until the attempt's deadline: an
+// executor that goes on working is not free.
+func (c *call) linger(conn *execConn, send router.Send) {
 	g := c.g
+	c.flightOf(&send).detach()
+	left := send.Deadline.Sub(g.opts.Now())
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	if isRetriable(&conn.head) || g.calls[c.ref] != c || !c.win(send) {
-		return false
+	if !g.closing {
+		g.lingering[conn] = true
+		g.hedges.Go(func() {
+			if conn.SetReadDeadline(time.Now().Add(left)) == nil {
+				_, _ = conn.reader.Peek(1) // any outcome means that the executor is done
+			}
+			g.mu.Lock()
+			delete(g.lingering, conn)
+			g.mu.Unlock()
+			c.superseded(conn, send)
+		})
+		g.mu.Unlock()
+		return
 	}
-	c.actions <- action{kind: actHedged, answer: begunAnswer{conn, *send, latency}}
-	return true
+	g.mu.Unlock()
+	c.superseded(conn, send)
+}
+
+// superseded reports the end of an attempt whose answer nobody waits for.
+func (c *call) superseded(conn *execConn, send router.Send) {
+	conn.pool.discard(conn)
+	c.attemptEnded(send.Attempt, router.Result{Kind: router.Superseded, Replayable: true}, false)
 }
 
 // win makes an attempt the one whose answer is passed on, unless another one
-// is, and cancels the other.
+// is, and supersedes the other.
 func (c *call) win(send *router.Send) bool {
 	if !c.winner.CompareAndSwap(0, int32(send.Attempt)) {
 		return false
 	}
 	if send.Hedge {
-		c.flights[0].cancel()
+		c.flights[0].supersede()
 	} else {
-		c.flights[1].cancel()
+		c.flights[1].supersede()
 	}
 	return true
 }
+
+// handOver makes the hedge's answer the one that is passed on. Answers that a
+// retry may better do not count.
+func (c *call) handOver(conn *execConn, send *router.Send, latency time.Duration) bool {
+	g := c.g
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if isRetriable(&conn.head) || g.calls[c.ref] != c || !c.win(send) {
+		return false
+	}
+	c.actions <- action{kind: actHedged, answer: begunAnswer{conn, *send, latency}}
+	return true
+}
--- a/gateway/hedge_test.go
+++ b/gateway/hedge_test.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/mangodrum/mangodrum/structs"
 )
 
 // hangOnce returns a script that never answers the first request to /late and
@@ -76,3 +78,51 @@
 		}
 	}
 }
+
+// Guards against a slot that is given away while the executor still works on
+// an attempt that another one overtook: under floods executors got more
+// requests than they have slots.
+func TestSupersededAttemptKeepsItsSlot(t *testing.T) {
+	arrived, told, done := make(chan struct{}), make(chan struct{}), make(chan struct{})
+	var hung atomic.Bool
+	script := func(r *http.Request, body string, w net.Conn) bool {
+		if r.URL.Path != "/late" || hung.Swap(true) {
+			return answerOK(r, body, w)
+		}
+		close(arrived)
+		_, _ = w.Read(make([]byte, 1)) // the other attempt has won
+		close(told)
+		<-done // and the executor works on
+		return false
+	}
+	f := newFixture(t, nil, startFake(t, "e1", script), startFake(t, "e2", script))
+	for range 10 {
+		f.send("GET", "/", "", HeaderClass, "urgent")
+	}
+	late := f.async("PUT", "/late", "a", HeaderClass, "urgent")
+	await(t, "request at the executor", arrived)
+	f.advance(100 * time.Millisecond)
+	if r := await(t, "reply", late); r.outcome != "answered" {
+		t.Fatalf("reply = %+v, want the second attempt's answer", r)
+	}
+	await(t, "end of the request's direction", told)
+	if n := f.inFlight(); n != 1 {
+		t.Errorf("%d slots taken while the executor works, want 1", n)
+	}
+	close(done)
+	ticker := time.NewTicker(time.Millisecond) // the end of the connection takes real time
+	defer ticker.Stop()
+	for range 2000 {
+		if <-ticker.C; f.inFlight() == 0 {
+			return
+		}
+	}
+	t.Errorf("%d slots taken after the executor is done, want 0", f.inFlight())
+}
+
+// inFlight returns the slots in use at all executors.
+func (f *fixture) inFlight() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.state.Stats(structs.Timestamp(f.clock.Load())).SlotsUsed
+}
--- a/internal/daemon/dev_test.go
+++ b/internal/daemon/dev_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -87,10 +88,14 @@
 	return value
 }
 
-// freePortBase returns a port that is free now with its two neighbours.
+// freePortBase returns a port that is free now with its two neighbours. The
+// search starts at a place of its own in each process, so that tests side by
+// side do not take each other's ports between the look and the use.
 func freePortBase(t *testing.T) int {
 	t.Helper()
-	for port := 21000; port < 60000; port += 100 {
+	const first, ports, step = 21000, 11000, 10 // below the ephemeral ports
+	for n := range ports / step {
+		port := first + (os.Getpid()*37*step+n*step)%ports
 		listeners, err := listenAll(structs.InstanceInfo{
 			CallerAddress: fmt.Sprintf("127.0.0.1:%d", port), OperatorAddress: fmt.Sprintf("127.0.0.1:%d", port+1),
 			PeerAddress: fmt.Sprintf("127.0.0.1:%d", port+2),
