--- a/cell/leader.go
+++ b/cell/leader.go
@@ -39,6 +39,7 @@
 	replies   map[dispatch.Ref]chan dispatch.Reply
 	nextRef   dispatch.Ref
 	released  bool
+	away      bool // commits do not succeed
 
 	peersMu sync.Mutex
 	peers   map[structs.InstanceID]*member
@@ -78,6 +79,9 @@
 	maxCommitTimeout   = 3 * time.Second
 	commitRetry        = 100 * time.Millisecond
 	maxCommitRetry     = 250 * time.Millisecond
+	// awayAfter is longer than a commit takes while the store is 60 times as
+	// slow as usual.
+	awayAfter = 1200 * time.Millisecond
 	// slowCommit is several times what a commit takes from the far region.
 	slowCommit = 300 * time.Millisecond
 	// failuresUntilAway tells one lost answer from a store that is away.
@@ -272,6 +276,9 @@
 		}
 	}
 	p := l.pending
+	if now.Sub(p.madeAt) > awayAfter {
+		l.storeAway("a commit has no answer")
+	}
 	if p.sending || now.Before(p.retryAt) {
 		return
 	}
@@ -280,6 +287,16 @@
 	l.group.Go(func() { l.sendCommit(p, now) })
 }
 
+// storeAway makes the dispatcher refuse submissions until a commit succeeds.
+func (l *leader) storeAway(reason string) {
+	if l.away {
+		return
+	}
+	l.away = true
+	l.log.Info("dependency", "name", "store", "healthy", false, "error", reason)
+	l.reduce(dispatch.StoreHealth{Away: true})
+}
+
 func (l *leader) nextCommit(now structs.Timestamp) bool {
 	commit, err := l.cell.NextCommit(now)
 	if err != nil {
@@ -324,9 +341,8 @@
 	case errs.Is(err, errs.Conflict):
 		l.commitConflict(p, sentAt, page)
 	default:
-		if p.failures++; p.failures == failuresUntilAway {
-			l.log.Info("dependency", "name", "store", "healthy", false, "error", err.Error())
-			l.reduce(dispatch.StoreHealth{Away: true})
+		if p.failures++; p.failures >= failuresUntilAway {
+			l.storeAway(err.Error())
 		}
 		l.instance.metrics.count("commit_failures", "kind", string(errs.KindOf(err)))
 		p.timeout = min(p.timeout*8/5, maxCommitTimeout)
@@ -351,7 +367,8 @@
 
 func (l *leader) commitDone(p *pendingCommit, sentAt structs.Timestamp, version uint64) {
 	now := l.now()
-	if p.failures >= failuresUntilAway {
+	if l.away {
+		l.away = false
 		l.reduce(dispatch.StoreHealth{})
 		l.log.Info("dependency", "name", "store", "healthy", true, "away_ms", int64(now.Sub(l.okSince)/time.Millisecond))
 	}
