dispatch: gangs take workers with tickets first and renew while they stop

Change: a gang goes to workers with valid tickets if it fits there; the tickets are renewed while a broken gang stops; reservations take the slots that lack least, and one more gang may reserve for each 16 workers.

--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -164,11 +164,32 @@
 
 // hasTicket reports whether a task may start on its worker now.
 func (c *Cell) hasTicket(t *task) bool {
-	if t.step.job.queue.Advisor == nil {
+	return c.isTicketValid(t.step, t.at)
+}
+
+func (c *Cell) isTicketValid(s *step, w *worker) bool {
+	if s.job.queue.Advisor == nil {
 		return true
 	}
-	known := t.step.advice[t.at.ID]
-	return known.good && known.life == t.at.Incarnation && c.now.Before(known.until)
+	known := s.advice[w.ID]
+	return known.good && known.life == w.Incarnation && c.now.Before(known.until)
+}
+
+// renewForRestart renews the tickets of the workers that a broken gang was on,
+// while its members are being stopped.
+func (c *Cell) renewForRestart(s *step) {
+	if s.job.queue.Advisor == nil || s.asking > 0 {
+		return
+	}
+	var names []structs.WorkerID
+	for _, t := range s.tasks {
+		if t.at != nil && c.eligible(s, t.at) && !slices.Contains(names, t.at.ID) {
+			names = append(names, t.at.ID)
+		}
+	}
+	if len(names) > 0 {
+		c.ask(s, names)
+	}
 }
 
 // startPlaced starts the placed tasks that have tickets and asks for the
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -206,6 +206,10 @@
 // breakGang stops the members of a run that lost one of them, so that their
 // room is free for the next run.
 func (c *Cell) breakGang(s *step, run uint64) {
+	if s.brokenRun != run {
+		s.brokenRun = run
+		c.renewForRestart(s)
+	}
 	for _, t := range s.tasks {
 		if t.run != run {
 			continue
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -17,7 +17,7 @@
 		s := contender.step
 		if s.spec.Gang {
 			placed := c.placeGang(s, contender.rank)
-			if !placed && reserving < c.policy.MaxReserving && contender.rank <= rankOnTime {
+			if !placed && reserving < c.maxReserving() && contender.rank <= rankOnTime {
 				reserving++
 				c.reserve(s)
 			}
@@ -27,6 +27,12 @@
 	}
 }
 
+// maxReserving returns how many gangs may reserve room at a time. A larger
+// cell has room for more of them beside its other work.
+func (c *Cell) maxReserving() int {
+	return max(c.policy.MinReserving, len(c.order)/c.policy.WorkersPerReserving)
+}
+
 // eligible reports whether a worker may get new tasks of a step, as far as is
 // known without the advisor.
 func (c *Cell) eligible(s *step, w *worker) bool {
@@ -181,9 +187,25 @@
 			}
 		}
 	}
+	if ticketed := c.ticketed(s, candidates); len(ticketed) < len(candidates) {
+		if shares := c.spreadOver(s, ticketed, room); shares != nil {
+			return shares // starts at once, without another call for advice
+		}
+	}
 	return c.spreadOver(s, candidates, room)
 }
 
+// ticketed returns the candidates for which the step has a valid ticket.
+func (c *Cell) ticketed(s *step, candidates []*worker) []*worker {
+	list := make([]*worker, 0, len(candidates))
+	for _, w := range candidates {
+		if c.isTicketValid(s, w) {
+			list = append(list, w)
+		}
+	}
+	return list
+}
+
 func (c *Cell) spreadOver(s *step, candidates []*worker, room func(*worker) structs.Resources) []share {
 	shares := make([]share, 0, len(candidates))
 	total := 0
@@ -229,24 +251,31 @@
 	return int(n)
 }
 
+// slot is room for one member of a gang on a worker.
+type slot struct {
+	worker *worker
+	lack   int64 // thousandths of a core that still have to become free
+}
+
 // reserve keeps room for a gang that does not fit yet. It answers the load
 // of many small tasks that would otherwise take each piece of room as it
-// becomes free, and starve wide gangs. The workers with the most free room
-// come first, since they are complete soonest.
+// becomes free, and starve wide gangs. The slots that lack least come first:
+// they are complete after the fewest ends of other tasks.
 func (c *Cell) reserve(s *step) {
-	candidates := c.admitted(s)
-	slices.SortStableFunc(candidates, func(a, b *worker) int {
-		return cmp.Compare(b.Capacity.MilliCPU-b.used.MilliCPU-b.reserved.MilliCPU, a.Capacity.MilliCPU-a.used.MilliCPU-a.reserved.MilliCPU)
-	})
-	left := len(s.tasks)
-	for _, w := range candidates {
-		n := min(timesIn(s.spec.Size(), w.Capacity.Sub(w.reserved)), s.roomForMore(w), left)
-		if n <= 0 {
-			continue
-		}
-		w.reserved = w.reserved.Add(s.spec.Size().Scale(int64(n)))
-		if left -= n; left == 0 {
-			return
+	size := s.spec.Size()
+	var slots []slot
+	for _, w := range c.admitted(s) {
+		free := w.Capacity.Sub(w.used).Sub(w.reserved)
+		count := min(timesIn(size, w.Capacity.Sub(w.reserved)), s.roomForMore(w), len(s.tasks))
+		for n := range count {
+			slots = append(slots, slot{w, max(0, int64(n+1)*size.MilliCPU-free.MilliCPU)})
 		}
 	}
+	if len(slots) < len(s.tasks) {
+		return // the advisor has admitted too few workers so far
+	}
+	slices.SortStableFunc(slots, func(a, b slot) int { return cmp.Compare(a.lack, b.lack) })
+	for _, sl := range slots[:len(s.tasks)] {
+		sl.worker.reserved = sl.worker.reserved.Add(size)
+	}
 }
--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -4,16 +4,17 @@
 
 // Policy holds the limits and weights of a cell.
 type Policy struct {
-	Lease         time.Duration // granted to workers at each renewal
-	LeaseWait     time.Duration // a renewal waits this long for an end
-	Horizon       time.Duration // no lease lasts longer than this after the last confirmed commit
-	StopTime      time.Duration // longest time of a stop
-	StartRetry    time.Duration // an unanswered start is sent again after this time
-	CommitWait    time.Duration // a submission not yet in a commit is refused after this time
-	KeepEnded     time.Duration // an ended job stays known for this long
-	RemoteFactor  float64       // slowdown away from the data's rack
-	MaxReserving  int           // gangs that may reserve room at a time
-	QuarantineFor time.Duration // a worker that fails what it starts rests for this long
+	Lease               time.Duration // granted to workers at each renewal
+	LeaseWait           time.Duration // a renewal waits this long for an end
+	Horizon             time.Duration // no lease lasts longer than this after the last confirmed commit
+	StopTime            time.Duration // longest time of a stop
+	StartRetry          time.Duration // an unanswered start is sent again after this time
+	CommitWait          time.Duration // a submission not yet in a commit is refused after this time
+	KeepEnded           time.Duration // an ended job stays known for this long
+	RemoteFactor        float64       // slowdown away from the data's rack
+	MinReserving        int           // gangs that may reserve room at a time in any cell
+	WorkersPerReserving int           // one more gang may reserve room for this many workers
+	QuarantineFor       time.Duration // a worker that fails what it starts rests for this long
 }
 
 // DefaultPolicy returns the policy used where the settings say nothing.
@@ -32,9 +33,10 @@
 		KeepEnded:  2 * time.Minute,
 		// Wide gangs need a large part of the workers they may use; more
 		// reservations at a time leave too little room for other work.
-		MaxReserving:  3,
-		RemoteFactor:  3,
-		QuarantineFor: 4 * time.Second,
+		MinReserving:        3,
+		WorkersPerReserving: 16,
+		RemoteFactor:        3,
+		QuarantineFor:       4 * time.Second,
 	}
 }
 
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -101,6 +101,7 @@
 
 	// Gangs: the attempt counts and runs belong to the step.
 	gangRun    uint64
+	brokenRun  uint64 // the last run that lost a member
 	checkpoint string
 
 	advice   map[structs.WorkerID]admission
