dispatch: take workers without a directory entry as gone after a change of leader

Change: such a worker no longer holds them once it has no entry 2.5 s after the change; the lease horizon is 7.5 s instead of 9 s.

--- a/dispatch/events.go
+++ b/dispatch/events.go
@@ -29,6 +29,9 @@
 // WorkerUnlisted says that a worker's directory entry is gone.
 type WorkerUnlisted struct{ ID structs.WorkerID }
 
+// DirectoryListed says that every entry of the directory has been seen.
+type DirectoryListed struct{}
+
 // LeaseAnswered is the result of RenewLease.
 type LeaseAnswered struct {
 	Worker  structs.WorkerID
@@ -89,6 +92,9 @@
 // Kind implements structs.Event.
 func (WorkerUnlisted) Kind() string { return "worker_unlisted" }
 
+// Kind implements structs.Event.
+func (DirectoryListed) Kind() string { return "directory_listed" }
+
 // Kind implements structs.Event.
 func (LeaseAnswered) Kind() string { return "lease_answered" }
 
--- a/dispatch/faults_test.go
+++ b/dispatch/faults_test.go
@@ -51,6 +51,12 @@
 		return
 	}
 	w.crash()
+	life := w.Incarnation
+	s.at(4500*time.Millisecond, func() { // three heartbeats later
+		if w.Incarnation == life {
+			s.leader.reduce(WorkerUnlisted{ID: w.ID})
+		}
+	})
 	s.at(time.Duration(500+s.rng.IntN(6000))*time.Millisecond, func() {
 		w.restart()
 		s.leader.reduce(WorkerSeen{Worker: w.seen()})
--- a/dispatch/orders_test.go
+++ b/dispatch/orders_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -225,3 +226,28 @@
 		t.Errorf("stop orders: %v, want one for the member that is left", stops)
 	}
 }
+
+// TestGoneWorkerEndsTheWait guards against a change of leader that holds all
+// earlier jobs for the longest lease because of a worker that had left
+// (sierra-cambios trouble-3: 8.6 s after the final fault).
+func TestGoneWorkerEndsTheWait(t *testing.T) {
+	c := New(DefaultPolicy(), 2, structs.Timestamp(time.Minute))
+	c.oldLeasesEnd = c.now.Add(8 * time.Second)
+	c.addWorker(workflow.Worker{ID: "gone", Incarnation: 1, Service: "svc", Address: "gone", Capacity: roomy})
+	c.Reduce(c.now, DirectoryListed{})
+	for passed := time.Duration(0); passed < 4*time.Second; passed += 100 * time.Millisecond {
+		now := structs.Timestamp(time.Minute).Add(passed)
+		for _, effect := range slices.Clone(c.Reduce(now, Tick{})) {
+			if _, ok := effect.(RenewLease); ok {
+				c.Reduce(now, LeaseAnswered{Worker: "gone", SentAt: now, Outcome: workflow.NotSent})
+			}
+		}
+		if c.unheard == 0 {
+			if passed < entriesBackAfter {
+				t.Errorf("the worker is taken as gone after %s, its entry may come back until %s", passed, entriesBackAfter)
+			}
+			return
+		}
+	}
+	t.Error("a worker without an entry holds the earlier jobs for 4 s")
+}
--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -25,8 +25,8 @@
 		Lease: 4 * time.Second,
 		// At least one renewal falls into each third of a lease.
 		LeaseWait: 1 * time.Second,
-		// Longer than the store's usual outages of 4 to 7 s.
-		Horizon:    9 * time.Second,
+		// Longer than the outages of the store, 4 to 7 s; a new leader waits as long for workers that do not answer.
+		Horizon:    7500 * time.Millisecond,
 		StopTime:   900 * time.Millisecond,
 		StartRetry: 400 * time.Millisecond,
 		CommitWait: 700 * time.Millisecond,
--- a/dispatch/reduce.go
+++ b/dispatch/reduce.go
@@ -20,6 +20,8 @@
 		c.seeWorker(e.Worker)
 	case WorkerUnlisted:
 		c.unlistWorker(e.ID)
+	case DirectoryListed:
+		c.directoryListed = true
 	case LeaseAnswered:
 		c.leaseAnswered(e)
 	case StartAnswered:
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -131,6 +131,7 @@
 			l.reduce(WorkerSeen{Worker: w.seen()})
 		}
 	}
+	l.reduce(DirectoryListed{})
 	l.reduce(InstancesConnected{IDs: []structs.InstanceID{"a", "b", "c", "d"}})
 	l.tick()
 }
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -24,20 +24,22 @@
 
 	// unheard counts workers that may run tasks of the previous leader and
 	// have neither answered nor outlived the leases of that leader.
-	unheard        int
-	oldLeasesEnd   structs.Timestamp
-	confirmed      structs.Timestamp // the last commit that proved the leadership was sent at this time
-	guarded        map[string]bool
-	dirty          []*job // for the next commit
-	lazy           []*job // for a commit within lazyDelay
-	committing     []*job // jobs of the commit that is on its way
-	sequence       uint64
-	workersChanged bool
-	placeAgain     bool
-	storeAway      bool          // commits fail; new submissions are refused at once
-	wallOffset     time.Duration // time of day less the cell's time
-	advisors       []*advisorSlot
-	goodShare      map[string]float64 // share of advised workers that were good, by queue
+	unheard         int
+	startedAt       structs.Timestamp // of this leader
+	directoryListed bool
+	oldLeasesEnd    structs.Timestamp
+	confirmed       structs.Timestamp // the last commit that proved the leadership was sent at this time
+	guarded         map[string]bool
+	dirty           []*job // for the next commit
+	lazy            []*job // for a commit within lazyDelay
+	committing      []*job // jobs of the commit that is on its way
+	sequence        uint64
+	workersChanged  bool
+	placeAgain      bool
+	storeAway       bool          // commits fail; new submissions are refused at once
+	wallOffset      time.Duration // time of day less the cell's time
+	advisors        []*advisorSlot
+	goodShare       map[string]float64 // share of advised workers that were good, by queue
 }
 
 // job is an accepted job or one that waits for its commit.
@@ -199,7 +201,7 @@
 // New returns the dispatcher of a leader with the given fencing token.
 func New(policy Policy, epoch structs.Epoch, now structs.Timestamp) *Cell {
 	return &Cell{
-		policy: policy, epoch: epoch, now: now, confirmed: now,
+		policy: policy, epoch: epoch, now: now, confirmed: now, startedAt: now,
 		jobs: map[structs.JobID]*job{}, workers: map[structs.WorkerID]*worker{}, guarded: map[string]bool{}, goodShare: map[string]float64{},
 	}
 }
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -185,6 +185,10 @@
 		c.decide(Decision{Event: "lease_over", Worker: w.ID, Value: int64(len(w.allocations))})
 		c.loseAll(w)
 	}
+	if c.isGone(w) {
+		c.decide(Decision{Event: "worker_gone", Worker: w.ID})
+		c.hear(w)
+	}
 	if !w.listed && len(w.allocations) == 0 && w.misses > 0 && !w.unheard {
 		c.removeWorker(w)
 		return
@@ -195,6 +199,19 @@
 	}
 }
 
+// entriesBackAfter is how long after an outage of the store the entries of
+// living workers may be missing from the directory, by the platform's word
+// about two seconds; an entry that is missing later means a worker that is
+// gone.
+const entriesBackAfter = 2500 * time.Millisecond
+
+// isGone reports whether a worker that has not been heard cannot run tasks
+// of the previous leader any more.
+func (c *Cell) isGone(w *worker) bool {
+	return w.unheard && !w.listed && c.directoryListed && w.misses >= missesBeforeSilent &&
+		c.now.Sub(c.startedAt) >= entriesBackAfter
+}
+
 func (c *Cell) removeWorker(w *worker) {
 	delete(c.workers, w.ID)
 	n := slices.Index(c.order, w)
