leadership: judge a silent leader by the age of its row; cell: shorter tries of commits

Change: the row carries the store's clock, so one that is old enough is claimed at the first read if its leader is silent; a try of a commit takes at most 1.2 s, and an unanswered one is repeated by way of a peer.

--- a/cell/instance.go
+++ b/cell/instance.go
@@ -278,7 +278,7 @@
 func (i *Instance) readRow() {
 	started := time.Now()
 	page, err := i.options.Store.Scan(tablestore.Range{Table: dispatch.CellTable, Part: Part, From: leaderKey, To: leaderKey + "\x00"}, storeTimeout)
-	result := leadership.RowRead{Took: time.Since(started), Failed: err != nil}
+	result := leadership.RowRead{Took: time.Since(started), Failed: err != nil, At: structs.Timestamp(page.StoreTime)}
 	if err == nil && len(page.Rows) > 0 {
 		result.Version = page.Rows[0].Version
 		if err := cbor.Unmarshal(page.Rows[0].Value, &result.Row); err != nil {
@@ -308,7 +308,7 @@
 // claim writes the leadership row. After a lost answer it reads the row back.
 func (i *Instance) claim(e leadership.Claim) (claimed, bool) {
 	row := leadership.Row{
-		Epoch: e.Epoch, Owner: i.options.ID, Process: i.process, Address: i.options.PeerAddress, At: e.Previous.At,
+		Epoch: e.Epoch, Owner: i.options.ID, Process: i.process, Address: i.options.PeerAddress, At: e.At,
 	}
 	value, err := cbor.Marshal(row)
 	if err != nil {
--- a/cell/leader.go
+++ b/cell/leader.go
@@ -30,6 +30,9 @@
 	group    conc.WaitGroup
 	offset   structs.Timestamp // the store's clock less the instance's
 
+	storeClock   structs.Timestamp // of the store's last answer
+	storeClockAt structs.Timestamp // on the instance's clock
+
 	row       leadership.Row
 	version   uint64 // of the leadership row
 	pending   *pendingCommit
@@ -76,9 +79,11 @@
 	// firstCommitTimeout bounds the first try of a commit; each further try
 	// waits longer, as the store may be slow.
 	firstCommitTimeout = 500 * time.Millisecond
-	maxCommitTimeout   = 3 * time.Second
-	commitRetry        = 100 * time.Millisecond
-	maxCommitRetry     = 250 * time.Millisecond
+	// maxCommitTimeout is above what a commit takes while the store is 60 times
+	// as slow as usual. The store's return shows only after it.
+	maxCommitTimeout = 1200 * time.Millisecond
+	commitRetry      = 100 * time.Millisecond
+	maxCommitRetry   = 250 * time.Millisecond
 	// awayAfter is longer than a commit takes while the store is 60 times as
 	// slow as usual.
 	awayAfter = 1200 * time.Millisecond
@@ -99,7 +104,7 @@
 	l := &leader{
 		instance: i, log: i.log.With("epoch", uint64(c.row.Epoch)), epoch: c.row.Epoch, inbox: make(chan func(), inboxSize),
 		ctx: ctx, cancel: cancel, row: c.row, version: c.version,
-		offset:  structs.Timestamp(c.store) - c.at,
+		offset: structs.Timestamp(c.store) - c.at, storeClock: structs.Timestamp(c.store), storeClockAt: c.at,
 		replies: map[dispatch.Ref]chan dispatch.Reply{}, peers: map[structs.InstanceID]*member{},
 	}
 	l.okSince, l.idleSince = l.now(), l.now()
@@ -120,6 +125,16 @@
 // now returns the cell's time: the store's clock as seen at the claim.
 func (l *leader) now() structs.Timestamp { return l.instance.clock.Now() + l.offset }
 
+// storeNow returns the store's clock by its last answer, which followers
+// compare with the store's clock when they judge the age of a commit.
+func (l *leader) storeNow() structs.Timestamp {
+	return l.storeClock + l.instance.clock.Now() - l.storeClockAt
+}
+
+func (l *leader) noteStoreClock(page tablestore.Page) {
+	l.storeClock, l.storeClockAt = structs.Timestamp(page.StoreTime), l.instance.clock.Now()
+}
+
 // end answers what is left as unknown and becomes a follower.
 func (l *leader) end() {
 	l.cancel()
@@ -167,13 +182,17 @@
 	return nil
 }
 
-const loadAttempts = 8
+const (
+	loadAttempts = 8
+	// loadTimeout bounds the read of one page of 1 MB.
+	loadTimeout = 3 * time.Second
+)
 
 func (l *leader) load(table string) ([]tablestore.Row, error) {
 	var rows []tablestore.Row
 	from, attempts := "", 0
 	for {
-		page, err := l.instance.store.Scan(tablestore.Range{Table: table, Part: Part, From: from}, maxCommitTimeout)
+		page, err := l.instance.store.Scan(tablestore.Range{Table: table, Part: Part, From: from}, loadTimeout)
 		if err != nil {
 			if attempts++; attempts >= loadAttempts || l.ctx.Err() != nil {
 				return nil, err
@@ -305,7 +324,7 @@
 		return false
 	}
 	row := l.row
-	row.Sequence, row.At = commit.Sequence, now
+	row.Sequence, row.At = commit.Sequence, l.storeNow()
 	value, err := cbor.Marshal(row)
 	if err != nil {
 		l.log.Error("the leader row could not be encoded", "error", err)
@@ -337,6 +356,7 @@
 	p.sending = false
 	switch {
 	case err == nil:
+		l.noteStoreClock(page)
 		l.commitDone(p, sentAt, page.Version)
 	case errs.Is(err, errs.Conflict):
 		l.commitConflict(p, sentAt, page)
@@ -401,7 +421,7 @@
 		return
 	}
 	row := l.row
-	row.Owner, row.At = "", l.now()
+	row.Owner, row.At = "", l.storeNow()
 	value, err := cbor.Marshal(row)
 	if err != nil {
 		l.log.Error("the leader row could not be encoded", "error", err)
--- a/cell/store.go
+++ b/cell/store.go
@@ -69,6 +69,10 @@
 			return page, err
 		}
 	}
+	if useDirect && errs.Is(err, errs.OutcomeUnknown) {
+		s.directUnanswered() // the next call goes by way of a peer
+		return page, err
+	}
 	if !useAssist {
 		return page, err
 	}
@@ -127,6 +131,15 @@
 	}
 }
 
+// directUnanswered makes the next call an assisted one. Waiting for a second
+// answer within one call would double the time in which the store's return
+// goes unnoticed.
+func (s *assistedStore) directUnanswered() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.directFrom = time.Now().Add(directPause)
+}
+
 func (s *assistedStore) assistWorks(helper structs.InstanceID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/leadership/leadership.go
+++ b/leadership/leadership.go
@@ -69,7 +69,8 @@
 	Row     Row
 	Version uint64 // 0: the row does not exist
 	Failed  bool
-	Took    time.Duration // round trip to the store
+	Took    time.Duration     // round trip to the store
+	At      structs.Timestamp // the store's clock at the read
 }
 
 // ClaimFailed says that another write came first, or that the outcome of the
@@ -103,6 +104,7 @@
 	Epoch    structs.Epoch
 	Version  uint64
 	Previous Row
+	At       structs.Timestamp // the store's clock, about now
 	Reason   string
 }
 
@@ -192,11 +194,17 @@
 	}
 	f.epoch = max(f.epoch, e.Row.Epoch)
 	reason, wait := f.claimReason(e)
-	if now.Sub(f.sinceAt) < wait {
+	quiet := now.Sub(f.sinceAt)
+	if reason == unchanged && now.Sub(f.heardAt) >= heartbeatSilence {
+		// A leader that is heard and does not reach the store may be back as
+		// soon as the store is; only for others the age of the row counts.
+		quiet = max(quiet, e.At.Sub(e.Row.At))
+	}
+	if quiet < wait {
 		return nil
 	}
 	f.busy = true
-	return []structs.Effect{Claim{Epoch: e.Row.Epoch + 1, Version: e.Version, Previous: e.Row, Reason: reason}}
+	return []structs.Effect{Claim{Epoch: e.Row.Epoch + 1, Version: e.Version, Previous: e.Row, At: e.At, Reason: reason}}
 }
 
 // claimReason returns why the row may be claimed and how long it must have
@@ -215,5 +223,8 @@
 	case e.Row.Owner == f.self && e.Row.Process != f.process:
 		return "own earlier process", 0
 	}
-	return "row unchanged", rowSilence + delay
+	return unchanged, rowSilence + delay
 }
+
+// unchanged is the reason of a claim against a leader that has stopped.
+const unchanged = "row unchanged"
--- a/leadership/leadership_test.go
+++ b/leadership/leadership_test.go
@@ -47,6 +47,42 @@
 	}
 }
 
+// TestOldRowIsClaimedAtOnce guards against waiting twice for a leader that
+// has not committed since before it was suspected.
+func TestOldRowIsClaimedAtOnce(t *testing.T) {
+	f := follower(0.8)
+	f.Reduce(start, LinkLost{})
+	f.Reduce(start, Tick{})
+	row := RowRead{Row: Row{Epoch: 1, Owner: "other"}, Version: 5, Took: time.Millisecond, At: structs.Timestamp(rowSilence)}
+	if effects := f.Reduce(start, row); len(effects) != 1 {
+		t.Errorf("effects of a row that is %d ns old: %v, want a claim", row.At, effects)
+	}
+	young := follower(0.8)
+	young.Reduce(start, LinkLost{})
+	young.Reduce(start, Tick{})
+	row.At = structs.Timestamp(CommitInterval)
+	if effects := young.Reduce(start, row); len(effects) != 0 {
+		t.Errorf("effects of a row that is %d ns old: %v, want none", row.At, effects)
+	}
+}
+
+// TestHeardLeaderIsNotClaimedWhenTheStoreReturns guards against deposing a
+// living leader in the moment after an outage of the store, when its last
+// commit is old for everybody (sadm-drum trouble-3: three changes in 0.1 s).
+func TestHeardLeaderIsNotClaimedWhenTheStoreReturns(t *testing.T) {
+	f := follower(0.8)
+	now := start
+	for passed := time.Duration(0); passed < 4*time.Second; passed += 250 * time.Millisecond {
+		now = start.Add(passed)
+		f.Reduce(now, Heard{Epoch: 1, StoreHealthy: false, Strongest: 0.8})
+		f.Reduce(now, Tick{})
+	}
+	row := RowRead{Row: Row{Epoch: 1, Owner: "other"}, Version: 5, Took: time.Millisecond, At: structs.Timestamp(4 * time.Second)}
+	if effects := f.Reduce(now, row); len(effects) != 0 {
+		t.Errorf("effects %v, want none", effects)
+	}
+}
+
 // TestLeavesLivingLeader guards against claims by a follower that is cut off
 // from a leader which still commits.
 func TestLeavesLivingLeader(t *testing.T) {
