dispatch: tell callers at once that an outcome is open while the store is away

Change: when the store is away, submissions in a commit are answered as open (504 with a time to come back), others are refused; a call with under 80 ms left is not sent.

--- a/cell/callers.go
+++ b/cell/callers.go
@@ -29,6 +29,9 @@
 	// callTry bounds one call to the leader, so that a call lost with a
 	// connection is repeated within the caller's time.
 	callTry = 1100 * time.Millisecond
+	// shortestCall is the least time that a call to the leader and its commit
+	// take from another region.
+	shortestCall = 80 * time.Millisecond
 	// retryAfterNoLeader is what a caller is told while no leader is known.
 	retryAfterNoLeader = time.Second
 )
@@ -104,8 +107,8 @@
 	switch {
 	case errs.Is(err, errs.NotRun):
 		refuse(ctx, fasthttp.StatusServiceUnavailable, retryAfterNoLeader, err.Error())
-	case err != nil || reply.Verdict == dispatch.Unknown:
-		refuse(ctx, fasthttp.StatusGatewayTimeout, 0, "the outcome is unknown; send the job again")
+	case err != nil || reply.Verdict == dispatch.Unsettled:
+		refuse(ctx, fasthttp.StatusGatewayTimeout, reply.RetryAfter, "the outcome is open; send the job again")
 	case reply.Verdict == dispatch.Refused:
 		refuse(ctx, fasthttp.StatusServiceUnavailable, reply.RetryAfter, "the job was not accepted")
 	default:
@@ -119,8 +122,8 @@
 	switch {
 	case errs.Is(err, errs.NotRun):
 		refuse(ctx, fasthttp.StatusServiceUnavailable, retryAfterNoLeader, err.Error())
-	case err != nil || reply.Verdict == dispatch.Unknown:
-		refuse(ctx, fasthttp.StatusGatewayTimeout, 0, "the outcome is unknown; cancel again")
+	case err != nil || reply.Verdict == dispatch.Unsettled:
+		refuse(ctx, fasthttp.StatusGatewayTimeout, reply.RetryAfter, "the outcome is open; cancel again")
 	case reply.Verdict == dispatch.NoSuchJob:
 		refuse(ctx, fasthttp.StatusGone, 0, "no such job")
 	default:
@@ -165,6 +168,8 @@
 		left := time.Until(deadline)
 		var reply jobReply
 		switch {
+		case left < shortestCall:
+			// too late to ask; nothing more is sent
 		case local != nil:
 			reply = local.jobCall(method, in, left)
 			sent = sent || !reply.NotLeader
@@ -178,7 +183,7 @@
 			}
 			sent = sent || errs.Is(err, errs.OutcomeUnknown) || reply.Verdict == dispatch.Unknown
 		}
-		wait := min(time.Until(deadline), time.Until(noLeaderUntil))
+		wait := min(time.Until(deadline)-shortestCall, time.Until(noLeaderUntil))
 		if wait <= 0 {
 			if sent {
 				return jobReply{}, errs.New(errs.OutcomeUnknown, "send it again", "the leader did not answer")
--- a/dispatch/events.go
+++ b/dispatch/events.go
@@ -151,9 +151,10 @@
 
 // Verdicts.
 const (
-	Accepted  Verdict = "accepted" // durable
-	Refused   Verdict = "refused"  // certainly not accepted
-	Unknown   Verdict = "unknown"  // may become durable
+	Accepted  Verdict = "accepted"  // durable
+	Refused   Verdict = "refused"   // certainly not accepted
+	Unsettled Verdict = "unsettled" // in a commit whose outcome is open while the store is away
+	Unknown   Verdict = "unknown"   // this leader cannot tell any more; another one may
 	NoSuchJob Verdict = "no-such-job"
 )
 
--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -15,6 +15,10 @@
 			c.emit(Reply{Ref: e.Ref, Verdict: Accepted})
 			return
 		}
+		if c.storeAway {
+			c.emit(Reply{Ref: e.Ref, Verdict: Unsettled, RetryAfter: retryAfterStore})
+			return
+		}
 		j.waiting = append(j.waiting, e.Ref)
 		return
 	}
--- a/dispatch/orders_test.go
+++ b/dispatch/orders_test.go
@@ -136,6 +136,33 @@
 	}
 }
 
+// TestOpenOutcomeIsToldAtOnce guards against holding callers whose job is in a
+// commit without an answer until their time is over (sadm-drum trouble-3).
+func TestOpenOutcomeIsToldAtOnce(t *testing.T) {
+	s := newScene(t, 1, roomy)
+	s.reduce(SubmitJob{Ref: 1, Job: arrayJob(1, false), Queue: batchQueue(nil)})
+	commit, err := s.cell.NextCommit(s.now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	late := arrayJob(1, false)
+	late.ID = "0000000000000002"
+	s.reduce(SubmitJob{Ref: 2, Job: late, Queue: batchQueue(nil)})
+	s.reduce(StoreHealth{Away: true})
+	s.reduce(SubmitJob{Ref: 3, Job: arrayJob(1, false), Queue: batchQueue(nil)})
+	verdicts := map[Ref]Verdict{}
+	for _, r := range take[Reply](s) {
+		verdicts[r.Ref] = r.Verdict
+	}
+	if verdicts[1] != Unsettled || verdicts[2] != Refused || verdicts[3] != Unsettled {
+		t.Errorf("verdicts %v, want 1 and 3 unsettled and 2 refused", verdicts)
+	}
+	s.reduce(CommitAnswered{Sequence: commit.Sequence})
+	if _, known := s.cell.State("0000000000000001"); !known {
+		t.Error("the job of a commit that succeeded in the end is not known")
+	}
+}
+
 // TestLongRunningTaskRestarts guards against long-running work that falls
 // behind everything else after a failure, or fails for good.
 func TestLongRunningTaskRestarts(t *testing.T) {
--- a/dispatch/reduce.go
+++ b/dispatch/reduce.go
@@ -33,7 +33,7 @@
 	case InstancesConnected:
 		c.setAdvisors(e.IDs)
 	case StoreHealth:
-		c.storeAway = e.Away
+		c.setStoreAway(e.Away)
 	case CommitAnswered:
 		c.committed(e.Sequence)
 	case Tick:
@@ -122,8 +122,24 @@
 	c.dirty = kept
 }
 
+// setStoreAway answers the submissions that wait, once the store is away:
+// those that no commit carries are refused, the others are told that the
+// outcome is open. Holding them would cost their callers the time in which
+// they could ask again.
+func (c *Cell) setStoreAway(away bool) {
+	c.storeAway = away
+	if !away {
+		return
+	}
+	for _, j := range c.committing {
+		c.answer(&j.waiting, Unsettled, retryAfterStore)
+		c.answer(&j.cancels, Unsettled, retryAfterStore)
+	}
+	c.refuseUncommitted()
+}
+
 func (c *Cell) mayRefuse(j *job) bool {
-	return !j.durable && j.writing == 0 && c.now.Sub(j.accepted) > c.policy.CommitWait
+	return !j.durable && j.writing == 0 && (c.storeAway || c.now.Sub(j.accepted) > c.policy.CommitWait)
 }
 
 // retryAfterStore is what a refused caller is told while the store does not
