--- a/dispatch/orders_test.go
+++ b/dispatch/orders_test.go
@@ -278,3 +278,18 @@
 	}
 	t.Error("a worker without an entry holds the earlier jobs for 4 s")
 }
+
+// TestDrainedWorkerLosesItsTasksAtOnce guards against waiting for the lease of
+// tasks whose worker has drained and left (sierra-cambios inc-db80: 4 s each).
+func TestDrainedWorkerLosesItsTasksAtOnce(t *testing.T) {
+	s, starts := submitted(t, 1, arrayJob(1, false), batchQueue(nil))
+	s.reduce(StartAnswered{Worker: "w0", Task: starts[0].Order.Task, Run: starts[0].Order.Run, Outcome: workflow.OK})
+	leaving := workflow.Worker{ID: "w0", Incarnation: 1, Service: "svc", Address: "w0", Capacity: roomy, Draining: true}
+	s.reduce(WorkerSeen{Worker: leaving})
+	s.reduce(WorkerUnlisted{ID: "w0"})
+	s.reduce(LeaseAnswered{Worker: "w0", SentAt: s.now, Outcome: workflow.NotSent})
+	s.pass(50 * time.Millisecond)
+	if task := s.cell.findTask("0000000000000001.0.0.0"); task.state != taskWaiting {
+		t.Errorf("the task of a worker that has left is in state %d, want waiting", task.state)
+	}
+}
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -185,6 +185,10 @@
 		c.decide(Decision{Event: "lease_over", Worker: w.ID, Value: int64(len(w.allocations))})
 		c.loseAll(w)
 	}
+	if w.hasLeft() && len(w.allocations) > 0 {
+		c.decide(Decision{Event: "worker_left", Worker: w.ID, Value: int64(len(w.allocations))})
+		c.loseAll(w)
+	}
 	if c.isGone(w) {
 		c.decide(Decision{Event: "worker_gone", Worker: w.ID})
 		c.hear(w)
@@ -199,6 +203,12 @@
 	}
 }
 
+// hasLeft reports whether a worker that was draining is gone: its entry is
+// removed when it leaves, and everything on it ends with it.
+func (w *worker) hasLeft() bool {
+	return w.Draining && !w.listed && w.misses >= missesBeforeSilent
+}
+
 // entriesBackAfter is how long after an outage of the store the entries of
 // living workers may be missing from the directory, by the platform's word
 // about two seconds; an entry that is missing later means a worker that is
