cell: call the store directly when no peer can help

Change: the pause of direct calls holds only while a peer can be asked. Before: TestWithoutPeersEveryCallIsDirect fails. After: it passes.

--- a/cell/store.go
+++ b/cell/store.go
@@ -16,9 +16,9 @@
 	instance *Instance
 	direct   tablestore.Store
 
-	mu    sync.Mutex
-	calls path
-	feeds path // apart: a feed that hears nothing says little about calls
+	mu         sync.Mutex
+	calls      path
+	feeds      path // apart: a feed that hears nothing says little about calls
 	lastHelper structs.InstanceID
 	resting    map[structs.InstanceID]time.Time // helpers that failed, until when
 }
@@ -70,6 +70,9 @@
 		p = &s.feeds
 	}
 	useDirect, useAssist := s.ways(p)
+	if _, ok := s.helper(); !ok {
+		useDirect, useAssist = true, false
+	}
 	var page tablestore.Page
 	err := errs.New(errs.NotRun, "try again later", "the store has turned this instance away")
 	if useDirect {
--- a/cell/store_test.go
+++ b/cell/store_test.go
@@ -73,3 +73,16 @@
 		}
 	}
 }
+
+// TestWithoutPeersEveryCallIsDirect guards against a follower that refuses its
+// own calls for a second after one without an answer.
+func TestWithoutPeersEveryCallIsDirect(t *testing.T) {
+	direct := &silentFeeds{}
+	i := New(Options{ID: "me", Store: direct, Logger: hclog.NewNullLogger()})
+	defer i.node.Close()
+	for range 3 {
+		if _, err := i.store.Follow("op", 0, 0, time.Second); !errs.Is(err, errs.OutcomeUnknown) {
+			t.Errorf("error %v, want that of a direct call", err)
+		}
+	}
+}
