--- /dev/null
+++ b/cell/jobcalls.go
@@ -0,0 +1,55 @@
+package cell
+
+import (
+	"time"
+
+	"github.com/mangodrum/mangodrum/dispatch"
+	"github.com/mangodrum/mangodrum/workflow"
+)
+
+// jobCall carries out a call of this or another instance.
+func (l *leader) jobCall(method string, in jobCall, timeout time.Duration) jobReply {
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	result := make(chan jobReply, 1)
+	reply := make(chan dispatch.Reply, 1) // an answer after the timeout goes nowhere
+	select {
+	case l.inbox <- func() { l.serve(method, in, result, reply) }:
+	case <-l.ctx.Done():
+		return jobReply{NotLeader: true}
+	}
+	select {
+	case r := <-result:
+		return r
+	case r := <-reply:
+		return jobReply{Verdict: r.Verdict, RetryAfter: r.RetryAfter}
+	case <-timer.C:
+		return jobReply{Verdict: dispatch.Unknown}
+	case <-l.ctx.Done():
+		if method == methodSubmit || method == methodCancel {
+			return jobReply{Verdict: dispatch.Unknown}
+		}
+		return jobReply{NotLeader: true}
+	}
+}
+
+func (l *leader) serve(method string, in jobCall, result chan jobReply, reply chan dispatch.Reply) {
+	switch method {
+	case methodState:
+		state, known := l.cell.State(in.ID)
+		if !known && l.cell.IsPending(in.ID) {
+			state = workflow.Pending
+		}
+		result <- jobReply{State: state}
+	case methodWaiting:
+		result <- jobReply{Waiting: l.cell.Waiting(in.Name)}
+	case methodSubmit, methodCancel:
+		l.nextRef++
+		l.replies[l.nextRef] = reply
+		if method == methodCancel {
+			l.reduce(dispatch.CancelJob{Ref: l.nextRef, ID: in.ID})
+			return
+		}
+		l.reduce(dispatch.SubmitJob{Ref: l.nextRef, Job: *in.Job, Queue: *in.Queue})
+	}
+}
--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -108,10 +108,6 @@
 	return true
 }
 
-// dropAsking marks the steps of a job that is gone, so that late advice finds
-// nothing.
-func (c *Cell) dropAsking(j *job) { j.state = jobCancelled }
-
 func (c *Cell) adviceAnswered(e AdviceAnswered) {
 	c.adviceEnded(e)
 	s := c.findStep(e.Step)
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -159,7 +159,7 @@
 		c.lifeEnded(w, "another incarnation answered")
 		return
 	}
-	c.runEnded(w, a, EndLostHere)
+	c.runEnded(w, a, endLost)
 }
 
 // restAfterRejection keeps new tasks from a worker that refused one.
--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -11,7 +11,6 @@
 	StartRetry          time.Duration // an unanswered start is sent again after this time
 	CommitWait          time.Duration // a submission not yet in a commit is refused after this time
 	KeepEnded           time.Duration // an ended job stays known for this long
-	RemoteFactor        float64       // slowdown away from the data's rack
 	MinReserving        int           // gangs that may reserve room at a time in any cell
 	WorkersPerReserving int           // one more gang may reserve room for this many workers
 	QuarantineFor       time.Duration // a worker that fails what it starts rests for this long
@@ -35,7 +34,6 @@
 		// reservations at a time leave too little room for other work.
 		MinReserving:        3,
 		WorkersPerReserving: 16,
-		RemoteFactor:        3,
 		QuarantineFor:       4 * time.Second,
 	}
 }
--- a/dispatch/reduce.go
+++ b/dispatch/reduce.go
@@ -57,9 +57,6 @@
 // Confirm records that a commit sent at the given time proved the leadership.
 func (c *Cell) Confirm(sentAt structs.Timestamp) { c.confirmed = max(c.confirmed, sentAt) }
 
-// Guard tells which services' workers reject what does not fit.
-func (c *Cell) Guard(guarded map[string]bool) { c.guarded = guarded }
-
 func (c *Cell) tick() {
 	c.startOccurrences()
 	c.queueProgress()
@@ -115,7 +112,7 @@
 		}
 		c.answer(&j.waiting, Refused, retryAfterStore)
 		c.decide(Decision{Event: "refuse", Job: j.spec.ID, Reason: "store does not answer", Value: int64(c.now.Sub(j.accepted) / time.Millisecond)})
-		c.dropAsking(j)
+		j.state = jobCancelled // advice that arrives late finds nothing to start
 		delete(c.jobs, j.spec.ID)
 	}
 	clear(c.dirty[len(kept):])
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -29,10 +29,9 @@
 	directoryListed bool
 	oldLeasesEnd    structs.Timestamp
 	confirmed       structs.Timestamp // the last commit that proved the leadership was sent at this time
-	guarded         map[string]bool
-	dirty           []*job // for the next commit
-	lazy            []*job // for a commit within lazyDelay
-	committing      []*job // jobs of the commit that is on its way
+	dirty           []*job            // for the next commit
+	lazy            []*job            // for a commit within lazyDelay
+	committing      []*job            // jobs of the commit that is on its way
 	sequence        uint64
 	workersChanged  bool
 	placeAgain      bool
@@ -184,10 +183,9 @@
 	deadline time.Duration     // latest lease end on the worker's clock
 	askAt    structs.Timestamp // earliest next renewal
 
-	failures    int // failed runs since the last success
-	failedJobs  map[structs.JobID]bool
-	restUntil   structs.Timestamp // quarantined until then
-	lastContact structs.Timestamp
+	failures   int // failed runs since the last success
+	failedJobs map[structs.JobID]bool
+	restUntil  structs.Timestamp // quarantined until then
 }
 
 // ackPoint says which version of a job an end is part of. The end may be
@@ -202,7 +200,7 @@
 func New(policy Policy, epoch structs.Epoch, now structs.Timestamp) *Cell {
 	return &Cell{
 		policy: policy, epoch: epoch, now: now, confirmed: now, startedAt: now,
-		jobs: map[structs.JobID]*job{}, workers: map[structs.WorkerID]*worker{}, guarded: map[string]bool{}, goodShare: map[string]float64{},
+		jobs: map[structs.JobID]*job{}, workers: map[structs.WorkerID]*worker{}, goodShare: map[string]float64{},
 	}
 }
 
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -37,7 +37,7 @@
 
 func (c *Cell) addWorker(seen workflow.Worker) *worker {
 	w := &worker{
-		Worker: seen, allocations: map[string]*allocation{}, failedJobs: map[structs.JobID]bool{}, lastContact: c.now,
+		Worker: seen, allocations: map[string]*allocation{}, failedJobs: map[structs.JobID]bool{},
 	}
 	if c.now.Before(c.oldLeasesEnd) {
 		w.unheard = true
@@ -76,12 +76,12 @@
 // loseAll ends every run on a worker whose leases are certainly over.
 func (c *Cell) loseAll(w *worker) {
 	for _, a := range sortedAllocations(w) {
-		c.runEnded(w, a, EndLostHere)
+		c.runEnded(w, a, endLost)
 	}
 }
 
-// EndLostHere is the end of a run that its worker can no longer report.
-var EndLostHere = workflow.EndedTask{How: workflow.EndLost}
+// endLost is the end of a run that its worker can no longer report.
+var endLost = workflow.EndedTask{How: workflow.EndLost}
 
 // sortedAllocations returns the allocations in the order of their names, so
 // that the reducer stays deterministic.
@@ -242,7 +242,7 @@
 	}
 	first := !w.known
 	w.Incarnation = r.Incarnation
-	w.known, w.misses, w.lastContact, w.askAt = true, 0, c.now, 0
+	w.known, w.misses, w.askAt = true, 0, 0
 	w.clock, w.clockAt = r.Clock, c.now
 	listed := make(map[string]uint64, len(r.Running)+len(r.Ended))
 	for _, end := range r.Ended {
@@ -376,7 +376,7 @@
 	})
 	for _, a := range missing {
 		c.decide(Decision{Event: "run_missing", Task: a.name, Worker: w.ID, Run: a.run})
-		c.runEnded(w, a, EndLostHere)
+		c.runEnded(w, a, endLost)
 	}
 }
 
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -91,9 +91,6 @@
 	if t.StopTime > 0 {
 		policy.StopTime = t.StopTime
 	}
-	if t.RemoteFactor > 0 {
-		policy.RemoteFactor = t.RemoteFactor
-	}
 	policy.KeepEnded = max(policy.KeepEnded, t.StatusKept)
 	return policy
 }
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -21,8 +21,7 @@
 type Table struct {
 	Version uint64
 	Routes  []Route
-	MaxBody int             // bytes of a caller's request
-	Guarded map[string]bool // services whose workers reject what does not fit
+	MaxBody int // bytes of a caller's request
 }
 
 // Find returns the route with the longest prefix of path for host, and the
--- a/workflow/worker.go
+++ b/workflow/worker.go
@@ -21,7 +21,6 @@
 	Labels      []string          `cbor:"7,keyasint,omitempty"`
 	Draining    bool              `cbor:"8,keyasint,omitempty"`
 	Remaining   time.Duration     `cbor:"9,keyasint,omitempty"` // a draining worker stays at least this long
-	Guards      bool              `cbor:"-"`                    // rejects starts that do not fit
 }
 
 // HasLabel reports whether the worker has a label.
