dispatch: release the steps of ended jobs; walk scheduled jobs only

Cause: ended jobs stay known for two minutes with all their tasks (123 MB at 350 workers), and each tick walked all jobs in map order for occurrences. Change: steps are released 10 s after the end; scheduled jobs have a list of their own; fields that nothing reads go.

--- a/dispatch/commit.go
+++ b/dispatch/commit.go
@@ -238,6 +238,7 @@
 	if !j.visible.IsTerminal() {
 		j.visible = visibleState(j)
 		c.ended = append(c.ended, j)
+		c.fading = append(c.fading, j)
 		c.emit(Observation{Name: "turnaround", Queue: j.queue.Name, Value: c.now.Sub(j.accepted)})
 	}
 }
--- a/dispatch/commit_test.go
+++ b/dispatch/commit_test.go
@@ -74,3 +74,23 @@
 		t.Errorf("acknowledged through %d after the commit with the progress, want 1", w.acknowledged)
 	}
 }
+
+// TestEndedJobsKeepNoSteps guards against a leader whose memory grows with
+// every job of the last minutes: 123 MB at 350 workers, of 536.
+func TestEndedJobsKeepNoSteps(t *testing.T) {
+	s, starts := submitted(t, 1, workflow.Job{ID: "0000000000000001", Steps: arrayJob(1, false).Steps[:1]}, batchQueue(nil))
+	order := starts[0].Order
+	s.report("w0", time.Second, workflow.EndedTask{Number: 1, Task: order.Task, Run: order.Run, How: workflow.EndDone})
+	s.commit()
+	s.pass(stepsKept + time.Second)
+	if j := s.cell.jobs["0000000000000001"]; j.runs != nil || j.spec.Steps != nil {
+		t.Error("an ended job keeps its steps")
+	}
+	if state, _ := s.cell.State("0000000000000001"); state != workflow.Done {
+		t.Errorf("state of the job: %q, want done", state)
+	}
+	s.reduce(SubmitJob{Ref: 9, Job: arrayJob(1, false), Queue: batchQueue(nil)})
+	if replies := take[Reply](s); len(replies) != 1 || replies[0].Verdict != Accepted {
+		t.Errorf("replies to a late repeat: %v, want accepted", replies)
+	}
+}
--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -37,15 +37,12 @@
 // newJob builds the state of a job that was accepted at the given time.
 func (c *Cell) newJob(spec workflow.Job, queue workflow.Queue, accepted structs.Timestamp) *job {
 	j := &job{spec: spec, queue: queue, accepted: accepted, visible: workflow.Pending}
-	j.chain = spec.Chain()
-	for n := range spec.Steps {
-		s := &j.spec.Steps[n]
-		j.work += float64(s.Tasks) * s.Estimate.Seconds() * float64(max(s.Resources.MilliCPU, 1)) / 1000
-	}
-	j.objective = time.Duration(queue.Stretch*float64(j.chain)) + queue.Allowance
+	j.objective = time.Duration(queue.Stretch*float64(spec.Chain())) + queue.Allowance
 	if spec.Occurrences == 0 {
 		c.addOccurrence(j, 0, accepted)
 		j.nextDue = 1
+	} else {
+		c.scheduled = append(c.scheduled, j)
 	}
 	return j
 }
@@ -60,7 +57,7 @@
 		}
 		s.tasks = make([]*task, spec.Tasks)
 		for i := range s.tasks {
-			s.tasks[i] = &task{step: s, index: i, name: taskName(s.name, i), readyAt: due}
+			s.tasks[i] = &task{step: s, index: i, name: taskName(s.name, i)}
 		}
 		occ.steps = append(occ.steps, s)
 	}
@@ -70,8 +67,9 @@
 
 // startOccurrences creates the occurrences of scheduled jobs that are due.
 func (c *Cell) startOccurrences() {
-	for _, j := range c.jobs {
-		if j.spec.Occurrences == 0 || !j.durable || !j.active() {
+	c.scheduled = slices.DeleteFunc(c.scheduled, func(j *job) bool { return !j.active() })
+	for _, j := range c.scheduled {
+		if !j.durable {
 			continue
 		}
 		for j.nextDue < j.spec.Occurrences {
--- a/dispatch/reduce.go
+++ b/dispatch/reduce.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/mangodrum/mangodrum/structs"
+	"github.com/mangodrum/mangodrum/workflow"
 )
 
 // Reduce applies an event at time now and returns the effects to carry out.
@@ -93,7 +94,18 @@
 	}
 }
 
+// stepsKept is how long the steps of an ended job are kept. Its last runs are
+// stopped and listed by then; callers ask for its state for longer.
+const stepsKept = 10 * time.Second
+
 func (c *Cell) forgetEnded() {
+	for len(c.fading) > 0 && c.now.Sub(c.fading[0].endedAt) > stepsKept {
+		j := c.fading[0]
+		c.fading[0] = nil
+		c.fading = c.fading[1:]
+		j.runs = nil
+		j.spec = workflow.Job{ID: j.spec.ID}
+	}
 	for len(c.ended) > 0 && c.now.Sub(c.ended[0].endedAt) > c.policy.KeepEnded {
 		j := c.ended[0]
 		c.ended = c.ended[1:]
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -16,11 +16,13 @@
 	now     structs.Timestamp
 	effects []structs.Effect
 
-	jobs    map[structs.JobID]*job
-	ended   []*job // ended jobs in the order of their ends
-	ready   []*step
-	workers map[structs.WorkerID]*worker
-	order   []*worker // workers by identifier
+	jobs      map[structs.JobID]*job
+	scheduled []*job // active jobs with occurrences
+	ended     []*job // ended jobs in the order of their ends
+	fading    []*job // ended jobs that still have their steps
+	ready     []*step
+	workers   map[structs.WorkerID]*worker
+	order     []*worker // workers by identifier
 
 	// unheard counts workers that may run tasks of the previous leader and
 	// have neither answered nor outlived the leases of that leader.
@@ -63,9 +65,7 @@
 	started   bool
 	recovered bool // taken over from a previous leader
 	objective time.Duration
-	chain     time.Duration
-	work      float64 // core-seconds by estimate
-	dropSpec  bool    // its specification is no longer stored
+	dropSpec  bool // its specification is no longer stored
 }
 
 type jobState uint8
@@ -141,7 +141,6 @@
 	failedRuns []uint64 // runs that ended as failed, each counted once
 	checkpoint string
 	avoid      structs.WorkerID // where it failed last
-	readyAt    structs.Timestamp
 }
 
 // allocation is a run that occupies, or may occupy, room on a worker.
