dispatch: answer the cancellation of a refused job

Cause: read in the diff: a job that is cancelled before its commit and then refused left the cancellation without an answer. Change: it is told that there is no such job. Before: TestOpenOutcomeIsToldAtOnce fails with the new check. After: it passes.

--- a/dispatch/orders_test.go
+++ b/dispatch/orders_test.go
@@ -148,14 +148,15 @@
 	late := arrayJob(1, false)
 	late.ID = "0000000000000002"
 	s.reduce(SubmitJob{Ref: 2, Job: late, Queue: batchQueue(nil)})
+	s.reduce(CancelJob{Ref: 4, ID: late.ID})
 	s.reduce(StoreHealth{Away: true})
 	s.reduce(SubmitJob{Ref: 3, Job: arrayJob(1, false), Queue: batchQueue(nil)})
 	verdicts := map[Ref]Verdict{}
 	for _, r := range take[Reply](s) {
 		verdicts[r.Ref] = r.Verdict
 	}
-	if verdicts[1] != Unsettled || verdicts[2] != Refused || verdicts[3] != Unsettled {
-		t.Errorf("verdicts %v, want 1 and 3 unsettled and 2 refused", verdicts)
+	if verdicts[1] != Unsettled || verdicts[2] != Refused || verdicts[3] != Unsettled || verdicts[4] != NoSuchJob {
+		t.Errorf("verdicts %v, want 1 and 3 unsettled, 2 refused and its cancellation told that there is no such job", verdicts)
 	}
 	s.reduce(CommitAnswered{Sequence: commit.Sequence})
 	if _, known := s.cell.State("0000000000000001"); !known {
--- a/dispatch/reduce.go
+++ b/dispatch/reduce.go
@@ -123,6 +123,7 @@
 			continue
 		}
 		c.answer(&j.waiting, Refused, retryAfterStore)
+		c.answer(&j.cancels, NoSuchJob, 0)
 		c.decide(Decision{Event: "refuse", Job: j.spec.ID, Reason: "store does not answer", Value: int64(c.now.Sub(j.accepted) / time.Millisecond)})
 		j.state = jobCancelled // advice that arrives late finds nothing to start
 		delete(c.jobs, j.spec.ID)
