soak: take the settings file from the stand-in

Cause: the soak spelled the platform's settings, which only platform/ may know. Change: platformtest writes the file. Before and after: go test ./soak passes.

--- a/soak/cell_test.go
+++ b/soak/cell_test.go
@@ -120,20 +120,10 @@
 		name: fmt.Sprintf("instance-%d", n), callers: fmt.Sprintf("127.0.0.1:%d", port), store: store,
 		config: filepath.Join(folder, fmt.Sprintf("instance-%d.yaml", n)),
 	}
-	settings := fmt.Sprintf(`node: %q
-ip: "127.0.0.1"
-zone: "a"
-region: "r"
-listen:
-  front: %q
-  ready: "127.0.0.1:%d"
-portRange: [%d, %d]
-limits: {cpuShare: 1.0, cores: 1, memoryMb: 284}
-commands: "push"
-advisor: %q
-platform: {address: %q, form: "table", txMs: 4.0}
-thresholds: {holdMaxMs: 6000, stopMs: 900, gangMs: 3000, drainMs: 3000, graceS: 4, status_s: 120}
-`, p.name, p.callers, port+1, port+2, port+3, c.platform.Address, store.address())
+	settings := c.platform.Settings(platformtest.Instance{
+		Name: p.name, Callers: p.callers, Ready: fmt.Sprintf("127.0.0.1:%d", port+1), FirstPort: port + 2, LastPort: port + 3,
+		Store: store.address(),
+	})
 	if err := os.WriteFile(p.config, []byte(settings), 0o600); err != nil {
 		c.t.Fatal(err)
 	}
