telemetry: write logs in pieces that hold whole lines

Change: a flush is split at line ends into writes of at most 4096 bytes, which a pipe takes as a whole.

--- a/telemetry/bounded.go
+++ b/telemetry/bounded.go
@@ -1,6 +1,7 @@
 package telemetry
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"sync"
@@ -12,6 +13,9 @@
 	maxBuffered = 256 << 10 // bytes
 	// flushEvery lets many lines share one write.
 	flushEvery = 100 * time.Millisecond
+	// maxWrite is the size up to which a pipe takes a write as a whole
+	// (PIPE_BUF of Linux). Log collectors lost parts of longer writes.
+	maxWrite = 4096 // bytes
 )
 
 // BoundedWriter is a writer for logs that never blocks: it buffers lines,
@@ -80,6 +84,22 @@
 	if len(data) == 0 {
 		return
 	}
-	// There is nowhere to report that the log itself cannot be written.
-	_, _ = w.out.Write(data)
+	for len(data) > 0 {
+		n := wholeLines(data)
+		// There is nowhere to report that the log itself cannot be written.
+		_, _ = w.out.Write(data[:n])
+		data = data[n:]
+	}
+}
+
+// wholeLines returns the length of the lines at the start of data that fit
+// into one write; a longer line is written in pieces.
+func wholeLines(data []byte) int {
+	if len(data) <= maxWrite {
+		return len(data)
+	}
+	if end := bytes.LastIndexByte(data[:maxWrite], '\n'); end >= 0 {
+		return end + 1
+	}
+	return maxWrite
 }
