dispatch: gangs are placed with tickets only; larger calls for advice

A gang made four calls, most of them about further workers while it waited for room, and room that was placed waited for a renewal (0.05 to 0.12 of the cell) or was reserved meanwhile (0.10 to 0.20). Change: a gang is placed on workers with valid tickets only, and its tickets are renewed once 0.7 of its members have room; a call names more workers, as most of its time is fixed; steps that know enough workers ask further only through idle instances; single tasks ask only about workers with room.

--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 
 	"github.com/mangodrum/mangodrum/structs"
@@ -34,7 +33,11 @@
 	if s.job.queue.Advisor == nil || s.asking > 0 || len(s.advice) > 0 || !s.job.active() {
 		return
 	}
-	c.askMore(s)
+	r := rankOnTime
+	if s.job.queue.Priority == 0 {
+		r = rankUrgent
+	}
+	c.askMore(s, r)
 }
 
 const (
@@ -43,56 +46,91 @@
 	defaultGoodShare = 0.4
 	// goodShareWeight of a new observation in the moving average.
 	goodShareWeight = 0.2
-	// adviceSurplus is how many times the needed workers are asked about, as
-	// some are busy; gangs need a choice to find room together.
-	adviceSurplus     = 2.0
-	adviceSurplusGang = 3.0
-	adviceExtra       = 2 // workers beyond that
-	// maxAdvised is the most workers that one call may name.
-	maxAdvised = 100
+	// minGoodShare keeps a queue whose advisor refuses nearly all workers from
+	// naming all of them in each call.
+	minGoodShare = 0.05
+	// roomSurplus is how many times the needed room the named workers are
+	// expected to have, as other steps take some of it during the call.
+	roomSurplus = 1.5
+	// roomSurplusGang is larger: all members need room at the same moment.
+	roomSurplusGang = 3.0
+	// turnover is the share of a worker's capacity that counts as room even
+	// when it is full: about that much is freed within the time of a call.
+	turnover = 0.25
+	// minAdvisedShare of the fixed time of a call may go to naming workers
+	// whether or not they are needed now.
+	minAdvisedShare = 0.4
+	maxAdvised      = 100 // workers that one call may name
+	// minGangSlots on known workers for each member of a gang are enough to
+	// wait for room there; beyond that only idle instances ask for more.
+	minGangSlots = 3.0
 )
 
-// askMore asks the advisor about workers that a step knows nothing of.
-func (c *Cell) askMore(s *step) {
+// askMore asks the advisor about workers that a step knows nothing of. Most
+// of the time of a call is the same for one worker and for many, so a call
+// names enough of them to make a second one unlikely. It reports whether a
+// call was made.
+func (c *Cell) askMore(s *step, r rank) bool {
 	advisor := s.job.queue.Advisor
 	if advisor == nil || s.asking > 0 || c.now.Before(s.askAfter) || c.freeAdvisor(advisor.CallTime(1)) == nil {
-		return
+		return false
 	}
-	var unknown []*worker
+	names := c.workersToAsk(s, r)
+	return len(names) > 0 && c.ask(s, names)
+}
+
+// workersToAsk returns the unknown workers with the most room, as many as the
+// waiting tasks of the step are expected to need. A task that finds no room
+// on any unknown worker gains nothing from advice; a gang does, as room is
+// reserved for it.
+func (c *Cell) workersToAsk(s *step, r rank) []structs.WorkerID {
+	type option struct {
+		worker *worker
+		slots  float64
+	}
+	size := s.spec.Size()
+	var unknown []option
 	for _, w := range c.order {
-		if _, asked := s.advice[w.ID]; !asked && c.eligible(s, w) {
-			unknown = append(unknown, w)
+		if _, asked := s.advice[w.ID]; asked || !c.eligible(s, w) {
+			continue
 		}
+		limit := s.roomForMore(w)
+		slots := float64(min(timesIn(size, c.free(w, r)), limit))
+		if slots == 0 && len(s.advice) > 0 && !s.spec.Gang {
+			continue
+		}
+		unknown = append(unknown, option{w, max(slots, turnover*float64(min(timesIn(size, w.Capacity), limit)))})
 	}
-	if len(unknown) == 0 {
-		return
-	}
-	slices.SortStableFunc(unknown, func(a, b *worker) int {
-		return cmp.Compare(b.Capacity.MilliCPU-b.used.MilliCPU, a.Capacity.MilliCPU-a.used.MilliCPU)
-	})
-	count := min(len(unknown), c.adviceNeed(s), maxAdvised)
-	names := make([]structs.WorkerID, count)
-	for n := range names {
-		names[n] = unknown[n].ID
-	}
-	c.ask(s, names)
-}
-
-func (c *Cell) adviceNeed(s *step) int {
+	slices.SortStableFunc(unknown, func(a, b option) int { return cmp.Compare(b.slots, a.slots) })
 	share, seen := c.goodShare[s.job.queue.Name]
 	if !seen {
 		share = defaultGoodShare
 	}
-	each := 1
-	for _, w := range c.order {
-		each = max(each, min(timesIn(s.spec.Size(), w.Capacity), s.roomForMore(w)))
-	}
-	surplus := adviceSurplus
+	surplus := roomSurplus
 	if s.spec.Gang {
-		surplus = adviceSurplusGang
+		surplus = roomSurplusGang
 	}
-	need := math.Ceil(float64(len(s.tasks)) / float64(each))
-	return int(math.Ceil(need*surplus/max(share, 0.05))) + adviceExtra
+	wanted := float64(s.idle) * surplus / max(share, minGoodShare)
+	least := s.job.queue.Advisor.WorkersWithin(minAdvisedShare)
+	var names []structs.WorkerID
+	for n, o := range unknown {
+		if n >= maxAdvised || wanted <= 0 && n >= least {
+			break
+		}
+		wanted -= o.slots
+		names = append(names, o.worker.ID)
+	}
+	return names
+}
+
+// knowsEnough reports whether the workers known as good can hold a gang once
+// room is reserved on them.
+func (c *Cell) knowsEnough(s *step) bool {
+	slots := 0
+	for _, w := range c.admitted(s) {
+		slots += min(timesIn(s.spec.Size(), w.Capacity), s.roomForMore(w))
+	}
+	return float64(slots) >= minGangSlots*float64(len(s.tasks))
 }
 
 // ask sends a call for advice if an instance is free for it.
@@ -188,8 +226,48 @@
 	}
 }
 
+// renewAhead renews the tickets of a waiting gang before the last of its room
+// is free, so that no room stands idle during the call. It names the good
+// workers with the most room, more than the gang needs, as the tickets that
+// the answer brings are used wherever there is room by then.
+func (c *Cell) renewAhead(s *step, r rank) bool {
+	if s.job.queue.Advisor == nil || s.asking > 0 || c.now.Before(s.askAfter) {
+		return false
+	}
+	size := s.spec.Size()
+	candidates := c.admitted(s)
+	slots := func(w *worker) int { return min(timesIn(size, c.free(w, r)), s.roomForMore(w)) }
+	total := 0
+	for _, w := range candidates {
+		total += slots(w)
+	}
+	if float64(total) < aheadShare*float64(len(s.tasks)) {
+		return false
+	}
+	slices.SortStableFunc(candidates, func(a, b *worker) int { return cmp.Compare(slots(b), slots(a)) })
+	var names []structs.WorkerID
+	named := 0
+	for _, w := range candidates {
+		if float64(named) >= aheadSurplus*float64(len(s.tasks)) {
+			break
+		}
+		named += max(slots(w), 1)
+		names = append(names, w.ID)
+	}
+	return c.ask(s, names[:min(len(names), maxAdvised)])
+}
+
+const (
+	// aheadShare of a gang's members must have room before its tickets are
+	// renewed; the rest is freed during the call under the usual turnover.
+	aheadShare = 0.7
+	// aheadSurplus is how many slots a renewal covers for each member.
+	aheadSurplus = 2.0
+)
+
 // startPlaced starts the placed tasks that have tickets and asks for the
-// tickets that are missing. A gang starts when all members have one.
+// tickets that are missing. The members of a gang are placed with tickets
+// only.
 func (c *Cell) startPlaced(s *step) {
 	c.unplaceNotAdmitted(s)
 	var ready []*task
@@ -207,14 +285,13 @@
 	if missing && s.asking == 0 && (c.now.Before(s.askAfter) || !c.ask(s, c.ticketsToRenew(s))) {
 		c.unplaceWithoutTicket(s)
 	}
-	if len(ready) == 0 || (s.spec.Gang && len(ready) < len(s.tasks)) {
-		return
-	}
-	if s.spec.Gang {
+	if s.spec.Gang && len(ready) == len(s.tasks) {
 		s.gangRun = c.nextRun(s.tasks)
 		for _, t := range ready {
 			c.start(t, s.gangRun)
 		}
+	}
+	if s.spec.Gang {
 		return
 	}
 	for _, t := range ready {
@@ -235,21 +312,11 @@
 	}
 }
 
-// ticketsToRenew returns the workers of placed tasks whose tickets are missing
-// or, for a gang, lapse before the others are there: all members need a valid
-// one at the same time, and a call may take half as long as a ticket is valid.
+// ticketsToRenew returns the workers of placed tasks without a valid ticket.
 func (c *Cell) ticketsToRenew(s *step) []structs.WorkerID {
 	var names []structs.WorkerID
-	validUntil := c.now
-	if s.spec.Gang {
-		validUntil = c.now.Add(s.job.queue.Advisor.CallTime(len(s.tasks)) + ticketMargin)
-	}
 	for _, t := range s.tasks {
-		if t.state != taskPlaced || slices.Contains(names, t.at.ID) {
-			continue
-		}
-		known := s.advice[t.at.ID]
-		if known.life != t.at.Incarnation || !validUntil.Before(known.until) {
+		if t.state == taskPlaced && !c.hasTicket(t) && !slices.Contains(names, t.at.ID) {
 			names = append(names, t.at.ID)
 		}
 	}
@@ -260,7 +327,7 @@
 // instance is free to renew their tickets.
 func (c *Cell) unplaceWithoutTicket(s *step) {
 	for _, t := range s.tasks {
-		if t.state == taskPlaced && (s.spec.Gang || !c.hasTicket(t)) {
+		if t.state == taskPlaced && !c.hasTicket(t) {
 			c.unplace(t)
 		}
 	}
--- a/dispatch/advisors.go
+++ b/dispatch/advisors.go
@@ -69,3 +69,18 @@
 	}
 	c.placeAgain = true
 }
+
+// idleShare of the instances that take long calls must be free before a step
+// that can wait for room on known workers asks about more of them.
+const idleShare = 0.4
+
+// advisorsIdle reports whether calls that are only of use now and then fit in.
+func (c *Cell) advisorsIdle() bool {
+	free := 0
+	for n, slot := range c.advisors {
+		if n >= len(c.advisors)/shortOnlyShare && slot.busy == 0 {
+			free++
+		}
+	}
+	return float64(free) >= idleShare*float64(len(c.advisors))
+}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -17,7 +17,7 @@
 		s := contender.step
 		if s.spec.Gang {
 			placed := c.placeGang(s, contender.rank)
-			if !placed && reserving < c.maxReserving() && contender.rank <= rankOnTime {
+			if !placed && reserving < c.maxReserving() && (contender.rank <= rankOnTime || s.asking > 0) {
 				reserving++
 				c.reserve(s)
 			}
@@ -83,7 +83,7 @@
 		}
 		w := c.choose(t, candidates, r)
 		if w == nil {
-			c.askMore(s)
+			c.askMore(s, r)
 			break
 		}
 		c.allot(t, w)
@@ -107,6 +107,9 @@
 		}
 		left := w.Capacity.Sub(w.used).Sub(s.spec.Size())
 		cost := float64(left.DominantShare(w.Capacity))
+		if !c.isTicketValid(s, w) {
+			cost += ticketCost
+		}
 		if w.misses > 0 {
 			cost += silentCost
 		}
@@ -129,6 +132,7 @@
 // Costs in parts per million of a worker's capacity; each outweighs the
 // costs before it.
 const (
+	ticketCost   = 1e6 // the room stands idle until the ticket is renewed
 	reservedCost = 2e6
 	remoteCost   = 4e6
 	silentCost   = 8e6
@@ -141,14 +145,20 @@
 	tasks  int
 }
 
-// placeGang places all members of a gang, or none.
+// placeGang places and starts all members of a gang, or none. It places them
+// on workers with valid tickets only: room that waits for a ticket stands
+// idle, and a call for advice takes a quarter of a gang's run time.
 func (c *Cell) placeGang(s *step, r rank) bool {
 	if s.idle < len(s.tasks) || s.isOccupied() {
 		return true // an earlier run is still ending; nothing to reserve
 	}
 	shares := c.spread(s, func(w *worker) structs.Resources { return c.free(w, r) })
 	if shares == nil {
-		c.askMore(s)
+		if c.knowsEnough(s) || !c.askMore(s, r) {
+			if !c.renewAhead(s, r) && c.advisorsIdle() {
+				c.askMore(s, r)
+			}
+		}
 		return false
 	}
 	next := 0
@@ -171,11 +181,11 @@
 	return false
 }
 
-// spread distributes the members of a gang over admitted workers with the
-// given room, or returns nil if they do not fit. A gang that is slow across
-// racks goes to one rack where it fits.
+// spread distributes the members of a gang over the workers with valid
+// tickets and the given room, or returns nil if they do not fit. A gang that
+// is slow across racks goes to one rack where it fits.
 func (c *Cell) spread(s *step, room func(*worker) structs.Resources) []share {
-	candidates := c.admitted(s)
+	candidates := c.ticketed(s, c.admitted(s))
 	if s.spec.SameRack {
 		byRack := map[structs.Rack][]*worker{}
 		for _, w := range candidates {
@@ -187,11 +197,6 @@
 			}
 		}
 	}
-	if ticketed := c.ticketed(s, candidates); len(ticketed) < len(candidates) {
-		if shares := c.spreadOver(s, ticketed, room); shares != nil {
-			return shares // starts at once, without another call for advice
-		}
-	}
 	return c.spreadOver(s, candidates, room)
 }
 
--- a/workflow/job.go
+++ b/workflow/job.go
@@ -69,6 +69,15 @@
 // CallTime returns how long the advisor takes for a call that names n workers.
 func (a *Advisor) CallTime(n int) time.Duration { return a.BaseTime + time.Duration(n)*a.TimePerWorker }
 
+// WorkersWithin returns how many workers a call can name within the given
+// share of its fixed time.
+func (a *Advisor) WorkersWithin(share float64) int {
+	if a.TimePerWorker <= 0 {
+		return 0
+	}
+	return int(share * float64(a.BaseTime) / float64(a.TimePerWorker))
+}
+
 // State is what callers see of a job.
 type State string
 
