--- a/cell/effects.go
+++ b/cell/effects.go
@@ -90,13 +90,22 @@
 
 // connected returns this instance and the followers heard of lately.
 func (l *leader) connected() []structs.InstanceID {
-	const recent = 800 * time.Millisecond // three heartbeats
 	list := []structs.InstanceID{l.instance.options.ID}
+	for _, f := range l.followers() {
+		list = append(list, f.id)
+	}
+	return list
+}
+
+// followers returns the followers heard of lately.
+func (l *leader) followers() []helper {
+	const recent = 800 * time.Millisecond // three heartbeats
 	l.peersMu.Lock()
 	defer l.peersMu.Unlock()
+	var list []helper
 	for id, m := range l.peers {
 		if m.heardAt != 0 && l.now().Sub(m.heardAt) < recent {
-			list = append(list, id)
+			list = append(list, helper{id, m.share, m.roundTrip})
 		}
 	}
 	return list
--- a/cell/instance.go
+++ b/cell/instance.go
@@ -275,9 +275,14 @@
 // 30 ms, at an answer time ten times the usual.
 const storeTimeout = 800 * time.Millisecond
 
+// leaderRow selects the leadership row.
+func leaderRow() tablestore.Range {
+	return tablestore.Range{Table: dispatch.CellTable, Part: Part, From: leaderKey, To: leaderKey + "\x00"}
+}
+
 func (i *Instance) readRow() {
 	started := time.Now()
-	page, err := i.options.Store.Scan(tablestore.Range{Table: dispatch.CellTable, Part: Part, From: leaderKey, To: leaderKey + "\x00"}, storeTimeout)
+	page, err := i.options.Store.Scan(leaderRow(), storeTimeout)
 	result := leadership.RowRead{Took: time.Since(started), Failed: err != nil, At: structs.Timestamp(page.StoreTime)}
 	if err == nil && len(page.Rows) > 0 {
 		result.Version = page.Rows[0].Version
--- a/cell/members.go
+++ b/cell/members.go
@@ -12,12 +12,15 @@
 
 // member is another instance as the leader knows it.
 type member struct {
-	address  string
-	share    float64 // of a processor, in cores
-	heardAt  structs.Timestamp
-	config   uint64            // version that it has
-	behindAt structs.Timestamp // since when that is not the newest
-	helpedAt structs.Timestamp // it was last sent the newest
+	address string
+	share   float64 // of a processor, in cores
+	heardAt structs.Timestamp
+	beatAt  structs.Timestamp // the last heartbeat was sent
+	// roundTrip of the last heartbeat and its echo.
+	roundTrip time.Duration
+	config    uint64            // version that it has
+	behindAt  structs.Timestamp // since when that is not the newest
+	helpedAt  structs.Timestamp // it was last sent the newest
 }
 
 const (
@@ -38,6 +41,7 @@
 	for id, m := range l.peers {
 		strongest = max(strongest, m.share)
 		helped[id] = m.needsConfig(version, now)
+		m.beatAt = now
 	}
 	l.peersMu.Unlock()
 	for id, help := range helped {
@@ -85,6 +89,7 @@
 	defer l.peersMu.Unlock()
 	if m := l.peers[id]; m != nil {
 		m.heardAt, m.config = l.now(), config
+		m.roundTrip = m.heardAt.Sub(m.beatAt)
 	}
 }
 
--- a/cell/store.go
+++ b/cell/store.go
@@ -17,26 +17,13 @@
 	direct   tablestore.Store
 
 	mu         sync.Mutex
-	calls      path
-	feeds      path // apart: a feed that hears nothing says little about calls
+	calls      way
+	feeds      way // apart: a feed that hears nothing says little about calls
 	lastHelper structs.InstanceID
 	resting    map[structs.InstanceID]time.Time // helpers that failed, until when
 }
 
-// path is what is known of the ways to the store for one kind of calls.
-type path struct {
-	directFrom time.Time // no direct call before this time
-	assistFrom time.Time // no assisted call before this time
-	turnedAway bool
-}
-
 const (
-	// directPause is how long direct calls rest after one failed while a peer
-	// reached the store.
-	directPause = time.Second
-	// assistPause is how long assisted calls rest after one failed: the store
-	// is probably away for all.
-	assistPause = 600 * time.Millisecond
 	// helperPause is how long a helper rests after it failed; the store turns
 	// instances away for seconds.
 	helperPause = 2 * time.Second
@@ -65,11 +52,11 @@
 
 // call makes a direct call, an assisted one, or the second after the first.
 func (s *assistedStore) call(c storeCall) (tablestore.Page, error) {
-	p := &s.calls
+	w := &s.calls
 	if c.Follow != nil {
-		p = &s.feeds
+		w = &s.feeds
 	}
-	useDirect, useAssist := s.ways(p)
+	useDirect, useAssist := s.ways(w)
 	if _, ok := s.helper(); !ok {
 		useDirect, useAssist = true, false
 	}
@@ -78,18 +65,18 @@
 	if useDirect {
 		page, err = callStore(s.direct, c)
 		if isAnswer(err) {
-			s.directWorks(p)
+			s.directWorks(w)
 			return page, err
 		}
 	}
 	if useDirect && errs.Is(err, errs.OutcomeUnknown) {
-		s.directUnanswered(p) // the next call goes by way of a peer
+		s.directUnanswered(w) // the next call goes by way of a peer
 		return page, err
 	}
 	if !useAssist {
 		return page, err
 	}
-	helped, helpErr, asked := s.assisted(p, c)
+	helped, helpErr, asked := s.assisted(w, c)
 	if !asked {
 		return page, err
 	}
@@ -101,7 +88,7 @@
 
 // assisted tries peers until the store answers one of them or a call may have
 // been carried out.
-func (s *assistedStore) assisted(p *path, c storeCall) (page tablestore.Page, err error, asked bool) {
+func (s *assistedStore) assisted(w *way, c storeCall) (page tablestore.Page, err error, asked bool) {
 	for range maxHelpers {
 		helper, ok := s.helper()
 		if !ok {
@@ -110,7 +97,7 @@
 		asked = true
 		page, err = s.assist(helper, c)
 		if isAnswer(err) {
-			s.assistWorks(p, helper)
+			s.assistWorks(w, helper)
 			return page, err, true
 		}
 		s.helperRests(helper)
@@ -118,7 +105,7 @@
 			return page, err, true
 		}
 	}
-	s.assistRests(p)
+	s.assistRests(w)
 	return page, err, asked
 }
 
@@ -127,48 +114,66 @@
 	return err == nil || errs.Is(err, errs.Conflict) || errs.Is(err, errs.NotFound) || errs.Is(err, errs.InvalidInput)
 }
 
-func (s *assistedStore) ways(p *path) (direct, assist bool) {
+func (s *assistedStore) ways(w *way) (direct, assist bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
-	assist = !now.Before(p.assistFrom)
-	return !assist || !now.Before(p.directFrom), assist
+	return w.choose(time.Now())
 }
 
-func (s *assistedStore) directWorks(p *path) {
+func (s *assistedStore) directWorks(w *way) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if p.turnedAway {
-		p.turnedAway = false
-		s.instance.log.Info("dependency", "name", "store", "healthy", true, "way", "direct")
+	if w.directAnswered() {
+		s.logDirect()
 	}
 }
 
-// directUnanswered makes the next call an assisted one. Waiting for a second
-// answer within one call would double the time in which the store's return
-// goes unnoticed.
-func (s *assistedStore) directUnanswered(p *path) {
+func (s *assistedStore) logDirect() {
+	s.instance.log.Info("dependency", "name", "store", "healthy", true, "way", "direct")
+}
+
+func (s *assistedStore) directUnanswered(w *way) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	p.directFrom = time.Now().Add(directPause)
+	w.directUnanswered(time.Now())
 }
 
-func (s *assistedStore) assistWorks(p *path, helper structs.InstanceID) {
+func (s *assistedStore) assistWorks(w *way, helper structs.InstanceID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	p.directFrom = time.Now().Add(directPause)
 	s.lastHelper = helper
-	if !p.turnedAway {
-		p.turnedAway = true
+	if w.assistAnswered() {
 		s.instance.log.Info("dependency", "name", "store", "healthy", false, "way", "assisted", "by", helper)
+		s.instance.group.Go(func() { s.probeDirect(w) })
+	}
+}
+
+// probeDirect reads the leadership row directly until calls are direct again.
+func (s *assistedStore) probeDirect(w *way) {
+	for s.isAssisted(w) {
+		sleep(s.instance.ctx, probeEvery)
+		if s.instance.ctx.Err() != nil {
+			return
+		}
+		_, err := s.direct.Scan(leaderRow(), probeTimeout)
+		s.mu.Lock()
+		if w.probed(isAnswer(err)) {
+			s.logDirect()
+		}
+		s.mu.Unlock()
 	}
 }
 
-func (s *assistedStore) assistRests(p *path) {
+func (s *assistedStore) isAssisted(w *way) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return w.assisted
+}
+
+func (s *assistedStore) assistRests(w *way) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	p.assistFrom = time.Now().Add(assistPause)
-	p.directFrom = time.Time{}
+	w.assistFailed(time.Now())
 }
 
 func (s *assistedStore) assist(helper structs.InstanceID, c storeCall) (tablestore.Page, error) {
@@ -205,19 +210,19 @@
 }
 
 // helper returns a peer that may reach the store: the one that did last, or
-// another that has not failed lately.
+// the strongest that has not failed lately.
 func (s *assistedStore) helper() (structs.InstanceID, bool) {
 	candidates := s.instance.helpers()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
 	var found structs.InstanceID
-	for _, id := range candidates {
-		if now.Before(s.resting[id]) {
+	for _, h := range candidates {
+		if now.Before(s.resting[h.id]) {
 			continue
 		}
-		if found == "" || id == s.lastHelper {
-			found = id
+		if found == "" || h.id == s.lastHelper {
+			found = h.id
 		}
 	}
 	return found, found != ""
@@ -232,10 +237,10 @@
 // helpers returns the followers that a leader can ask. A follower asks nobody:
 // it needs the store for the configuration only, which the leader sends it,
 // and the calls of many followers would take the leader's own connections.
-func (i *Instance) helpers() []structs.InstanceID {
+func (i *Instance) helpers() []helper {
 	local, _, _ := i.current()
 	if local == nil {
 		return nil
 	}
-	return local.connected()[1:]
+	return byStrength(local.followers())
 }
