--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -37,7 +37,8 @@
 // newJob builds the state of a job that was accepted at the given time.
 func (c *Cell) newJob(spec workflow.Job, queue workflow.Queue, accepted structs.Timestamp) *job {
 	j := &job{spec: spec, queue: queue, accepted: accepted, visible: workflow.Pending}
-	j.objective = time.Duration(queue.Stretch*float64(spec.Chain())) + queue.Allowance
+	chain := j.spec.Chain(func(step *workflow.Step) time.Duration { return c.expectStep(&j.queue, step) })
+	j.objective = time.Duration(queue.Stretch*float64(chain)) + queue.Allowance
 	if spec.Occurrences == 0 {
 		c.addOccurrence(j, 0, accepted)
 		j.nextDue = 1
@@ -53,7 +54,7 @@
 		spec := &j.spec.Steps[n]
 		s := &step{
 			job: j, occ: occ, index: n, spec: spec, name: stepName(j.spec.ID, index, n),
-			left: spec.Tasks, idle: spec.Tasks, advice: map[structs.WorkerID]admission{}, perWorker: map[structs.WorkerID]int{},
+			expected: c.expectStep(&j.queue, spec), left: spec.Tasks, idle: spec.Tasks, advice: map[structs.WorkerID]admission{}, perWorker: map[structs.WorkerID]int{},
 		}
 		s.tasks = make([]*task, spec.Tasks)
 		for i := range s.tasks {
--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -57,7 +57,7 @@
 
 func (s *step) started() bool { return s.left < len(s.tasks) || s.idle < s.left }
 
-// tail returns the estimated length of the longest chain from the step on.
+// tail returns the expected length of the longest chain from the step on.
 func (s *step) tail() time.Duration {
 	var behind time.Duration
 	for _, next := range s.occ.steps[s.index+1:] {
@@ -65,7 +65,7 @@
 			behind = max(behind, next.tail())
 		}
 	}
-	return s.spec.Estimate + behind
+	return s.expected + behind
 }
 
 type contender struct {
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -180,6 +180,7 @@
 	case workflow.EndDone:
 		w.noteSuccess()
 		c.observeRun(t, a)
+		c.learnRunTime(t, a)
 		c.succeed(t)
 	case workflow.EndFailed:
 		t.avoid = w.ID
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -40,7 +40,8 @@
 	storeAway       bool          // commits fail; new submissions are refused at once
 	wallOffset      time.Duration // time of day less the cell's time
 	advisors        []*advisorSlot
-	goodShare       map[string]float64 // share of advised workers that were good, by queue
+	goodShare       map[string]float64   // share of advised workers that were good, by queue
+	runTimes        map[string]*runTimes // by queue
 }
 
 // job is an accepted job or one that waits for its commit.
@@ -94,6 +95,7 @@
 	index     int
 	spec      *workflow.Step
 	name      string
+	expected  time.Duration // from the moment when it may begin to its end
 	tasks     []*task
 	left      int // tasks that have not succeeded
 	idle      int // tasks that wait for a place
@@ -199,7 +201,7 @@
 func New(policy Policy, epoch structs.Epoch, now structs.Timestamp) *Cell {
 	return &Cell{
 		policy: policy, epoch: epoch, now: now, confirmed: now, startedAt: now,
-		jobs: map[structs.JobID]*job{}, workers: map[structs.WorkerID]*worker{}, goodShare: map[string]float64{},
+		jobs: map[structs.JobID]*job{}, workers: map[structs.WorkerID]*worker{}, goodShare: map[string]float64{}, runTimes: map[string]*runTimes{},
 	}
 }
 
--- a/workflow/job.go
+++ b/workflow/job.go
@@ -135,15 +135,16 @@
 	return size
 }
 
-// Chain returns the estimated length of the longest chain of steps.
-func (j *Job) Chain() time.Duration {
+// Chain returns the length of the longest chain of steps, given the time that
+// each step takes.
+func (j *Job) Chain(stepTime func(*Step) time.Duration) time.Duration {
 	ends := make([]time.Duration, len(j.Steps))
 	var longest time.Duration
-	for n, step := range j.Steps {
-		for _, before := range step.After {
+	for n := range j.Steps {
+		for _, before := range j.Steps[n].After {
 			ends[n] = max(ends[n], ends[before])
 		}
-		ends[n] += step.Estimate
+		ends[n] += stepTime(&j.Steps[n])
 		longest = max(longest, ends[n])
 	}
 	return longest
