cell: settle commits by reading the row back; leadership: wait longer in a slow store

Commits timed out after 0.5 s and were sent again behind their own first copies; the leader took the store as away and refused all work for five seconds, and a dozen followers claimed at one moment, which the store refused. Change: a commit without an answer is read back after 0.15 s; the row tells whether it took effect, the time of the read how slow the store is, and no answer that this way is cut. A claim waits four times the delay of its read and is staggered by instance; one without an answer is read back. The lease horizon counts from the first copy of a commit, as the next leader does; it counted from the last one.

--- a/cell/commits.go
+++ b/cell/commits.go
@@ -12,18 +12,15 @@
 	"github.com/mangodrum/mangodrum/tablestore"
 )
 
+// pendingCommit is the commit whose outcome is open; there is one at a time.
 type pendingCommit struct {
-	commit   dispatch.Commit
-	tx       tablestore.Tx
-	row      leadership.Row
-	timeout  time.Duration
-	retryAt  structs.Timestamp
-	sending  bool
-	failures int // tries without a usable answer
-	madeAt   structs.Timestamp
+	settlement
+	commit dispatch.Commit
+	tx     tablestore.Tx
+	row    leadership.Row
 }
 
-// commit sends the next commit, or repeats the one whose outcome is open.
+// commit makes the next commit if one is due, and moves the pending one on.
 func (l *leader) commit() {
 	now := l.now()
 	if l.pending == nil {
@@ -35,15 +32,19 @@
 		}
 	}
 	p := l.pending
-	if now.Sub(p.madeAt) > awayAfter {
+	if p.isAway(now) {
 		l.storeAway("a commit has no answer")
 	}
-	if p.sending || now.Before(p.retryAt) {
-		return
+	if p.shouldSend(now) {
+		p.sent(now)
+		l.idleSince = now
+		tx := p.tx
+		l.group.Go(func() { l.sendCommit(p, tx) })
+	}
+	if p.shouldRead(now) {
+		p.read(now)
+		l.group.Go(func() { l.readBack(p) })
 	}
-	p.sending = true
-	l.idleSince = now
-	l.group.Go(func() { l.sendCommit(p, now) })
 }
 
 // storeAway makes the dispatcher refuse submissions until a commit succeeds.
@@ -73,73 +74,108 @@
 	}
 	puts := append([]tablestore.Put{{Table: dispatch.CellTable, Key: leaderKey, Value: value}}, commit.Puts...)
 	l.pending = &pendingCommit{
-		commit: commit, row: row, timeout: firstCommitTimeout, madeAt: now,
-		tx: tablestore.Tx{Part: Part, Puts: puts, Removes: commit.Removes},
+		settlement: settlement{madeAt: now}, commit: commit, row: row,
+		tx: tablestore.Tx{Part: Part, Puts: puts, Removes: commit.Removes, Conditions: l.condition()},
 	}
 	return true
 }
 
-func (l *leader) sendCommit(p *pendingCommit, sentAt structs.Timestamp) {
-	tx := p.tx
-	tx.Conditions = []tablestore.Condition{{Table: dispatch.CellTable, Key: leaderKey, Version: l.version}}
-	page, err := l.instance.store.Commit(tx, p.timeout)
+// condition demands that nobody has written the leadership row since.
+func (l *leader) condition() []tablestore.Condition {
+	return []tablestore.Condition{{Table: dispatch.CellTable, Key: leaderKey, Version: l.version}}
+}
+
+func (l *leader) sendCommit(p *pendingCommit, tx tablestore.Tx) {
+	page, err := l.instance.store.Commit(tx, commitTimeout)
+	l.hand(func() { l.commitAnswered(p, page, err) })
+}
+
+// readBack reads the leadership row, which tells whether the commit took
+// effect.
+func (l *leader) readBack(p *pendingCommit) {
+	page, err := l.instance.store.Scan(leaderRow(), readBackTimeout)
+	l.hand(func() {
+		p.readDone(l.now(), err == nil)
+		if err != nil || l.pending != p {
+			return
+		}
+		l.noteStoreClock(page)
+		if version, ok := ownRow(page.Rows, p.row); ok {
+			l.commitDone(p, version)
+			return
+		}
+		if _, ok := ownRow(page.Rows, l.row); !ok {
+			l.depose("the leadership row has changed", 0)
+		}
+	})
+}
+
+// hand passes a function to the leader's loop.
+func (l *leader) hand(do func()) {
 	select {
-	case l.inbox <- func() { l.commitAnswered(p, sentAt, page, err) }:
+	case l.inbox <- do:
 	case <-l.ctx.Done():
 	}
 }
 
 // commitAnswered settles a commit. The version chain of the leadership row
-// tells after a lost answer whether the commit took effect, and keeps a late
-// copy of it from taking effect twice.
-func (l *leader) commitAnswered(p *pendingCommit, sentAt structs.Timestamp, page tablestore.Page, err error) {
-	p.sending = false
+// tells whether an earlier copy took effect, and keeps a late copy from taking
+// effect twice.
+func (l *leader) commitAnswered(p *pendingCommit, page tablestore.Page, err error) {
+	if l.pending != p {
+		return // another copy or a read-back has settled it
+	}
 	switch {
 	case err == nil:
 		l.noteStoreClock(page)
-		l.commitDone(p, sentAt, page.Version)
+		l.commitDone(p, page.Version)
 	case errs.Is(err, errs.Conflict):
-		l.commitConflict(p, sentAt, page)
+		l.commitConflict(p, page)
 	default:
-		if p.failures++; p.failures >= failuresUntilAway {
-			l.storeAway(err.Error())
-		}
+		p.copyDone(l.now(), errs.Is(err, errs.NotRun))
 		l.instance.metrics.count("commit_failures", "kind", string(errs.KindOf(err)))
-		p.timeout = min(p.timeout*8/5, maxCommitTimeout)
-		p.retryAt = l.now().Add(commitRetry)
-		if errs.Is(err, errs.NotRun) {
-			p.retryAt = l.now().Add(maxCommitRetry)
-		}
 	}
 }
 
-func (l *leader) commitConflict(p *pendingCommit, sentAt structs.Timestamp, page tablestore.Page) {
+func (l *leader) commitConflict(p *pendingCommit, page tablestore.Page) {
 	if version, ok := ownRow(page.Rows, p.row); ok {
-		l.commitDone(p, sentAt, version)
+		l.commitDone(p, version)
 		return
 	}
 	if version, ok := ownRow(page.Rows, l.row); ok {
-		l.version = version
+		l.version = version // the answer to the commit before named a newer one
+		p.tx.Conditions = l.condition()
+		p.copyDone(l.now(), false)
 		return
 	}
 	l.depose("the leadership row has changed", 0)
 }
 
-func (l *leader) commitDone(p *pendingCommit, sentAt structs.Timestamp, version uint64) {
+func (l *leader) commitDone(p *pendingCommit, version uint64) {
 	now := l.now()
 	if l.away {
 		l.away = false
 		l.reduce(dispatch.StoreHealth{})
 		l.log.Info("dependency", "name", "store", "healthy", true, "away_ms", int64(now.Sub(l.okSince)/time.Millisecond))
 	}
-	l.instance.metrics.observe("commit", "kind", "leader", now.Sub(sentAt))
-	if took := now.Sub(p.madeAt); took > slowCommit {
-		l.log.Warn("slow commit", "took", took.String(), "last_try", now.Sub(sentAt).String(), "tries", p.failures+1,
-			"entries", len(p.tx.Puts)+len(p.tx.Removes))
+	took := now.Sub(p.madeAt)
+	l.instance.metrics.observe("commit", "kind", "leader", took)
+	if took > slowCommit {
+		l.log.Warn("slow commit", "took", took.String(), "last_copy", now.Sub(p.sentAt).String(), "copies_open", p.inFlight,
+			"refused", p.refused, "read_back", p.readTook.String(), "entries", len(p.tx.Puts)+len(p.tx.Removes))
 	}
 	l.row, l.version, l.okSince, l.pending = p.row, version, now, nil
-	l.cell.Confirm(sentAt)
+	// The next leader counts the leases from the time in the row, which is
+	// that of the first copy.
+	l.cell.Confirm(p.madeAt)
 	l.reduce(dispatch.CommitAnswered{Sequence: p.commit.Sequence})
 }
 
-func (l *leader) healthy() bool { return l.now().Sub(l.okSince) < unhealthyAfter }
+// healthy reports whether the store has answered lately.
+func (l *leader) healthy() bool {
+	last := l.okSince
+	if l.pending != nil {
+		last = max(last, l.pending.heardAt)
+	}
+	return l.now().Sub(last) < unhealthyAfter
+}
--- a/cell/instance.go
+++ b/cell/instance.go
@@ -326,7 +326,7 @@
 		Puts:       []tablestore.Put{{Table: dispatch.CellTable, Key: leaderKey, Value: value}},
 	}
 	sentAt := i.clock.Now()
-	page, err := i.options.Store.Commit(tx, storeTimeout)
+	page, err := i.options.Store.Commit(tx, claimTimeout)
 	i.log.Info("claim", "epoch", e.Epoch, "reason", e.Reason, "previous", e.Previous.Owner, "version", e.Version, "error", errText(err))
 	if err == nil {
 		return claimed{row, page.Version, page.StoreTime, i.clock.Now()}, true
@@ -336,9 +336,37 @@
 			return claimed{row, own, page.StoreTime, sentAt}, true
 		}
 	}
+	if errs.Is(err, errs.OutcomeUnknown) {
+		return i.readClaim(row)
+	}
 	return claimed{}, false
 }
 
+// readClaim finds out whether a claim without an answer took effect.
+func (i *Instance) readClaim(want leadership.Row) (claimed, bool) {
+	for range claimReads {
+		sentAt := i.clock.Now()
+		page, err := i.options.Store.Scan(leaderRow(), storeTimeout)
+		if err != nil {
+			sleep(i.ctx, claimReadPause)
+			continue
+		}
+		version, own := ownRow(page.Rows, want)
+		return claimed{want, version, page.StoreTime, sentAt}, own
+	}
+	return claimed{}, false
+}
+
+const (
+	// claimTimeout bounds a claim: twice what a transaction takes while the
+	// store is 70 times as slow as usual.
+	claimTimeout = 1200 * time.Millisecond
+	// claimReads is how often the row is read after a claim without an answer;
+	// the election goes on after that.
+	claimReads     = 2
+	claimReadPause = 100 * time.Millisecond
+)
+
 // ownRow returns the version of the leadership row if it is the given one.
 func ownRow(rows []tablestore.Row, want leadership.Row) (uint64, bool) {
 	for _, r := range rows {
--- a/cell/leader.go
+++ b/cell/leader.go
@@ -53,22 +53,9 @@
 	heartbeatEvery = 250 * time.Millisecond
 	// placeEvery bounds the processor time of placement under load.
 	placeEvery = 8 * time.Millisecond
-	// firstCommitTimeout bounds the first try of a commit; each further try
-	// waits longer, as the store may be slow.
-	firstCommitTimeout = 500 * time.Millisecond
-	// maxCommitTimeout is above what a commit takes while the store is 60 times
-	// as slow as usual. The store's return shows only after it.
-	maxCommitTimeout = 1200 * time.Millisecond
-	commitRetry      = 100 * time.Millisecond
-	maxCommitRetry   = 250 * time.Millisecond
-	// awayAfter is longer than a commit takes while the store is 60 times as
-	// slow as usual.
-	awayAfter = 1200 * time.Millisecond
 	// slowCommit is several times what a commit takes from the far region.
 	slowCommit = 300 * time.Millisecond
-	// failuresUntilAway tells one lost answer from a store that is away.
-	failuresUntilAway = 2
-	// unhealthyAfter is the age of the last commit at which the leader tells
+	// unhealthyAfter is the age of the store's last answer at which the leader tells
 	// its followers that it does not reach the store.
 	unhealthyAfter = 900 * time.Millisecond
 	// inboxSize absorbs the events of a burst.
@@ -163,6 +150,7 @@
 	loadAttempts = 8
 	// loadTimeout bounds the read of one page of 1 MB.
 	loadTimeout = 3 * time.Second
+	loadRetry   = 100 * time.Millisecond
 )
 
 func (l *leader) load(table string) ([]tablestore.Row, error) {
@@ -174,7 +162,7 @@
 			if attempts++; attempts >= loadAttempts || l.ctx.Err() != nil {
 				return nil, err
 			}
-			sleep(l.ctx, commitRetry)
+			sleep(l.ctx, loadRetry)
 			continue
 		}
 		rows = append(rows, page.Rows...)
@@ -282,9 +270,9 @@
 	}
 	_, err = l.instance.store.Commit(tablestore.Tx{
 		Part:       Part,
-		Conditions: []tablestore.Condition{{Table: dispatch.CellTable, Key: leaderKey, Version: l.version}},
+		Conditions: l.condition(),
 		Puts:       []tablestore.Put{{Table: dispatch.CellTable, Key: leaderKey, Value: value}},
-	}, firstCommitTimeout)
+	}, releaseTimeout)
 	l.released = err == nil
 	l.log.Info("release", "error", errText(err))
 }
--- a/leadership/leadership.go
+++ b/leadership/leadership.go
@@ -10,6 +10,9 @@
 package leadership
 
 import (
+	"crypto/sha256"
+	"encoding/binary"
+	"math"
 	"time"
 
 	"github.com/mangodrum/mangodrum/structs"
@@ -49,6 +52,12 @@
 	// share that they lack against the strongest one, so that a leader can
 	// carry the whole cell; a claim is tried every readInterval.
 	weakDelay = 700 * time.Millisecond
+	// slowFactor is how many times the delay of a read a living leader's
+	// commit may take while the store is slow: a transaction takes twice as
+	// long as a read, and another one may be before it.
+	slowFactor = 4
+	// slowRead is a delay of a read beyond a busy moment of the instance.
+	slowRead = 50 * time.Millisecond
 	// unknownStrongest stands for the largest processor share while no leader
 	// has told it.
 	unknownStrongest = 1.0
@@ -130,11 +139,13 @@
 	roundTrip time.Duration // to the store, smallest seen
 	share     float64       // processor share of this instance, in cores
 	strongest float64
+	stagger   float64       // between 0 and 1
+	readPause time.Duration // beyond readInterval, while the store is slow
 }
 
 // NewFollower returns a follower that knows no leader.
 func NewFollower(self structs.InstanceID, process uint64, share float64, now structs.Timestamp) *Follower {
-	return &Follower{self: self, process: process, heardAt: now.Add(-heartbeatSilence), healthyAt: now, roundTrip: maxDelay, share: share, strongest: unknownStrongest}
+	return &Follower{self: self, process: process, heardAt: now.Add(-heartbeatSilence), healthyAt: now, roundTrip: maxDelay, share: share, strongest: unknownStrongest, stagger: stagger(self)}
 }
 
 // Reduce applies an event at time now and returns the effects to carry out.
@@ -175,7 +186,7 @@
 		f.seen = false
 		return nil
 	}
-	if f.busy || now.Sub(f.readAt) < readInterval {
+	if f.busy || now.Sub(f.readAt) < readInterval+f.readPause {
 		return nil
 	}
 	f.busy = true
@@ -189,6 +200,7 @@
 		return nil
 	}
 	f.roundTrip = min(f.roundTrip, max(e.Took, 0))
+	f.readPause = time.Duration(f.stagger * float64(f.slowness(e.Took)) / slowFactor)
 	if !f.seen || e.Version != f.version {
 		f.seen, f.version, f.sinceAt = true, e.Version, now
 	}
@@ -223,7 +235,24 @@
 	case e.Row.Owner == f.self && e.Row.Process != f.process:
 		return "own earlier process", 0
 	}
-	return unchanged, rowSilence + delay
+	return unchanged, rowSilence + delay + f.slowness(e.Took)
+}
+
+// slowness is how much longer a row may stay unchanged while the store is
+// slow. Claims are spread over that time: a slow store serves them one after
+// the other and refuses the leader's commits behind them.
+func (f *Follower) slowness(took time.Duration) time.Duration {
+	late := took - f.roundTrip
+	if late < slowRead {
+		return 0
+	}
+	return time.Duration((1 + f.stagger) * slowFactor * float64(late))
+}
+
+// stagger returns a fraction that differs between instances.
+func stagger(id structs.InstanceID) float64 {
+	sum := sha256.Sum256([]byte(id))
+	return float64(binary.BigEndian.Uint32(sum[:])) / math.MaxUint32
 }
 
 // unchanged is the reason of a claim against a leader that has stopped.
--- a/leadership/leadership_test.go
+++ b/leadership/leadership_test.go
@@ -134,3 +134,28 @@
 	}
 	t.Error("no look at the row within 3 s of a leader that does not reach the store")
 }
+
+// TestSlowStoreDelaysClaims guards against deposing a living leader whose
+// commits take 0.6 s, and against all followers claiming at one moment, which
+// a slow store serves one after the other (grown sites, trouble-2: nine
+// refused claims, three changes of leader in two seconds).
+func TestSlowStoreDelaysClaims(t *testing.T) {
+	const slow = 68*4*time.Millisecond + 10*time.Millisecond
+	claims := map[time.Duration]int{}
+	const followers = 40
+	for n := range followers {
+		f := NewFollower(structs.InstanceID(rune('a'+n)), 7, 0.8, start)
+		f.Reduce(start, Heard{Epoch: 1, StoreHealthy: true, Strongest: 0.8})
+		f.roundTrip = 5 * time.Millisecond // seen before the store became slow
+		took := play(f, start, Row{Epoch: 1, Owner: "other"}, 5, slow, nil)
+		if took < heartbeatSilence+rowSilence+slow {
+			t.Errorf("claim after %s, want at least a slow commit more than %s", took, heartbeatSilence+rowSilence)
+		}
+		claims[took/readInterval]++
+	}
+	for at, n := range claims {
+		if n > followers/2 {
+			t.Errorf("%d of %d followers claim at %s", n, followers, at*readInterval)
+		}
+	}
+}
