cell: an old feed's answer does not make calls assisted again

Change: an assisted answer counts only if calls have not become direct since the call began; the log names whether calls or feeds change their way.

--- a/cell/instance.go
+++ b/cell/instance.go
@@ -91,7 +91,10 @@
 		ctx: ctx, cancel: cancel, stepAway: make(chan struct{}), changed: make(chan struct{}),
 		follower: make(chan structs.Event, 64), metrics: newInstruments(),
 	}
-	i.store = &assistedStore{instance: i, direct: options.Store, resting: map[structs.InstanceID]time.Time{}}
+	i.store = &assistedStore{
+		instance: i, direct: options.Store, resting: map[structs.InstanceID]time.Time{},
+		calls: way{use: "calls"}, feeds: way{use: "feeds"},
+	}
 	i.node = peer.New(peer.Options{Self: options.ID, Logger: options.Logger, Receive: i.receive, Disconnected: i.disconnected, Dial: options.DialPeer})
 	return i
 }
--- a/cell/store.go
+++ b/cell/store.go
@@ -89,6 +89,7 @@
 // assisted tries peers until the store answers one of them or a call may have
 // been carried out.
 func (s *assistedStore) assisted(w *way, c storeCall) (page tablestore.Page, err error, asked bool) {
+	turns := s.turns(w)
 	for range maxHelpers {
 		helper, ok := s.helper()
 		if !ok {
@@ -97,7 +98,7 @@
 		asked = true
 		page, err = s.assist(helper, c)
 		if isAnswer(err) {
-			s.assistWorks(w, helper)
+			s.assistWorks(w, helper, turns)
 			return page, err, true
 		}
 		s.helperRests(helper)
@@ -124,12 +125,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if w.directAnswered() {
-		s.logDirect()
+		s.logDirect(w)
 	}
 }
 
-func (s *assistedStore) logDirect() {
-	s.instance.log.Info("dependency", "name", "store", "healthy", true, "way", "direct")
+func (s *assistedStore) logDirect(w *way) {
+	s.instance.log.Info("dependency", "name", "store", "healthy", true, "way", "direct", "use", w.use)
 }
 
 func (s *assistedStore) directUnanswered(w *way) {
@@ -138,12 +139,18 @@
 	w.directUnanswered(time.Now())
 }
 
-func (s *assistedStore) assistWorks(w *way, helper structs.InstanceID) {
+func (s *assistedStore) turns(w *way) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return w.turns
+}
+
+func (s *assistedStore) assistWorks(w *way, helper structs.InstanceID, turns int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lastHelper = helper
-	if w.assistAnswered() {
-		s.instance.log.Info("dependency", "name", "store", "healthy", false, "way", "assisted", "by", helper)
+	if w.assistAnswered(turns) {
+		s.instance.log.Info("dependency", "name", "store", "healthy", false, "way", "assisted", "use", w.use, "by", helper)
 		s.instance.group.Go(func() { s.probeDirect(w) })
 	}
 }
@@ -158,7 +165,7 @@
 		_, err := s.direct.Scan(leaderRow(), probeTimeout)
 		s.mu.Lock()
 		if w.probed(isAnswer(err)) {
-			s.logDirect()
+			s.logDirect(w)
 		}
 		s.mu.Unlock()
 	}
--- a/cell/way.go
+++ b/cell/way.go
@@ -16,10 +16,12 @@
 // its link and processor may be a twentieth of the leader's, and it may be a
 // region away.
 type way struct {
+	use        string    // what the calls are for, for the log
 	directFrom time.Time // no direct call before this time
 	assistFrom time.Time // no assisted call before this time
 	assisted   bool      // a peer's call was answered after a direct one was not
 	probes     int       // successive direct probes with an answer
+	turns      int       // how often calls have become direct again
 }
 
 const (
@@ -47,6 +49,9 @@
 // directAnswered reports whether calls were assisted before.
 func (w *way) directAnswered() bool {
 	was := w.assisted
+	if was {
+		w.turns++
+	}
 	w.assisted, w.directFrom, w.probes = false, time.Time{}, 0
 	return was
 }
@@ -56,11 +61,16 @@
 // goes unnoticed.
 func (w *way) directUnanswered(now time.Time) { w.directFrom = now.Add(directPause) }
 
-// assistAnswered reports whether calls were direct before.
-func (w *way) assistAnswered() bool {
-	was := w.assisted
+// assistAnswered takes over an answer to an assisted call that began after
+// the given number of turns, and reports whether calls were direct before. A
+// feed's call may be answered after calls have become direct again, and says
+// nothing about the direct way then.
+func (w *way) assistAnswered(turns int) bool {
+	if w.assisted || turns != w.turns {
+		return false
+	}
 	w.assisted = true
-	return !was
+	return true
 }
 
 func (w *way) assistFailed(now time.Time) {
--- a/cell/way_test.go
+++ b/cell/way_test.go
@@ -16,13 +16,13 @@
 	if direct, assist := w.choose(now); direct || !assist {
 		t.Fatalf("after a lost answer: direct %v, assisted %v", direct, assist)
 	}
-	w.assistAnswered()
+	w.assistAnswered(0)
 	for range 100 { // assisted calls go on while the direct way is not known to work
 		now = now.Add(50 * time.Millisecond)
 		if direct, _ := w.choose(now); direct {
 			t.Fatal("a call waits for the direct way without a probe")
 		}
-		w.assistAnswered()
+		w.assistAnswered(0)
 	}
 	if w.probed(true) || w.probed(false) || w.probed(true) {
 		t.Fatal("calls are direct again after single answers")
@@ -33,6 +33,11 @@
 	if direct, _ := w.choose(now); !direct {
 		t.Error("no direct call after the probes")
 	}
+	// A long poll that began before is answered now; sadm-drum scale-1 changed
+	// its way every 0.6 s for that.
+	if direct, _ := w.choose(now); w.assistAnswered(0) || !direct {
+		t.Error("an old call's answer makes calls assisted again")
+	}
 }
 
 // TestStoreAwayForAll guards against an instance that makes no call at all
