--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -260,7 +260,7 @@
 const (
 	// aheadShare of a gang's members must have room before its tickets are
 	// renewed; the rest is freed during the call under the usual turnover.
-	aheadShare = 0.7
+	aheadShare = 0.3
 	// aheadSurplus is how many slots a renewal covers for each member.
 	aheadSurplus = 2.0
 )
--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -29,6 +29,7 @@
 	}
 	j = c.newJob(e.Job, e.Queue, c.now)
 	j.waiting = []Ref{e.Ref}
+	c.learnWork(j)
 	c.jobs[e.Job.ID] = j
 	c.markDirty(j)
 	c.askEarly(j)
--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -12,7 +13,8 @@
 // rank orders the steps that compete for room. A burst makes the cell too
 // small for seconds at a time: work that can still meet its objective goes
 // before work that is late already, so that one late job does not make the
-// next one late, and urgent work before other work of the same kind.
+// next one late, and urgent work before other work of the same kind. Within a
+// rank the worth decides.
 type rank int
 
 const (
@@ -68,9 +70,59 @@
 	return s.expected + behind
 }
 
+const (
+	// fixedWorth is the part of a usual job's worth to its caller that does not
+	// grow with its work.
+	fixedWorth = 0.3
+	// worthHorizon is the slack at which a job counts e times less than one
+	// that has to begin now; about the run time of the sites' batch tasks.
+	worthHorizon = 4 * time.Second
+	// meanWorkWeight of a new job in the moving average of a queue's work.
+	meanWorkWeight = 0.03
+)
+
+// worth returns what placing a job now is worth for each unit of its work,
+// given the usual work of its queue and how long it could still wait. It is
+// the rule of apparent tardiness cost. It answers bursts that exceed the cell
+// for seconds: the earliest latest start first spends the room on large jobs
+// that are late anyway, one after the other.
+func worth(work, usual float64, slack time.Duration) float64 {
+	density := 1 - fixedWorth + fixedWorth*usual/max(work, 1)
+	return density * math.Exp(-max(slack, 0).Seconds()/worthHorizon.Seconds())
+}
+
+// worthOf returns the worth of a step by the remaining work of its occurrence.
+func (c *Cell) worthOf(s *step, latest structs.Timestamp) float64 {
+	return worth(s.occ.work(), c.meanWork[s.job.queue.Name], latest.Sub(c.now))
+}
+
+// work returns the expected remaining work of an occurrence, in thousandths
+// of a core times seconds.
+func (o *occurrence) work() float64 {
+	work := 0.0
+	for _, s := range o.steps {
+		work += float64(s.left) * float64(s.spec.Resources.MilliCPU) * s.expected.Seconds()
+	}
+	return work
+}
+
+// learnWork takes the work of a new job into the average of its queue.
+func (c *Cell) learnWork(j *job) {
+	work := 0.0
+	for _, occ := range j.runs {
+		work += occ.work()
+	}
+	usual, seen := c.meanWork[j.queue.Name]
+	if !seen {
+		usual = work
+	}
+	c.meanWork[j.queue.Name] = usual + meanWorkWeight*(work-usual)
+}
+
 type contender struct {
 	step   *step
 	rank   rank
+	worth  float64
 	latest structs.Timestamp
 }
 
@@ -85,10 +137,13 @@
 			continue // a task may run on a worker that has not answered yet
 		}
 		r, latest := c.rankOf(s)
-		list = append(list, contender{s, r, latest})
+		list = append(list, contender{s, r, c.worthOf(s, latest), latest})
 	}
 	slices.SortFunc(list, func(a, b contender) int {
-		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.latest, b.latest), strings.Compare(a.step.name, b.step.name))
+		return cmp.Or(
+			cmp.Compare(a.rank, b.rank), cmp.Compare(b.worth, a.worth), cmp.Compare(a.latest, b.latest),
+			strings.Compare(a.step.name, b.step.name),
+		)
 	})
 	return list
 }
--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -33,7 +33,7 @@
 		// Wide gangs need a large part of the workers they may use; more
 		// reservations at a time leave too little room for other work.
 		MinReserving:        3,
-		WorkersPerReserving: 16,
+		WorkersPerReserving: 8,
 		QuarantineFor:       4 * time.Second,
 	}
 }
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -46,6 +46,7 @@
 	advisors        []*advisorSlot
 	goodShare       map[string]float64   // share of advised workers that were good, by queue
 	runTimes        map[string]*runTimes // by queue
+	meanWork        map[string]float64   // of a job, by queue; see occurrence.work
 }
 
 // job is an accepted job or one that waits for its commit.
@@ -211,7 +212,7 @@
 func New(policy Policy, epoch structs.Epoch, now, claimed structs.Timestamp) *Cell {
 	return &Cell{
 		policy: policy, epoch: epoch, now: now, confirmed: claimed, startedAt: now,
-		jobs: map[structs.JobID]*job{}, workers: map[structs.WorkerID]*worker{}, goodShare: map[string]float64{}, runTimes: map[string]*runTimes{},
+		jobs: map[structs.JobID]*job{}, workers: map[structs.WorkerID]*worker{}, goodShare: map[string]float64{}, runTimes: map[string]*runTimes{}, meanWork: map[string]float64{},
 	}
 }
 
