cell: do not send calls that cannot be answered in the caller's time

Change: a call from another region and its commit need 150 ms; with less left the submission is refused as not run.

--- a/cell/callers.go
+++ b/cell/callers.go
@@ -29,9 +29,10 @@
 	// callTry bounds one call to the leader, so that a call lost with a
 	// connection is repeated within the caller's time.
 	callTry = 1100 * time.Millisecond
-	// shortestCall is the least time that a call to the leader and its commit
-	// take from another region.
-	shortestCall = 80 * time.Millisecond
+	// shortestCall is the least time in which a call from another region, 60 ms
+	// both ways, and a commit are done with some certainty. A call with less
+	// time left is not made: its outcome would stay open.
+	shortestCall = 150 * time.Millisecond
 	// retryAfterNoLeader is what a caller is told while no leader is known.
 	retryAfterNoLeader = time.Second
 )
