--- a/internal/daemon/process_test.go
+++ b/internal/daemon/process_test.go
@@ -68,7 +68,12 @@
 func (p *process) signal(t *testing.T, s syscall.Signal) {
 	t.Helper()
 	if err := p.command.Process.Signal(s); err != nil {
-		t.Fatalf("signal %v: %v", s, err)
+		select {
+		case <-p.ended: // a process that ended by itself says why
+			t.Fatalf("signal %v: %v; exit code %d, standard error:\n%s", s, err, p.code, p.errors)
+		default:
+			t.Fatalf("signal %v: %v", s, err)
+		}
 	}
 }
 
