--- a/cell/leader.go
+++ b/cell/leader.go
@@ -206,7 +206,7 @@
 		select {
 		case <-l.ctx.Done():
 			return
-		case <-l.stepAway():
+		case <-l.releaseSignal():
 			if l.isReleaseDue() {
 				l.release()
 				return
@@ -270,9 +270,9 @@
 	l.cancel()
 }
 
-// stepAway returns the channel that tells the instance to stop, or nil while
+// releaseSignal returns the channel that tells the instance to stop, or nil while
 // the release waits.
-func (l *leader) stepAway() <-chan struct{} {
+func (l *leader) releaseSignal() <-chan struct{} {
 	if l.stopBy != 0 && !l.isReleaseDue() {
 		return nil
 	}
--- a/cell/leader_test.go
+++ b/cell/leader_test.go
@@ -41,14 +41,14 @@
 	i := New(Options{ID: "me", StopGrace: 6 * time.Second, Logger: hclog.NewNullLogger()})
 	defer i.node.Close()
 	l := &leader{instance: i, lastCommitTook: 2 * slowCommit}
-	if l.stepAway() == nil {
+	if l.releaseSignal() == nil {
 		t.Error("a leader that was not told to stop does not listen for it")
 	}
-	if l.isReleaseDue() || l.stepAway() != nil {
+	if l.isReleaseDue() || l.releaseSignal() != nil {
 		t.Error("the leadership is given up at once while commits are slow")
 	}
 	l.lastCommitTook = slowCommit / 10
-	if !l.isReleaseDue() || l.stepAway() == nil {
+	if !l.isReleaseDue() || l.releaseSignal() == nil {
 		t.Error("the leadership is not given up once commits are fast")
 	}
 	l.lastCommitTook, l.stopBy = 2*slowCommit, l.now()
--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -226,6 +226,19 @@
 	}
 }
 
+// adviseWaitingGang makes the call for advice that helps a gang without room
+// most: first until it knows workers that can hold it, then about tickets for
+// those once they have room, and about further workers only through instances
+// that have nothing else to do.
+func (c *Cell) adviseWaitingGang(s *step, r rank) {
+	if !c.knowsEnough(s) && c.askMore(s, r) {
+		return
+	}
+	if !c.renewAhead(s, r) && c.advisorsIdle() {
+		c.askMore(s, r)
+	}
+}
+
 // renewAhead renews the tickets of a waiting gang before the last of its room
 // is free, so that no room stands idle during the call. It names the good
 // workers with the most room, more than the gang needs, as the tickets that
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -154,11 +154,7 @@
 	}
 	shares := c.spread(s, func(w *worker) structs.Resources { return c.free(w, r) })
 	if shares == nil {
-		if c.knowsEnough(s) || !c.askMore(s, r) {
-			if !c.renewAhead(s, r) && c.advisorsIdle() {
-				c.askMore(s, r)
-			}
-		}
+		c.adviseWaitingGang(s, r)
 		return false
 	}
 	next := 0
