--- a/dispatch/commit.go
+++ b/dispatch/commit.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -20,7 +21,9 @@
 	ProgressTable = "mangodrum_progress" // what has happened to the active jobs, in buckets
 	EndedTable    = "mangodrum_ended"    // outcomes of the jobs ended in one commit
 	CellTable     = "mangodrum_cell"
-	WorkersKey    = "workers" // in CellTable: the workers that may run something
+	// workersPrefix of the keys in CellTable that hold the workers which may
+	// run something, in buckets: a row has at most 64 KiB.
+	workersPrefix = "workers-"
 )
 
 // jobRow is the stored specification of a job; a row of JobTable is a list of
@@ -84,6 +87,11 @@
 	// progressBuckets is how many rows hold the progress of the active jobs;
 	// all of them fit into one commit.
 	progressBuckets = 64
+	// workerBuckets hold 3,000 workers with 12 KB each.
+	workerBuckets = 32
+	// workerRows of a commit at most. All of them are written when a new leader
+	// lists the directory, and would fill a commit with 3,000 workers.
+	workerRows = 4
 	// lazyDelay is how long progress within a job may wait for a commit. Most
 	// urgent jobs end within it, so that a burst of them writes no progress.
 	lazyDelay = 400 * time.Millisecond
@@ -140,7 +148,7 @@
 
 // NeedsCommit reports whether a commit would write anything.
 func (c *Cell) NeedsCommit() bool {
-	return len(c.dirty) > 0 || c.workersChanged || len(c.removals) > 0
+	return len(c.dirty) > 0 || len(c.dirtyWorkers) > 0 || len(c.removals) > 0
 }
 
 // NextCommit returns the rows that have to be written next. One commit is
@@ -202,12 +210,30 @@
 	return nil
 }
 
+// workerChanged makes the next commits carry the worker's bucket.
+func (c *Cell) workerChanged(id structs.WorkerID) {
+	n := bucketOf(string(id), workerBuckets)
+	if at, found := slices.BinarySearch(c.dirtyWorkers, n); !found {
+		c.dirtyWorkers = slices.Insert(c.dirtyWorkers, at, n)
+	}
+}
+
+// writeWorkers adds some of the changed buckets of workers.
 func (c *Cell) writeWorkers(commit *Commit) error {
-	list := make([]workflow.Worker, 0, len(c.order))
-	for _, w := range c.order {
-		list = append(list, w.Worker)
+	count := min(len(c.dirtyWorkers), workerRows, max(maxEntries-len(commit.Puts), 0))
+	for _, n := range c.dirtyWorkers[:count] {
+		list := []workflow.Worker{}
+		for _, w := range c.order {
+			if bucketOf(string(w.ID), workerBuckets) == n {
+				list = append(list, w.Worker)
+			}
+		}
+		if err := put(commit, CellTable, fmt.Sprintf("%s%02x", workersPrefix, n), list); err != nil {
+			return err
+		}
 	}
-	return put(commit, CellTable, WorkersKey, list)
+	c.dirtyWorkers = slices.Delete(c.dirtyWorkers, 0, count)
+	return nil
 }
 
 // committed processes a commit that is durable.
--- a/dispatch/commit_builder.go
+++ b/dispatch/commit_builder.go
@@ -54,10 +54,10 @@
 	default:
 		if !j.inBucket {
 			j.inBucket = true
-			n := bucketOf(j.spec.ID)
+			n := jobBucket(j.spec.ID)
 			b.cell.buckets[n] = append(b.cell.buckets[n], j)
 		}
-		if n := bucketOf(j.spec.ID); !b.buckets[n] {
+		if n := jobBucket(j.spec.ID); !b.buckets[n] {
 			b.buckets[n] = true
 			b.bytes += progressBytes * len(b.cell.buckets[n])
 		}
@@ -83,12 +83,14 @@
 	j.batch = nil
 }
 
-func bucketOf(id structs.JobID) int {
+func bucketOf(id string, buckets int) int {
 	h := fnv.New32a()
 	h.Write([]byte(id)) // never fails
-	return int(h.Sum32() % progressBuckets)
+	return int(h.Sum32() % uint32(buckets))
 }
 
+func jobBucket(id structs.JobID) int { return bucketOf(string(id), progressBuckets) }
+
 // finish encodes the collected rows.
 func (b *commitBuilder) finish() error {
 	c := b.cell
@@ -109,11 +111,8 @@
 			}
 		}
 	}
-	if c.workersChanged {
-		c.workersChanged = false
-		if err := c.writeWorkers(&b.commit); err != nil {
-			return err
-		}
+	if err := c.writeWorkers(&b.commit); err != nil {
+		return err
 	}
 	removed := min(len(c.removals), max(maxEntries-len(b.commit.Puts), 0))
 	b.commit.Removes = append(b.commit.Removes, c.removals[:removed]...)
--- a/dispatch/commit_test.go
+++ b/dispatch/commit_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/mangodrum/mangodrum/structs"
+	"github.com/mangodrum/mangodrum/tablestore"
 	"github.com/mangodrum/mangodrum/workflow"
 )
 
@@ -216,3 +217,44 @@
 		t.Errorf("replies %v, want that the second job was not taken", replies)
 	}
 }
+
+// TestManyWorkersFitIntoRows guards against a list of workers that outgrows a
+// row: the store refused every commit of a cell of 1,000 workers, and nothing
+// was served (sweep at 100 instances).
+func TestManyWorkersFitIntoRows(t *testing.T) {
+	const workers, storeRow, storeBytes = 3000, 64 << 10, 1 << 20
+	s := newScene(t, 0, roomy)
+	for n := range workers {
+		id := structs.WorkerID(fmt.Sprintf("i-%010x", n*7919))
+		s.reduce(WorkerSeen{Worker: workflow.Worker{
+			ID: id, Incarnation: 1_790_000_000_000, Service: "planeador-cambios", Address: "10.200.100.100:8161", Capacity: roomy,
+			Location: structs.Location{Rack: "rack-0123"}, Labels: []string{"kind-a", "rack-0123"},
+		}})
+	}
+	var rows []tablestore.Row
+	for s.cell.NeedsCommit() {
+		commit, err := s.cell.NextCommit(s.now)
+		if err != nil {
+			t.Fatal(err)
+		}
+		size := 0
+		for _, p := range commit.Puts {
+			size += len(p.Value) * 4 / 3
+			if len(p.Value)*4/3 > storeRow {
+				t.Fatalf("a row of %d bytes, the store takes %d", len(p.Value)*4/3, storeRow)
+			}
+			rows = append(rows, tablestore.Row{Table: p.Table, Key: p.Key, Value: p.Value})
+		}
+		if len(commit.Puts) > 98 || size > storeBytes {
+			t.Fatalf("a commit of %d rows and %d bytes", len(commit.Puts), size)
+		}
+		s.reduce(CommitAnswered{Sequence: commit.Sequence})
+	}
+	next := New(DefaultPolicy(), 2, s.now, s.now)
+	if err := next.Recover(rows, s.now); err != nil {
+		t.Fatal(err)
+	}
+	if len(next.workers) != workers || next.unheard != workers {
+		t.Errorf("the next leader knows %d workers and waits for %d, want %d", len(next.workers), next.unheard, workers)
+	}
+}
--- a/dispatch/recover.go
+++ b/dispatch/recover.go
@@ -5,6 +5,7 @@
 	"maps"
 	"math"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -51,8 +52,11 @@
 	horizon := time.Duration(float64(c.policy.Horizon)/slowClock) + leaseMargin
 	c.oldLeasesEnd = lastCommit.Add(horizon)
 	for _, row := range byTable[CellTable] {
-		if row.Key == WorkersKey {
-			return c.recoverWorkers(row)
+		if !strings.HasPrefix(row.Key, workersPrefix) {
+			continue
+		}
+		if err := c.recoverWorkers(row); err != nil {
+			return err
 		}
 	}
 	return nil
@@ -121,7 +125,7 @@
 			continue
 		}
 		j.inBucket = true
-		home := bucketOf(j.spec.ID)
+		home := jobBucket(j.spec.ID)
 		c.buckets[home] = append(c.buckets[home], j)
 		j.started = stored.Started
 		j.nextDue = max(j.nextDue, stored.Next)
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -39,7 +39,7 @@
 	bucketRows      [progressBuckets]int // stored rows of each bucket
 	endedBatches    []*endedBatch        // in the order of their commits
 	sequence        uint64
-	workersChanged  bool
+	dirtyWorkers    []int // buckets of workers for the next commits, ascending
 	placeAgain      bool
 	storeAway       bool          // commits fail; new submissions are refused at once
 	wallOffset      time.Duration // time of day less the cell's time
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -25,7 +25,7 @@
 		c.decide(Decision{Event: "worker_draining", Worker: w.ID, Value: int64(seen.Remaining / time.Millisecond)})
 	}
 	if w.Address != seen.Address || !w.listed {
-		c.workersChanged = true
+		c.workerChanged(w.ID)
 	}
 	if w.Draining != seen.Draining || !w.listed {
 		c.placeAgain = true
@@ -46,7 +46,7 @@
 	c.workers[seen.ID] = w
 	at, _ := slices.BinarySearchFunc(c.order, w, func(a, b *worker) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	c.order = slices.Insert(c.order, at, w)
-	c.workersChanged = true
+	c.workerChanged(w.ID)
 	return w
 }
 
@@ -226,7 +226,7 @@
 	delete(c.workers, w.ID)
 	n := slices.Index(c.order, w)
 	c.order = slices.Delete(slices.Clone(c.order), n, n+1)
-	c.workersChanged = true
+	c.workerChanged(w.ID)
 	c.decide(Decision{Event: "worker_removed", Worker: w.ID})
 }
 
