Submissions wait for the store as long as their callers do

Cause: while the store is away, each submission was refused at once. The number that waits is bounded. The time to return follows the outages seen. A copy of a refused request that arrives late is refused again.

--- a/cell/callers.go
+++ b/cell/callers.go
@@ -166,11 +166,13 @@
 // All calls are idempotent, so a call without a reply is repeated. The error is
 // NotRun if no leader can have received the call.
 func (i *Instance) callLeader(method string, in jobCall, deadline time.Time) (jobReply, error) {
+	in.Request = i.nextRequestID()
 	noLeaderUntil := time.Now().Add(leaderWait)
 	sent := false
 	for {
 		local, remote, changed := i.currentLeader()
 		left := time.Until(deadline)
+		in.TimeLeft = left
 		var reply jobReply
 		switch {
 		case left < minCallTime:
@@ -204,6 +206,11 @@
 	}
 }
 
+// nextRequestID returns an identifier that no other request of any instance has.
+func (i *Instance) nextRequestID() dispatch.RequestID {
+	return dispatch.RequestID(strconv.FormatUint(i.process, 36) + "-" + strconv.FormatUint(i.requests.Add(1), 36))
+}
+
 // leaderPollInterval limits the wait for a change of the leader, because a lost
 // connection may be restored without such a change.
 const leaderPollInterval = 60 * time.Millisecond
--- a/cell/commits.go
+++ b/cell/commits.go
@@ -57,7 +57,7 @@
 	}
 	l.storeUnavailable = true
 	l.log.Info("dependency", "name", "store", "healthy", false, "error", reason)
-	l.reduce(dispatch.StoreHealth{Unavailable: true})
+	l.reduce(dispatch.StoreHealth{Unavailable: true, Since: l.commitSucceededAt})
 }
 
 func (l *leader) prepareCommit(now structs.Timestamp) bool {
--- a/cell/instance.go
+++ b/cell/instance.go
@@ -62,6 +62,7 @@
 	ctx          context.Context
 	cancel       context.CancelFunc
 
+	requests     atomic.Uint64 // number of callers' requests so far
 	draining     atomic.Bool
 	stepDown     chan struct{} // closed when the instance must not lead anymore
 	stepDownOnce sync.Once
--- a/cell/jobcalls.go
+++ b/cell/jobcalls.go
@@ -5,9 +5,14 @@
 	"time"
 
 	"github.com/mangodrum/mangodrum/dispatch"
+	"github.com/mangodrum/mangodrum/structs"
 	"github.com/mangodrum/mangodrum/workflow"
 )
 
+// replyMargin is the part of a call's time that is kept for the reply: a way of
+// 30 ms, a tick of the leader and some processor time.
+const replyMargin = 100 * time.Millisecond
+
 // handleJobCall runs a call from a caller of this or another instance on the
 // leader's loop and waits for the reply.
 func (l *leader) handleJobCall(method string, in jobCall, timeout time.Duration) jobReply {
@@ -64,10 +69,14 @@
 	case methodSubmit, methodCancel:
 		l.lastRef++
 		l.replies[l.lastRef] = reply
+		var deadline structs.Timestamp
+		if in.TimeLeft > 0 {
+			deadline = l.now().Add(max(in.TimeLeft-replyMargin, 1))
+		}
 		if method == methodCancel {
-			l.reduce(dispatch.CancelJob{Call: l.lastRef, ID: in.ID})
+			l.reduce(dispatch.CancelJob{Call: l.lastRef, ID: in.ID, Deadline: deadline})
 			return
 		}
-		l.reduce(dispatch.SubmitJob{Call: l.lastRef, Job: *in.Job, Queue: *in.Queue})
+		l.reduce(dispatch.SubmitJob{Call: l.lastRef, Job: *in.Job, Queue: *in.Queue, Request: in.Request, Deadline: deadline})
 	}
 }
--- a/cell/messages.go
+++ b/cell/messages.go
@@ -43,6 +43,10 @@
 	Job   *workflow.Job   `cbor:"2,keyasint,omitempty"`
 	Queue *workflow.Queue `cbor:"3,keyasint,omitempty"`
 	Name  string          `cbor:"4,keyasint,omitempty"` // the queue's name, for waiting
+	// TimeLeft is how long the instance that makes the call waits for the answer;
+	// 0 from an instance that does not say.
+	TimeLeft time.Duration      `cbor:"5,keyasint,omitempty"`
+	Request  dispatch.RequestID `cbor:"6,keyasint,omitempty"` // the same in all calls for one request of a caller
 }
 
 // jobReply answers a jobCall.
--- a/dispatch/events.go
+++ b/dispatch/events.go
@@ -12,15 +12,18 @@
 
 // SubmitJob requests that a job be accepted.
 type SubmitJob struct {
-	Call  CallID
-	Job   workflow.Job
-	Queue workflow.Queue
+	Call     CallID
+	Job      workflow.Job
+	Queue    workflow.Queue
+	Request  RequestID         // of the caller; empty if unknown
+	Deadline structs.Timestamp // when the caller needs an answer; 0: after Policy.CommitTimeout
 }
 
 // CancelJob requests that a job be cancelled.
 type CancelJob struct {
-	Call CallID
-	ID   structs.JobID
+	Call     CallID
+	ID       structs.JobID
+	Deadline structs.Timestamp // when the caller needs an answer; 0: after Policy.CommitTimeout
 }
 
 // WorkerListed reports that the directory entry of a worker was written or listed.
@@ -78,7 +81,10 @@
 type LeadershipEnded struct{}
 
 // StoreHealth reports whether commits succeed.
-type StoreHealth struct{ Unavailable bool }
+type StoreHealth struct {
+	Unavailable bool
+	Since       structs.Timestamp // when the store last answered, if it is unavailable
+}
 
 // Tick triggers the work that depends on time, such as lease renewals and
 // timeouts.
@@ -144,6 +150,8 @@
 type RenewLease struct {
 	Worker workflow.Worker
 	Order  workflow.LeaseOrder
+	// RetrySoon asks for a short timeout, because other work waits for the answer.
+	RetrySoon bool
 }
 
 // RequestAdvice calls the advisor through an instance to ask which workers may run a
@@ -162,7 +170,7 @@
 const (
 	Accepted      Verdict = "accepted"  // durable
 	Refused       Verdict = "refused"   // not accepted
-	CommitPending Verdict = "unsettled" // part of a commit whose outcome is unknown while the store is unavailable
+	CommitPending Verdict = "unsettled" // part of a commit whose outcome is not known before the caller's deadline
 	Unknown       Verdict = "unknown"   // this leader does not know the outcome; another one may
 	NotAccepted   Verdict = "not-taken" // not accepted by this leader; another one may accept it
 	NoSuchJob     Verdict = "no-such-job"
--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -10,30 +10,40 @@
 
 // submit accepts a job, or answers a repeated submission of it.
 func (c *Dispatcher) submit(e SubmitJob) {
+	call := c.newPendingCall(e.Call, e.Deadline)
+	call.request = e.Request
 	j := c.jobs[e.Job.ID]
 	if j != nil {
 		if j.durable {
 			c.emit(Reply{Call: e.Call, Verdict: Accepted})
 			return
 		}
-		if c.storeUnavailable {
-			c.emit(Reply{Call: e.Call, Verdict: CommitPending, RetryAfter: retryAfterStore})
-			return
-		}
-		j.pendingSubmits = append(j.pendingSubmits, e.Call)
+		j.pendingSubmits = append(j.pendingSubmits, call)
 		return
 	}
-	if c.storeUnavailable {
-		c.emit(Reply{Call: e.Call, Verdict: Refused, RetryAfter: retryAfterStore})
-		c.logDecision(Decision{Event: "refuse", Job: e.Job.ID, Reason: "store is unavailable"})
+	switch {
+	case c.refused.contains(e.Request):
+		c.refuse(e, RefusedBefore)
+		return
+	case !canWait(c.outages.since != 0, len(c.dirty)):
+		c.refuse(e, RefusedTooManyWaiting)
 		return
 	}
 	j = c.newJob(e.Job, e.Queue, c.now)
-	j.pendingSubmits = []CallID{e.Call}
+	j.pendingSubmits = []pendingCall{call}
 	c.updateMeanWork(j)
 	c.jobs[e.Job.ID] = j
 	c.markDirty(j)
-	c.requestAdviceForNewJob(j)
+	if c.outages.since == 0 {
+		c.requestAdviceForNewJob(j) // tickets would expire before a commit
+	}
+}
+
+// refuse refuses a submission that was not part of any commit.
+func (c *Dispatcher) refuse(e SubmitJob, reason RefusalReason) {
+	c.refused.add(e.Request, c.now)
+	c.emit(Reply{Call: e.Call, Verdict: Refused, RetryAfter: c.outages.retryAfter(c.now, e.Queue.Priority)})
+	c.logDecision(Decision{Event: "refuse", Job: e.Job.ID, Reason: string(reason)})
 }
 
 // newJob returns the state of a job that was accepted at the given time.
@@ -122,7 +132,7 @@
 		c.emit(Reply{Call: e.Call, Verdict: Accepted})
 		return
 	}
-	j.pendingCancels = append(j.pendingCancels, e.Call)
+	j.pendingCancels = append(j.pendingCancels, c.newPendingCall(e.Call, e.Deadline))
 	if j.active() {
 		c.endJob(j, jobCancelled)
 	}
--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -9,7 +9,7 @@
 	Horizon                 time.Duration // all leases end within this time after the last confirmed commit
 	MaxStopTime             time.Duration // longest time that a stop can take
 	StartRetryDelay         time.Duration // an unanswered start request is sent again after this time
-	CommitTimeout           time.Duration // a submission that is not part of a commit is refused after this time
+	CommitTimeout           time.Duration // a call without a deadline is answered after this time if no commit has succeeded
 	Retention               time.Duration // an ended job is kept for this time
 	MinReservingGangs       int           // gangs that may reserve capacity at a time in a cell of any size
 	WorkersPerReservingGang int           // one gang may reserve capacity for each such number of workers
--- a/dispatch/reduce.go
+++ b/dispatch/reduce.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/mangodrum/mangodrum/structs"
@@ -37,7 +38,7 @@
 	case LeadershipEnded:
 		c.returnUncommitted()
 	case StoreHealth:
-		c.setStoreUnavailable(e.Unavailable)
+		c.setStoreUnavailable(e)
 	case Committed:
 		c.committed(e.Sequence)
 	case Tick:
@@ -71,7 +72,8 @@
 	for _, w := range c.sortedWorkers {
 		c.tickWorker(w)
 	}
-	c.refuseUncommitted()
+	c.expireCalls()
+	c.refused.prune(c.now)
 	c.endRecoveryIfDue()
 	c.forgetEnded()
 	c.placementNeeded = true
@@ -127,38 +129,64 @@
 	}
 }
 
-// refuseUncommitted refuses submissions that are not part of a commit yet while
-// the store is unavailable, so that callers can retry elsewhere or later.
-func (c *Dispatcher) refuseUncommitted() {
+// setStoreUnavailable records an outage of the store or its end.
+func (c *Dispatcher) setStoreUnavailable(e StoreHealth) {
+	if !e.Unavailable {
+		c.outages.ended(c.now)
+		return
+	}
+	c.outages.began(e.Since)
+}
+
+// expireCalls answers the calls whose deadline has passed before a commit
+// succeeded. Jobs that are part of a commit may still be accepted, so their callers
+// get CommitPending; the others are refused once no caller waits for them.
+func (c *Dispatcher) expireCalls() {
+	for _, j := range c.committing {
+		if j.committedVersion >= j.writingVersion {
+			continue
+		}
+		c.replyExpired(&j.pendingSubmits, CommitPending, c.retryAfter(j))
+		c.replyExpired(&j.pendingCancels, CommitPending, c.retryAfter(j))
+	}
 	kept := c.dirty[:0]
 	for _, j := range c.dirty {
-		if !c.canRefuse(j) {
+		if !c.refuseIfExpired(j) {
 			kept = append(kept, j)
-			continue
 		}
-		c.replyAll(&j.pendingSubmits, Refused, retryAfterStore)
-		c.replyAll(&j.pendingCancels, NoSuchJob, 0)
-		c.logDecision(Decision{Event: "refuse", Job: j.spec.ID, Reason: "store does not answer", Value: int64(c.now.Sub(j.acceptedAt) / time.Millisecond)})
-		j.state = jobCancelled // late advice must not start its tasks
-		delete(c.jobs, j.spec.ID)
 	}
 	clear(c.dirty[len(kept):])
 	c.dirty = kept
 }
 
-// setStoreUnavailable records whether commits fail. If they do, it answers the
-// waiting submissions at once, because callers could not retry in time
-// otherwise: those in a commit with CommitPending, the others with Refused.
-func (c *Dispatcher) setStoreUnavailable(unavailable bool) {
-	c.storeUnavailable = unavailable
-	if !unavailable {
-		return
+// refuseIfExpired refuses a submission that is not part of a commit once all its
+// callers' deadlines have passed, and forgets the job. It reports whether it did.
+func (c *Dispatcher) refuseIfExpired(j *job) bool {
+	if j.durable || j.writingVersion != 0 {
+		c.replyExpired(&j.pendingCancels, CommitPending, c.retryAfter(j))
+		return false
 	}
-	for _, j := range c.committing {
-		c.replyAll(&j.pendingSubmits, CommitPending, retryAfterStore)
-		c.replyAll(&j.pendingCancels, CommitPending, retryAfterStore)
+	if slices.ContainsFunc(j.pendingSubmits, func(call pendingCall) bool { return c.now.Before(call.deadline) }) {
+		return false
+	}
+	reason := RefusedNotCommitted
+	if c.outages.since != 0 {
+		reason = RefusedStoreAway
+	}
+	for _, call := range j.pendingSubmits {
+		c.refused.add(call.request, c.now)
 	}
-	c.refuseUncommitted()
+	c.replyAll(&j.pendingSubmits, Refused, c.retryAfter(j))
+	c.replyAll(&j.pendingCancels, NoSuchJob, 0)
+	c.logDecision(Decision{Event: "refuse", Job: j.spec.ID, Reason: string(reason), Value: int64(c.now.Sub(j.acceptedAt) / time.Millisecond)})
+	j.state = jobCancelled // late advice must not start its tasks
+	delete(c.jobs, j.spec.ID)
+	return true
+}
+
+// retryAfter returns when the callers of a job should ask again.
+func (c *Dispatcher) retryAfter(j *job) time.Duration {
+	return c.outages.retryAfter(c.now, j.queue.Priority)
 }
 
 // returnUncommitted answers the submissions that are not part of a commit with
@@ -171,20 +199,30 @@
 	}
 }
 
-// canRefuse reports whether a submission is not part of a commit and has waited
-// too long or cannot be committed now.
-func (c *Dispatcher) canRefuse(j *job) bool {
-	return !j.durable && j.writingVersion == 0 && (c.storeUnavailable || c.now.Sub(j.acceptedAt) > c.policy.CommitTimeout)
+// newPendingCall returns a call that waits for a commit until its deadline.
+func (c *Dispatcher) newPendingCall(id CallID, deadline structs.Timestamp) pendingCall {
+	if deadline == 0 {
+		deadline = c.now.Add(c.policy.CommitTimeout)
+	}
+	return pendingCall{id: id, deadline: deadline}
 }
 
-// retryAfterStore is the retry delay given to refused callers while the store is
-// unavailable. Outages of the store last several seconds.
-const retryAfterStore = time.Second
-
 // replyAll replies to all of the calls and clears the list.
-func (c *Dispatcher) replyAll(calls *[]CallID, verdict Verdict, retryAfter time.Duration) {
+func (c *Dispatcher) replyAll(calls *[]pendingCall, verdict Verdict, retryAfter time.Duration) {
 	for _, call := range *calls {
-		c.emit(Reply{Call: call, Verdict: verdict, RetryAfter: retryAfter})
+		c.emit(Reply{Call: call.id, Verdict: verdict, RetryAfter: retryAfter})
 	}
 	*calls = nil
 }
+
+// replyExpired replies to the calls whose deadline has passed and removes them
+// from the list.
+func (c *Dispatcher) replyExpired(calls *[]pendingCall, verdict Verdict, retryAfter time.Duration) {
+	*calls = slices.DeleteFunc(*calls, func(call pendingCall) bool {
+		if c.now.Before(call.deadline) {
+			return false
+		}
+		c.emit(Reply{Call: call.id, Verdict: verdict, RetryAfter: retryAfter})
+		return true
+	})
+}
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -42,7 +42,8 @@
 	sequence              uint64
 	dirtyWorkers          []int // worker buckets for the next commits, ascending
 	placementNeeded       bool
-	storeUnavailable      bool          // commits fail; new submissions are refused immediately
+	outages               outageHistory
+	refused               refusedRequests
 	wallOffset            time.Duration // time of day minus now
 	advisorClients        []*advisorClient
 	approvalRates         map[string]float64       // share of the workers named in calls that the advisor approved, by queue
@@ -60,8 +61,8 @@
 	visibleState     workflow.State
 	occurrences      []*occurrence
 	nextDue          int // next occurrence to create
-	pendingSubmits   []CallID
-	pendingCancels   []CallID
+	pendingSubmits   []pendingCall
+	pendingCancels   []pendingCall
 	version          uint64            // incremented by each change
 	writingVersion   uint64            // version in the latest commit, which may be in progress
 	committedVersion uint64            // latest stored version
