One malformed job no longer stops every leader

Cause, found by reading the decoders for the reports of similar systems: a job of 64 steps that each depend on all earlier ones made the search for the longest chain take 2^62 steps; a million occurrences due at once were created in one tick; one job could have 640,000 tasks (128 MB); huge numbers overflowed durations and memory sizes. Each such job is stored, so every next leader stopped as well.

--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -75,6 +75,7 @@
 		}
 		occ.steps = append(occ.steps, s)
 	}
+	occ.computeChains()
 	j.occurrences = append(j.occurrences, occ)
 	return occ
 }
@@ -88,7 +89,7 @@
 		}
 		for j.nextDue < j.spec.Occurrences {
 			due := structs.Timestamp(j.spec.FirstDue + time.Duration(j.nextDue)*j.spec.Interval)
-			if c.wallTime().Before(due) {
+			if c.wallTime().Before(due) || j.openTasks() >= workflow.MaxTasksPerJob {
 				break
 			}
 			occ := c.addOccurrence(j, j.nextDue, c.now)
@@ -98,6 +99,18 @@
 	}
 }
 
+// openTasks returns the number of tasks of the job that have not succeeded. It
+// limits how many occurrences of a job exist at a time.
+func (j *job) openTasks() int {
+	open := 0
+	for _, occ := range j.occurrences {
+		for _, s := range occ.steps {
+			open += s.remainingTasks
+		}
+	}
+	return open
+}
+
 // queueReady queues the steps of an occurrence whose dependencies are done.
 func (c *Dispatcher) queueReady(occ *occurrence) {
 	for _, s := range occ.steps {
--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -35,7 +35,7 @@
 	if j.spec.Occurrences > 0 {
 		from = s.occ.due
 	}
-	remaining := s.criticalPath()
+	remaining := s.chain
 	latest := from.Add(j.objective - remaining)
 	if s.started() {
 		// Capacity that a started step already uses pays off only when the step
@@ -64,16 +64,16 @@
 	return s.remainingTasks < len(s.tasks) || s.unplacedTasks < s.remainingTasks
 }
 
-// criticalPath returns the expected time of the longest chain of dependent steps
-// that begins with s.
-func (s *step) criticalPath() time.Duration {
-	var behind time.Duration
-	for _, next := range s.occ.steps[s.index+1:] {
-		if slices.Contains(next.spec.DependsOn, s.index) {
-			behind = max(behind, next.criticalPath())
+// computeChains sets, for each step, the expected time of the longest chain of
+// dependent steps that begins with it. Steps depend on earlier ones only.
+func (o *occurrence) computeChains() {
+	for n := len(o.steps) - 1; n >= 0; n-- {
+		s := o.steps[n]
+		s.chain += s.expectedTime
+		for _, before := range s.spec.DependsOn {
+			o.steps[before].chain = max(o.steps[before].chain, s.chain)
 		}
 	}
-	return s.expectedTime + behind
 }
 
 const (
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -111,6 +111,7 @@
 	name           string
 	expectedTime   time.Duration // from when it is ready until it ends
 	expectedRun    time.Duration // of one of its tasks
+	chain          time.Duration // expected time of the longest chain of steps that begins with it
 	tasks          []*task
 	remainingTasks int // tasks that have not succeeded
 	unplacedTasks  int // tasks that are waiting to be placed
--- a/workflow/job.go
+++ b/workflow/job.go
@@ -7,10 +7,17 @@
 	"github.com/mangodrum/mangodrum/structs"
 )
 
-// Limits of one job. They bound the memory that one submission can use.
+// Limits of one job. They bound the memory and the processor time that one
+// submission can use.
 const (
 	MaxSteps        = 64
 	MaxTasksPerStep = 10_000
+	// MaxTasksPerJob limits the tasks of all steps. A task takes about 200 bytes.
+	MaxTasksPerJob = 20_000
+	MaxOccurrences = 1_000_000
+	// MaxEstimate is far above every run time and keeps sums of estimates within
+	// the range of a duration.
+	MaxEstimate = 365 * 24 * time.Hour
 )
 
 // Job is a directed acyclic graph of steps.
@@ -101,10 +108,18 @@
 	if len(j.Steps) == 0 || len(j.Steps) > MaxSteps {
 		return errs.New(errs.InvalidInput, "submit 1 to 64 steps", "job %s has %d steps", j.ID, len(j.Steps))
 	}
+	if j.Occurrences < 0 || j.Occurrences > MaxOccurrences || j.Interval < 0 {
+		return errs.New(errs.InvalidInput, "run it up to 1000000 times, with an interval of 0 or more", "job %s has %d occurrences with an interval of %s", j.ID, j.Occurrences, j.Interval)
+	}
+	tasks := 0
 	for n := range j.Steps {
 		if err := j.checkStep(n); err != nil {
 			return err
 		}
+		tasks += j.Steps[n].Tasks
+	}
+	if tasks > MaxTasksPerJob {
+		return errs.New(errs.InvalidInput, "split the job", "job %s has %d tasks, at most %d are possible", j.ID, tasks, MaxTasksPerJob)
 	}
 	return nil
 }
@@ -117,6 +132,15 @@
 	if step.Resources.IsNegative() {
 		return errs.New(errs.InvalidInput, "set resources of 0 or more", "step %d of job %s requests a negative amount of a resource", n, j.ID)
 	}
+	if step.Estimate < 0 || step.Estimate > MaxEstimate {
+		return errs.New(errs.InvalidInput, "set an estimate of 0 to a year", "step %d of job %s has an estimate of %s", n, j.ID, step.Estimate)
+	}
+	if step.MaxPerWorker < 0 || step.MaxUnavailable < 0 {
+		return errs.New(errs.InvalidInput, "set limits of 0 or more", "step %d of job %s has a negative limit", n, j.ID)
+	}
+	if len(step.DependsOn) > MaxSteps {
+		return errs.New(errs.InvalidInput, "name each earlier step once", "step %d of job %s names %d steps", n, j.ID, len(step.DependsOn))
+	}
 	for _, dependency := range step.DependsOn {
 		if dependency < 0 || dependency >= n {
 			return errs.New(errs.InvalidInput, "depend only on earlier steps", "step %d of job %s depends on step %d", n, j.ID, dependency)
