A panic costs one message, or the leadership, and not the instance

Cause: fasthttp does not catch panics of handlers, so one ended the process. conc catches those of goroutines until a Wait that never comes: after a panic in the decisions the instance took itself for the leader, answered no call and never led again. Handlers answer 500; peer messages, rows and goroutines are contained, logged with their stack and counted. After a panic in the leader's loop nothing more is decided on the half-changed state: the leadership ends without a commit, waiting calls are repeated at the next leader, and the call that caused it is answered with 500 and not repeated. The body limit of the configuration is enforced (413).

--- a/cell/callers.go
+++ b/cell/callers.go
@@ -38,9 +38,11 @@
 	retryAfterNoLeader = time.Second
 )
 
+const internalErrorText = "internal error; report this bug with the request"
+
 func (i *Instance) newCallerServer() *fasthttp.Server {
 	return &fasthttp.Server{
-		Handler: i.serveCaller, Name: "mangodrum", ReadBufferSize: callerReadBufferSize, WriteBufferSize: 1024,
+		Handler: i.handler("request", i.serveCaller), Name: "mangodrum", ReadBufferSize: callerReadBufferSize, WriteBufferSize: 1024,
 		IdleTimeout: callerIdleTimeout, MaxRequestBodySize: maxCallerBody, ReduceMemoryUsage: true,
 		NoDefaultServerHeader: true, NoDefaultDate: true,
 	}
@@ -101,6 +103,10 @@
 }
 
 func (i *Instance) serveSubmit(ctx *fasthttp.RequestCtx, route *routing.Route, id string, deadline time.Time) {
+	if limit := i.config.current.Load().MaxBody; limit > 0 && len(ctx.PostBody()) > limit {
+		writeError(ctx, fasthttp.StatusRequestEntityTooLarge, 0, "the body is larger than the "+strconv.Itoa(limit)+" bytes of the configuration")
+		return
+	}
 	job, err := i.options.Codec.DecodeJob(id, ctx.PostBody())
 	if err != nil {
 		writeError(ctx, fasthttp.StatusBadRequest, 0, err.Error())
@@ -113,6 +119,8 @@
 		writeError(ctx, fasthttp.StatusServiceUnavailable, retryAfterNoLeader, err.Error())
 	case err != nil || reply.Verdict == dispatch.CommitPending:
 		writeError(ctx, fasthttp.StatusGatewayTimeout, reply.RetryAfter, "the outcome is open; send the job again")
+	case reply.Verdict == dispatch.InternalError:
+		writeError(ctx, fasthttp.StatusInternalServerError, 0, internalErrorText)
 	case reply.Verdict == dispatch.Refused:
 		writeError(ctx, fasthttp.StatusServiceUnavailable, reply.RetryAfter, "the job was not accepted")
 	default:
@@ -128,6 +136,8 @@
 		writeError(ctx, fasthttp.StatusServiceUnavailable, retryAfterNoLeader, err.Error())
 	case err != nil || reply.Verdict == dispatch.CommitPending:
 		writeError(ctx, fasthttp.StatusGatewayTimeout, reply.RetryAfter, "the outcome is open; cancel again")
+	case reply.Verdict == dispatch.InternalError:
+		writeError(ctx, fasthttp.StatusInternalServerError, 0, internalErrorText)
 	case reply.Verdict == dispatch.NoSuchJob:
 		writeError(ctx, fasthttp.StatusGone, 0, "no such job")
 	default:
@@ -140,6 +150,8 @@
 	switch {
 	case err != nil:
 		writeError(ctx, fasthttp.StatusServiceUnavailable, retryAfterNoLeader, err.Error())
+	case reply.Verdict == dispatch.InternalError:
+		writeError(ctx, fasthttp.StatusInternalServerError, 0, internalErrorText)
 	case reply.State == "":
 		i.logResult("state", id, reply, nil)
 		writeError(ctx, fasthttp.StatusGone, 0, "no such job")
--- a/cell/commits.go
+++ b/cell/commits.go
@@ -41,11 +41,11 @@
 		p.recordSend(now)
 		l.commitSentAt = now
 		tx := p.tx
-		l.group.Go(func() { l.sendCommit(p, tx) })
+		l.spawn("commit", func() { l.sendCommit(p, tx) })
 	}
 	if p.shouldRead(now) {
 		p.recordReadSent(now)
-		l.group.Go(func() { l.readBack(p) })
+		l.spawn("read back", func() { l.readBack(p) })
 	}
 }
 
--- a/cell/effects.go
+++ b/cell/effects.go
@@ -27,18 +27,18 @@
 	for _, effect := range effects {
 		switch e := effect.(type) {
 		case dispatch.StartTask:
-			l.group.Go(func() {
+			l.spawn("start", func() {
 				outcome := l.instance.options.Workers.Start(&e.Worker, e.Order, workerRequestTimeout)
 				l.post(dispatch.StartAnswered{Worker: e.Worker.ID, Task: e.Order.Task, Run: e.Order.Run, Outcome: outcome})
 			})
 		case dispatch.StopTask:
-			l.group.Go(func() {
+			l.spawn("stop", func() {
 				outcome := l.instance.options.Workers.Stop(&e.Worker, e.Order, workerRequestTimeout)
 				l.post(dispatch.StopAnswered{Worker: e.Worker.ID, Task: e.Order.Task, Run: e.Order.Run, Outcome: outcome})
 			})
 		case dispatch.RenewLease:
 			sentAt := l.now()
-			l.group.Go(func() {
+			l.spawn("renew", func() {
 				report, outcome := l.instance.options.Workers.Lease(&e.Worker, e.Order, renewalTimeout(e))
 				l.post(dispatch.LeaseAnswered{Worker: e.Worker.ID, SentAt: sentAt, Report: report, Outcome: outcome})
 			})
@@ -130,7 +130,7 @@
 func (l *leader) requestAdvice(e dispatch.RequestAdvice) {
 	wait := e.Expected + adviceTimeout
 	call := adviseCall{Step: e.Step, Workers: e.Workers, Timeout: wait}
-	l.group.Go(func() {
+	l.spawn("advise", func() {
 		started := time.Now()
 		var reply adviseReply
 		if e.Via == l.instance.options.ID {
--- a/cell/feed.go
+++ b/cell/feed.go
@@ -75,7 +75,7 @@
 		}
 		for _, row := range page.Rows {
 			keys[row.Key] = true
-			f.onRow(row)
+			f.handle(row)
 		}
 		if !page.More || len(page.Rows) == 0 {
 			break
@@ -88,6 +88,12 @@
 	return version, nil
 }
 
+// handle passes a row to onRow. A row that causes a panic is skipped, since other
+// rows of the table may be changed by other programs.
+func (f *feed) handle(row tablestore.Row) {
+	f.instance.contain("row of "+f.table, func() { f.onRow(row) })
+}
+
 // follow waits for changes after a version and returns the new version.
 func (f *feed) follow(after uint64) (uint64, error) {
 	page, err := f.instance.store.Follow(f.table, after, feedWait, feedTimeout)
@@ -95,7 +101,7 @@
 		return after, err
 	}
 	for _, row := range page.Rows {
-		f.onRow(row)
+		f.handle(row)
 	}
 	return max(after, page.Version), nil
 }
--- a/cell/instance.go
+++ b/cell/instance.go
@@ -96,7 +96,7 @@
 		instance: i, direct: options.Store, relayRetryAt: map[structs.InstanceID]time.Time{},
 		callPath: storePath{purpose: "calls"}, feedPath: storePath{purpose: "feeds"},
 	}
-	i.transport = peer.New(peer.Options{Self: options.ID, Logger: options.Logger, OnMessage: i.receive, OnDisconnect: i.disconnected, Dial: options.DialPeer})
+	i.transport = peer.New(peer.Options{Self: options.ID, Logger: options.Logger, OnMessage: func(m peer.Message) { i.contain("peer message", func() { i.receive(m) }) }, OnDisconnect: i.disconnected, Dial: options.DialPeer})
 	return i
 }
 
@@ -108,20 +108,20 @@
 		listener net.Listener
 	}{
 		{callers, i.options.CallerListener},
-		{&fasthttp.Server{Handler: i.serveReady, Name: "mangodrum"}, i.options.ReadinessListener},
-		{&fasthttp.Server{Handler: i.serveMetrics, Name: "mangodrum"}, i.options.MetricsListener},
+		{&fasthttp.Server{Handler: i.handler("readiness", i.serveReady), Name: "mangodrum"}, i.options.ReadinessListener},
+		{&fasthttp.Server{Handler: i.handler("metrics", i.serveMetrics), Name: "mangodrum"}, i.options.MetricsListener},
 	}
 	for _, s := range servers {
-		i.group.Go(func() { i.serveHTTP(s.server, s.listener) })
+		i.spawn("listener", func() { i.serveHTTP(s.server, s.listener) })
 	}
-	i.group.Go(func() {
+	i.spawn("peer listener", func() {
 		if err := i.transport.Serve(i.options.PeerListener); err != nil && i.ctx.Err() == nil {
 			i.log.Error("peer listener failed", "error", err)
 		}
 	})
-	i.group.Go(i.followConfig)
-	i.group.Go(i.register)
-	i.group.Go(i.elect)
+	i.spawn("follow the configuration", i.followConfig)
+	i.spawn("register", i.register)
+	i.spawn("elect", i.elect)
 	i.log.Info("start", "peer_address", i.options.PeerAddress, "process", i.process)
 	<-ctx.Done()
 	i.drain(callers)
@@ -216,11 +216,15 @@
 // leading until it loses the leadership.
 func (i *Instance) elect() {
 	for i.ctx.Err() == nil {
-		claim, row := i.follow()
+		var claim *leadership.Claim
+		var row claimedRow
+		if !i.contain("election", func() { claim, row = i.follow() }) {
+			continue
+		}
 		if claim == nil {
 			return
 		}
-		i.lead(*claim, row)
+		i.contain("leadership", func() { i.lead(*claim, row) })
 	}
 }
 
@@ -249,7 +253,7 @@
 		for _, effect := range follower.Reduce(i.clock.Now(), event) {
 			switch e := effect.(type) {
 			case leadership.ReadRow:
-				i.group.Go(i.readRow)
+				i.spawn("read the leadership row", i.readRow)
 			case leadership.Claim:
 				if row, ok := i.claim(e); ok {
 					return &e, row
--- a/cell/interfaces.go
+++ b/cell/interfaces.go
@@ -3,12 +3,28 @@
 import (
 	"time"
 
+	"github.com/mangodrum/mangodrum/dispatch"
 	"github.com/mangodrum/mangodrum/routing"
 	"github.com/mangodrum/mangodrum/structs"
 	"github.com/mangodrum/mangodrum/tablestore"
 	"github.com/mangodrum/mangodrum/workflow"
 )
 
+// dispatcher is the part of dispatch.Dispatcher that a leader drives.
+type dispatcher interface {
+	Recover(rows []tablestore.Row, lastCommit structs.Timestamp) error
+	Reduce(now structs.Timestamp, event structs.Event) []structs.Effect
+	PlaceTasks(now structs.Timestamp) []structs.Effect
+	NeedsCommit() bool
+	NextCommit(now structs.Timestamp) (dispatch.Commit, error)
+	ConfirmLeadership(sentAt structs.Timestamp)
+	State(id structs.JobID) (workflow.State, bool)
+	IsPending(id structs.JobID) bool
+	WaitingJobs(queue string) int
+}
+
+var _ dispatcher = (*dispatch.Dispatcher)(nil)
+
 // WorkerClient sends requests to workers. CloseIdleConnections closes the idle
 // connections to an address that is no longer used.
 type WorkerClient interface {
--- a/cell/jobcalls.go
+++ b/cell/jobcalls.go
@@ -4,6 +4,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sourcegraph/conc/panics"
+
 	"github.com/mangodrum/mangodrum/dispatch"
 	"github.com/mangodrum/mangodrum/structs"
 	"github.com/mangodrum/mangodrum/workflow"
@@ -22,7 +24,14 @@
 	reply := make(chan dispatch.Reply, 1) // buffered, because no reply is read after the timeout
 	var started atomic.Bool
 	select {
-	case l.inbox <- func() { started.Store(true); l.processJobCall(method, in, result, reply) }:
+	case l.inbox <- func() {
+		started.Store(true)
+		if recovered := panics.Try(func() { l.processJobCall(method, in, result, reply) }); recovered != nil {
+			// The answer ends the call, so that it does not follow to the next leader.
+			result <- jobReply{Verdict: dispatch.InternalError}
+			panic(recovered.AsError())
+		}
+	}:
 	case <-l.ctx.Done():
 		return jobReply{NotLeader: true}
 	}
--- a/cell/leader.go
+++ b/cell/leader.go
@@ -22,7 +22,7 @@
 	instance    *Instance
 	log         hclog.Logger
 	epoch       structs.Epoch
-	dispatcher  *dispatch.Dispatcher
+	dispatcher  dispatcher
 	inbox       chan func()
 	ctx         context.Context
 	cancel      context.CancelFunc
@@ -42,6 +42,7 @@
 	ended             chan struct{} // closed once every pending request has a reply
 	lastRef           dispatch.CallID
 	released          bool
+	broken            bool // the dispatcher panicked and must not be used any more
 	storeUnavailable  bool // submissions are refused until a commit succeeds
 	// lastCommitTook is how long the last commit took.
 	lastCommitTook time.Duration
@@ -65,8 +66,9 @@
 	inboxSize = 4096
 )
 
-// lead runs the cell as its leader until the leadership is lost or released.
-func (i *Instance) lead(claim leadership.Claim, c claimedRow) {
+// newLeader returns a leader that has just claimed the leadership row and has no
+// dispatcher yet.
+func newLeader(i *Instance, c claimedRow) *leader {
 	ctx, cancel := context.WithCancel(i.ctx)
 	l := &leader{
 		instance: i, log: i.log.With("epoch", uint64(c.row.Epoch)), epoch: c.row.Epoch, inbox: make(chan func(), inboxSize),
@@ -75,17 +77,30 @@
 		replies: map[dispatch.CallID]chan dispatch.Reply{}, ended: make(chan struct{}), peers: map[structs.InstanceID]*member{},
 	}
 	l.commitSucceededAt, l.commitSentAt = l.now(), l.now()
+	return l
+}
+
+// lead runs the cell as its leader until the leadership is lost or released.
+func (i *Instance) lead(claim leadership.Claim, c claimedRow) {
+	l := newLeader(i, c)
 	defer l.end()
 	if !i.setLeader(l, i.options.ID, l.epoch) {
 		return
 	}
 	l.dispatcher = dispatch.New(i.options.Policy, l.epoch, l.now(), c.row.CommittedAt)
-	if err := l.recover(claim.Previous); err != nil {
-		l.log.Error("failed to load the cell", "error", err)
+	recovered := false
+	l.protect("recover", func() {
+		if err := l.recover(claim.Previous); err != nil {
+			l.log.Error("failed to load the cell", "error", err)
+			return
+		}
+		recovered = true
+	})
+	if !recovered {
 		return
 	}
-	l.group.Go(l.followPeers)
-	l.group.Go(l.followWorkers)
+	l.spawn("follow peers", l.followPeers)
+	l.spawn("follow workers", l.followWorkers)
 	l.run()
 }
 
@@ -109,7 +124,7 @@
 func (l *leader) end() {
 	l.cancel()
 	if l.dispatcher != nil {
-		l.reduce(dispatch.LeadershipEnded{})
+		l.protect("end", func() { l.reduce(dispatch.LeadershipEnded{}) })
 	}
 	for _, ch := range l.replies {
 		ch <- dispatch.Reply{Verdict: dispatch.Unknown}
@@ -210,28 +225,35 @@
 			return
 		case <-l.releaseSignal():
 			if l.isReleaseDue() {
-				l.release()
+				l.protect("release", l.release)
 				return
 			}
 		case event := <-l.inbox:
-			event()
+			l.protect("event", event)
 		case event := <-l.instance.electionEvents:
 			_ = event // no election runs while this instance leads
 		case <-ticker.C:
-			l.instance.logSuspension(l.instance.clock.Adjust())
-			l.reduce(dispatch.InstancesConnected{IDs: l.connectedInstances()})
-			l.reduce(dispatch.Tick{WallOffset: time.Duration(time.Now().UnixNano()) - time.Duration(l.now())})
-			if now := l.now(); now.Sub(heartbeatAt) >= leadership.HeartbeatInterval {
-				heartbeatAt = now
-				l.sendHeartbeats()
-			}
+			l.protect("tick", func() {
+				l.tick()
+				if now := l.now(); now.Sub(heartbeatAt) >= leadership.HeartbeatInterval {
+					heartbeatAt = now
+					l.sendHeartbeats()
+				}
+			})
 		}
-		l.drainInbox()
-		l.place()
-		l.advanceCommit()
+		l.protect("event", l.drainInbox)
+		l.protect("placement", l.place)
+		l.protect("commit", l.advanceCommit)
 	}
 }
 
+// tick does the work that depends on time.
+func (l *leader) tick() {
+	l.instance.logSuspension(l.instance.clock.Adjust())
+	l.reduce(dispatch.InstancesConnected{IDs: l.connectedInstances()})
+	l.reduce(dispatch.Tick{WallOffset: time.Duration(time.Now().UnixNano()) - time.Duration(l.now())})
+}
+
 // drainInbox processes the events that are already queued, so that one
 // placement pass covers many events.
 func (l *leader) drainInbox() {
--- a/cell/peers.go
+++ b/cell/peers.go
@@ -88,7 +88,7 @@
 			i.log.Warn("dropped a malformed call from a peer", "peer", m.From, "error", err)
 			return
 		}
-		i.group.Go(func() { i.serveCall(m.From, m.CallID, call) })
+		i.spawn("call", func() { i.serveCall(m.From, m.CallID, call) })
 	case peer.KindReply:
 		var reply peer.Reply
 		if err := peer.Decode(m.Body, &reply); err != nil {
--- a/cell/store.go
+++ b/cell/store.go
@@ -153,7 +153,7 @@
 	s.lastRelay = peerID
 	if path.relayAnswered(returnsAtStart) {
 		s.instance.log.Info("dependency", "name", "store", "healthy", false, "way", "assisted", "use", path.purpose, "by", peerID)
-		s.instance.group.Go(func() { s.probeDirect(path) })
+		s.instance.spawn("probe the store", func() { s.probeDirect(path) })
 	}
 }
 
