Calls wait for 0.8 of their time while the store is away

Cause: a caller that waited to its deadline in vain learned nothing before it, and had no time left to return or do without. Change: outageWaitShare; a copy of a request waits no longer than the first.

--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -43,11 +43,25 @@
 
 // pendingCall is a submission or a cancellation that waits for a commit.
 type pendingCall struct {
-	id       CallID
-	request  RequestID
-	deadline structs.Timestamp // when the caller needs an answer
+	id         CallID
+	request    RequestID
+	receivedAt structs.Timestamp // of the first copy of the request
+	deadline   structs.Timestamp // when the caller needs an answer
 }
 
+// waitsUntil returns how long the call waits for a commit: until its deadline, or
+// for a share of its time while the store is away.
+func (p *pendingCall) waitsUntil(storeAway bool) structs.Timestamp {
+	if !storeAway {
+		return p.deadline
+	}
+	return p.receivedAt.Add(time.Duration(outageWaitShare * float64(p.deadline.Sub(p.receivedAt))))
+}
+
+// outageWaitShare is the share of its time that a call waits while the store is
+// away. With the rest, the caller can return, or do without.
+const outageWaitShare = 0.8
+
 // refusedRequests remembers the requests whose callers were told that their job
 // was not accepted. A copy of such a request may still be under way, in a buffer or
 // on a connection that is slower than the one of the next copy, and must not be
--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -18,7 +18,7 @@
 			c.emit(Reply{Call: e.Call, Verdict: Accepted})
 			return
 		}
-		j.pendingSubmits = append(j.pendingSubmits, call)
+		j.addSubmission(call)
 		return
 	}
 	switch {
@@ -39,6 +39,18 @@
 	}
 }
 
+// addSubmission adds a call that submits the job again. A copy of an earlier request
+// waits no longer than that one.
+func (j *job) addSubmission(call pendingCall) {
+	for _, earlier := range j.pendingSubmits {
+		if call.request != "" && earlier.request == call.request {
+			call.receivedAt, call.deadline = earlier.receivedAt, earlier.deadline
+			break
+		}
+	}
+	j.pendingSubmits = append(j.pendingSubmits, call)
+}
+
 // refuse refuses a submission that was not part of any commit.
 func (c *Dispatcher) refuse(e SubmitJob, reason RefusalReason) {
 	c.refused.add(e.Request, c.now)
--- a/dispatch/reduce.go
+++ b/dispatch/reduce.go
@@ -166,11 +166,12 @@
 		c.replyExpired(&j.pendingCancels, CommitPending, c.retryAfter(j))
 		return false
 	}
-	if slices.ContainsFunc(j.pendingSubmits, func(call pendingCall) bool { return c.now.Before(call.deadline) }) {
+	away := c.outages.since != 0
+	if slices.ContainsFunc(j.pendingSubmits, func(call pendingCall) bool { return c.now.Before(call.waitsUntil(away)) }) {
 		return false
 	}
 	reason := RefusedNotCommitted
-	if c.outages.since != 0 {
+	if away {
 		reason = RefusedStoreAway
 	}
 	for _, call := range j.pendingSubmits {
@@ -204,7 +205,7 @@
 	if deadline == 0 {
 		deadline = c.now.Add(c.policy.CommitTimeout)
 	}
-	return pendingCall{id: id, deadline: deadline}
+	return pendingCall{id: id, receivedAt: c.now, deadline: deadline}
 }
 
 // replyAll replies to all of the calls and clears the list.
