Strong instances claim first after a loss of power; the last first reports are hedged

The row was old when they were back, so the first process that read it claimed, one with a quarter of the processors and a twentieth of the link: 0.5 s to load the rows. Change: the preference for near and strong instances counts from the suspicion, not from the age of the row. First reports have the usual timeout again; the last tenth of the workers is asked a second time after 0.2 s. A report that a later one has overtaken is ignored.

--- a/cell/effects.go
+++ b/cell/effects.go
@@ -14,9 +14,6 @@
 	workerRequestTimeout = 400 * time.Millisecond
 	// leaseTimeout is the time for a renewal in addition to the worker's wait.
 	leaseTimeout = 500 * time.Millisecond
-	// reportTimeout is the time for a renewal that asks for the first report of a
-	// worker. It covers a round trip of 60 ms and a busy worker.
-	reportTimeout = 200 * time.Millisecond
 	// adviceTimeout is the time for a call to the advisor in addition to its
 	// expected processing time.
 	adviceTimeout = 1200 * time.Millisecond
@@ -39,7 +36,7 @@
 		case dispatch.RenewLease:
 			sentAt := l.now()
 			l.spawn("renew", func() {
-				report, outcome := l.instance.options.Workers.Lease(&e.Worker, e.Order, renewalTimeout(e))
+				report, outcome := l.instance.options.Workers.Lease(&e.Worker, e.Order, e.Order.Wait+leaseTimeout)
 				l.post(dispatch.LeaseAnswered{Worker: e.Worker.ID, SentAt: sentAt, Report: report, Outcome: outcome})
 			})
 		case dispatch.RequestAdvice:
@@ -59,13 +56,6 @@
 	}
 }
 
-func renewalTimeout(e dispatch.RenewLease) time.Duration {
-	if e.RetrySoon {
-		return reportTimeout
-	}
-	return e.Order.Wait + leaseTimeout
-}
-
 // decisionValueKeys is the log key of a decision's value, by event.
 var decisionValueKeys = map[string]string{
 	"accept": "since_submit_ms", "refuse": "since_submit_ms",
--- a/dispatch/events.go
+++ b/dispatch/events.go
@@ -150,8 +150,6 @@
 type RenewLease struct {
 	Worker workflow.Worker
 	Order  workflow.LeaseOrder
-	// RetrySoon asks for a short timeout, because other work waits for the answer.
-	RetrySoon bool
 }
 
 // RequestAdvice calls the advisor through an instance to ask which workers may run a
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -203,6 +203,9 @@
 	pendingAcks     []pendingAck
 
 	renewing       bool
+	renewalSentAt  structs.Timestamp // when the latest renewal was sent
+	reportSentAt   structs.Timestamp // when the renewal was sent that the latest report answers
+	hedged         bool              // the first report was asked for twice
 	missedRenewals int
 	silent         bool              // has missed missedRenewalsBeforeSilent renewals
 	clock          time.Duration     // worker's clock in its last report
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -116,11 +116,29 @@
 		order.Deadline = c.extendLease(w)
 		order.Wait = c.policy.RenewalWait
 	}
-	// No task of the previous leader is placed before every worker has reported, so
-	// a lost answer must not take long. A worker that is merely slow gets the usual
-	// time after that.
-	retrySoon := w.unreported && w.missedRenewals < missedRenewalsBeforeSilent
-	c.emit(RenewLease{Worker: w.Worker, Order: order, RetrySoon: retrySoon})
+	w.renewalSentAt = c.now
+	c.emit(RenewLease{Worker: w.Worker, Order: order})
+}
+
+const (
+	// hedgeAfter is how long the first report of one of the last workers may take
+	// before it is asked for again. It covers a round trip of 60 ms and a busy worker.
+	hedgeAfter = 200 * time.Millisecond
+	// maxHedgedShare is the share of workers that are asked again. If more have not
+	// reported, the new leader itself is slow, and more requests would delay it.
+	maxHedgedShare = 0.1
+)
+
+// hedgeFirstReport asks a worker again that has not answered the first renewal of a
+// new leader. No task of the previous leader is placed before all workers have
+// reported, so one lost answer must not take a whole timeout.
+func (c *Dispatcher) hedgeFirstReport(w *worker) {
+	if !w.unreported || !w.renewing || w.hedged || c.now.Sub(w.renewalSentAt) < hedgeAfter ||
+		float64(c.unreported) > maxHedgedShare*float64(len(c.sortedWorkers)) {
+		return
+	}
+	w.hedged = true
+	c.emit(RenewLease{Worker: w.Worker, Order: workflow.LeaseOrder{FencingToken: c.epoch, AcknowledgedThrough: w.acknowledgedEnd}})
 }
 
 // extendLease grants a lease and returns its end on the worker's clock, or 0 if no
@@ -145,6 +163,9 @@
 	if w == nil {
 		return
 	}
+	if e.SentAt.Before(w.reportSentAt) {
+		return // a later request has been answered before
+	}
 	w.renewing = false
 	switch e.Outcome {
 	case workflow.OK:
@@ -207,6 +228,7 @@
 		return
 	}
 	c.renew(w)
+	c.hedgeFirstReport(w)
 	for _, a := range w.matchingAllocations(c.isResendDue) {
 		c.resend(w, a)
 	}
@@ -249,6 +271,7 @@
 		c.logDecision(Decision{Event: "worker_back", Worker: w.ID, Value: int64(w.missedRenewals)})
 	}
 	first := !w.known
+	w.reportSentAt = e.SentAt
 	w.Incarnation = r.Incarnation
 	w.known, w.missedRenewals, w.nextRenewalAt = true, 0, 0
 	w.clock, w.clockAt = r.Clock, c.now
--- a/leadership/leadership.go
+++ b/leadership/leadership.go
@@ -151,6 +151,7 @@
 	heartbeatAt     structs.Timestamp
 	storeHealthyAt  structs.Timestamp // when the leader last reported that it reaches the store
 	leaderSuspected bool
+	suspectedSince  structs.Timestamp
 	requestPending  bool // a read or a claim is in flight
 	lastReadAt      structs.Timestamp
 	rowVersion      uint64            // version of the row in the last read
@@ -211,7 +212,11 @@
 
 // tick updates whether the leader is suspected, and reads the row if it is.
 func (f *Follower) tick(now structs.Timestamp) []structs.Effect {
-	f.leaderSuspected = now.Sub(f.heartbeatAt) >= heartbeatTimeout || now.Sub(f.storeHealthyAt) >= heartbeatTimeout+storeUnhealthyTimeout
+	suspected := now.Sub(f.heartbeatAt) >= heartbeatTimeout || now.Sub(f.storeHealthyAt) >= heartbeatTimeout+storeUnhealthyTimeout
+	if suspected && !f.leaderSuspected {
+		f.suspectedSince = now
+	}
+	f.leaderSuspected = suspected
 	if !f.leaderSuspected {
 		f.versionKnown, f.lastReadVersion, f.rowChanged = false, 0, false
 		return nil
@@ -242,6 +247,9 @@
 	f.epoch = max(f.epoch, e.Row.Epoch)
 	heard := now.Sub(f.heartbeatAt) < heartbeatTimeout
 	reason, wait := f.claimReason(e, heard)
+	if reason == reasonUnchanged && now.Sub(f.suspectedSince) < f.preferenceDelay() {
+		return nil // an old row gives no preference after a loss of power of all instances
+	}
 	unchangedFor := now.Sub(f.unchangedSince)
 	if reason == reasonUnchanged && !heard && !f.rowChanged {
 		// The age of the row counts only if no heartbeats arrive: a leader that
@@ -258,14 +266,21 @@
 	return []structs.Effect{Claim{Epoch: e.Row.Epoch + 1, Version: e.Version, Previous: e.Row, StoreTime: e.StoreTime, Reason: reason}}
 }
 
-// claimReason returns the reason for a claim and how long the row must have been
-// unchanged before it. heard means that the leader sends heartbeats.
-func (f *Follower) claimReason(e RowRead, heard bool) (string, time.Duration) {
+// preferenceDelay returns how long this instance leaves the claim to instances that
+// are nearer to the store or have more processors.
+func (f *Follower) preferenceDelay() time.Duration {
 	missingShare := 1 - f.processorShare/max(f.maxShare, f.processorShare)
 	delay := min(distanceDelayFactor*f.roundTrip, maxDistanceDelay) + time.Duration(missingShare*float64(maxShareDelay))
 	if delay < minClaimDelay {
-		delay = 0
+		return 0
 	}
+	return delay
+}
+
+// claimReason returns the reason for a claim and how long the row must have been
+// unchanged before it. heard means that the leader sends heartbeats.
+func (f *Follower) claimReason(e RowRead, heard bool) (string, time.Duration) {
+	delay := f.preferenceDelay()
 	switch {
 	case e.Version == 0:
 		return "no leader yet", delay
--- a/leadership/leadership_test.go
+++ b/leadership/leadership_test.go
@@ -229,3 +229,28 @@
 	}
 	t.Error("no claim within a second")
 }
+
+// TestStrongClaimsFirstAfterLossOfAll guards against the weakest instance as leader
+// after a loss of power of all instances. The row is old then, so the first process
+// that read it claimed, and loaded the rows of a cell of 350 workers over a tenth of
+// the link of others (shalpata-drum-grown trouble-1).
+func TestStrongClaimsFirstAfterLossOfAll(t *testing.T) {
+	claimAfter := func(share float64) time.Duration {
+		f := NewFollower("me", 7, share, start)
+		for elapsed := time.Duration(0); elapsed < 2*time.Second; elapsed += 50 * time.Millisecond {
+			now := start.Add(elapsed)
+			if len(f.Reduce(now, Tick{})) == 0 {
+				continue
+			}
+			read := RowRead{Row: Row{Epoch: 1, Owner: "other"}, Version: 5, RoundTrip: time.Millisecond, StoreTime: structs.Timestamp(2 * time.Second)}
+			if len(f.Reduce(now, read)) > 0 {
+				return elapsed
+			}
+		}
+		t.Fatalf("no claim of an instance with %.2f processors within 2 s", share)
+		return 0
+	}
+	if strong, weak := claimAfter(0.8), claimAfter(0.192); strong+readInterval > weak || strong > 300*time.Millisecond {
+		t.Errorf("claims after %s (strong) and %s (weak)", strong, weak)
+	}
+}
