A planned stop hands the leadership to an instance that was restarted already

Followers tell their uptime; among equally strong and near ones, one that started after the leader comes first.

--- a/cell/effects.go
+++ b/cell/effects.go
@@ -109,7 +109,7 @@
 	var list []followerInfo
 	for id, m := range l.peers {
 		if m.heartbeatReplyAt != 0 && l.now().Sub(m.heartbeatReplyAt) < recent {
-			list = append(list, followerInfo{id, m.processorShare, m.roundTrip})
+			list = append(list, followerInfo{id, m.processorShare, m.roundTrip, m.uptime})
 		}
 	}
 	return list
--- a/cell/heartbeats.go
+++ b/cell/heartbeats.go
@@ -18,6 +18,7 @@
 	heartbeatSentAt  structs.Timestamp // when the last heartbeat was sent
 	// roundTrip is the time from the last heartbeat to its reply.
 	roundTrip     time.Duration
+	uptime        time.Duration     // of its process at the last reply; 0 if unknown
 	configVersion uint64            // version of its configuration
 	outdatedSince structs.Timestamp // when a newer version was first known; 0 if up to date
 	configSentAt  structs.Timestamp // when the leader last sent it the configuration
@@ -87,11 +88,11 @@
 }
 
 // recordHeartbeatReply records a follower's reply to a heartbeat.
-func (l *leader) recordHeartbeatReply(id structs.InstanceID, config uint64) {
+func (l *leader) recordHeartbeatReply(id structs.InstanceID, reply heartbeatReply) {
 	l.peersMu.Lock()
 	defer l.peersMu.Unlock()
 	if m := l.peers[id]; m != nil {
-		m.heartbeatReplyAt, m.configVersion = l.now(), config
+		m.heartbeatReplyAt, m.configVersion, m.uptime = l.now(), reply.ConfigVersion, reply.Uptime
 		m.roundTrip = m.heartbeatReplyAt.Sub(m.heartbeatSentAt)
 	}
 }
--- a/cell/leader.go
+++ b/cell/leader.go
@@ -342,9 +342,7 @@
 	}
 	row := l.row
 	row.Owner, row.CommittedAt = "", l.storeNow()
-	if followers := sortByProcessorShare(l.followers()); len(followers) > 0 {
-		row.Successor = followers[0].id
-	}
+	row.Successor = chooseSuccessor(l.followers(), time.Duration(l.instance.clock.Now()))
 	value, err := cbor.Marshal(row)
 	if err != nil {
 		l.log.Error("failed to encode the leadership row", "error", err)
--- a/cell/messages.go
+++ b/cell/messages.go
@@ -25,6 +25,9 @@
 type heartbeatReply struct {
 	ConfigVersion uint64 `cbor:"1,keyasint"`
 	Config        []byte `cbor:"2,keyasint,omitempty"` // for a leader with an older version
+	// Uptime is how long the follower's process has run; 0 from one that does not
+	// say.
+	Uptime time.Duration `cbor:"3,keyasint,omitempty"`
 }
 
 // Methods of calls between instances.
--- a/cell/peers.go
+++ b/cell/peers.go
@@ -140,7 +140,7 @@
 	if len(received.Config) > 0 {
 		i.applyConfig(received.Config, "leader")
 	}
-	reply := heartbeatReply{ConfigVersion: i.config.version()}
+	reply := heartbeatReply{ConfigVersion: i.config.version(), Uptime: time.Duration(i.clock.Now())}
 	if reply.ConfigVersion > received.ConfigVersion {
 		reply.Config = i.config.encodedValue()
 	}
@@ -160,7 +160,7 @@
 		i.applyConfig(reply.Config, "follower")
 	}
 	if local, _, _ := i.currentLeader(); local != nil {
-		local.recordHeartbeatReply(m.From, reply.ConfigVersion)
+		local.recordHeartbeatReply(m.From, reply)
 	}
 }
 
--- a/cell/storepath.go
+++ b/cell/storepath.go
@@ -98,6 +98,7 @@
 	id             structs.InstanceID
 	processorShare float64       // processor share in cores
 	roundTrip      time.Duration // from the leader and back; 0 if unknown
+	uptime         time.Duration // of its process; 0 if unknown
 }
 
 // sortByProcessorShare sorts by descending processor share and then by round trip,
--- a/cell/storepath_test.go
+++ b/cell/storepath_test.go
@@ -60,7 +60,7 @@
 // a small peer in another region.
 func TestSortByCPUShare(t *testing.T) {
 	got := sortByProcessorShare([]followerInfo{
-		{"small-near", 0.192, time.Millisecond}, {"large-far", 0.8, 60 * time.Millisecond}, {"large-near", 0.8, 2 * time.Millisecond},
+		{id: "small-near", processorShare: 0.192, roundTrip: time.Millisecond}, {id: "large-far", processorShare: 0.8, roundTrip: 60 * time.Millisecond}, {id: "large-near", processorShare: 0.8, roundTrip: 2 * time.Millisecond},
 	})
 	if got[0].id != "large-near" || got[1].id != "large-far" {
 		t.Errorf("order %v, want the largest share first and the shorter round trip of two equal ones", got)
