A paused leader denies no job, and an unusable answer is not called not run

Cause, looked for after the reports of similar systems: a leader that was paused and replaced answered 410 for a job that its successor had accepted; an instance that could not decode the leader's answer, as from another build, told its caller that the job was not accepted although it may have been. Change: a leader denies a job only if a commit sent less than 0.4 s ago proves its leadership, the time that another one waits before a claim; otherwise the call goes on to the next leader. Every error but a call that was certainly not sent counts as possibly run.

--- a/cell/callers.go
+++ b/cell/callers.go
@@ -200,7 +200,7 @@
 			if err == nil && !reply.NotLeader && reply.Verdict != dispatch.Unknown {
 				return reply, nil
 			}
-			sent = sent || errs.Is(err, errs.OutcomeUnknown) || reply.Verdict == dispatch.Unknown
+			sent = sent || mayHaveRun(err, reply)
 		}
 		// If a leader may have received the call, only the next leader knows its
 		// outcome, so the call waits for it until the deadline.
@@ -218,6 +218,13 @@
 	}
 }
 
+// mayHaveRun reports whether a call to another instance that ended without a usable
+// answer may have taken effect. A reply that cannot be decoded is the answer to a
+// call that was carried out.
+func mayHaveRun(err error, reply jobReply) bool {
+	return (err != nil && !errs.Is(err, errs.NotRun)) || reply.Verdict == dispatch.Unknown
+}
+
 // nextRequestID returns an identifier that no other request of any instance has.
 func (i *Instance) nextRequestID() dispatch.RequestID {
 	return dispatch.RequestID(strconv.FormatUint(i.process, 36) + "-" + strconv.FormatUint(i.requests.Add(1), 36))
--- a/cell/commits.go
+++ b/cell/commits.go
@@ -177,6 +177,7 @@
 	// The next leader counts leases from the time in the row, which was set
 	// before the first copy was sent.
 	l.dispatcher.ConfirmLeadership(p.createdAt)
+	l.confirmedAt = p.createdAt
 	l.reduce(dispatch.Committed{Sequence: p.commit.Sequence})
 }
 
--- a/cell/jobcalls.go
+++ b/cell/jobcalls.go
@@ -7,6 +7,7 @@
 	"github.com/sourcegraph/conc/panics"
 
 	"github.com/mangodrum/mangodrum/dispatch"
+	"github.com/mangodrum/mangodrum/leadership"
 	"github.com/mangodrum/mangodrum/structs"
 	"github.com/mangodrum/mangodrum/workflow"
 )
@@ -72,10 +73,18 @@
 		if !known && l.dispatcher.IsPending(in.ID) {
 			state = workflow.Pending
 		}
+		if state == "" && !l.isConfirmed() {
+			result <- jobReply{NotLeader: true}
+			return
+		}
 		result <- jobReply{State: state}
 	case methodWaiting:
 		result <- jobReply{Waiting: l.dispatcher.WaitingJobs(in.Name)}
 	case methodSubmit, methodCancel:
+		if _, known := l.dispatcher.State(in.ID); method == methodCancel && !known && !l.dispatcher.IsPending(in.ID) && !l.isConfirmed() {
+			result <- jobReply{NotLeader: true}
+			return
+		}
 		l.lastRef++
 		l.replies[l.lastRef] = reply
 		var deadline structs.Timestamp
@@ -89,3 +98,12 @@
 		l.reduce(dispatch.SubmitJob{Call: l.lastRef, Job: *in.Job, Queue: *in.Queue, Request: in.Request, Deadline: deadline})
 	}
 }
+
+// isConfirmed reports whether no other instance can have become the leader, so that
+// a job which this leader does not know does not exist. A process that was paused
+// may have been replaced meanwhile: the last commit that proves the leadership must
+// be younger than the row of a leader has to be for another one to claim it.
+func (l *leader) isConfirmed() bool {
+	l.instance.logSuspension(l.instance.clock.Adjust())
+	return l.now().Sub(l.confirmedAt) < leadership.MinUnchangedTime
+}
--- a/cell/leader.go
+++ b/cell/leader.go
@@ -37,6 +37,7 @@
 	pending           *pendingCommit
 	commitSentAt      structs.Timestamp // when a copy of a commit was last sent
 	commitSucceededAt structs.Timestamp // when the last commit succeeded
+	confirmedAt       structs.Timestamp // when the last successful commit was sent, or the claim
 	lastPlacementAt   structs.Timestamp
 	replies           map[dispatch.CallID]chan dispatch.Reply
 	ended             chan struct{} // closed once every pending request has a reply
@@ -76,7 +77,7 @@
 		clockOffset: structs.Timestamp(c.storeTime) - c.localTime, storeClock: structs.Timestamp(c.storeTime), storeClockAt: c.localTime,
 		replies: map[dispatch.CallID]chan dispatch.Reply{}, ended: make(chan struct{}), peers: map[structs.InstanceID]*member{},
 	}
-	l.commitSucceededAt, l.commitSentAt = l.now(), l.now()
+	l.commitSucceededAt, l.commitSentAt, l.confirmedAt = l.now(), l.now(), l.now()
 	return l
 }
 
--- a/leadership/leadership.go
+++ b/leadership/leadership.go
@@ -39,10 +39,10 @@
 	// heartbeatTimeout is the time without a heartbeat after which a follower
 	// suspects the leader and reads the row. It covers three heartbeats.
 	heartbeatTimeout = 3*HeartbeatInterval + 25*time.Millisecond
-	// minUnchangedTime is how long the row of a leader that sends no heartbeats
+	// MinUnchangedTime is how long the row of a leader that sends no heartbeats
 	// must be unchanged before a claim. It covers two commits, each with a one-way
 	// latency of 30 ms and its read-back.
-	minUnchangedTime = 400 * time.Millisecond
+	MinUnchangedTime = 400 * time.Millisecond
 	// minUnchangedTimeIfHeard is the same time for a leader that sends heartbeats
 	// but does not reach the store. The leader and its followers notice the store's
 	// return at about the same time, and the leader needs no recovery.
@@ -293,7 +293,7 @@
 	case e.Row.Owner == f.self && e.Row.Process != f.process:
 		return "own earlier process", 0
 	}
-	unchanged := minUnchangedTime
+	unchanged := MinUnchangedTime
 	if heard {
 		unchanged = minUnchangedTimeIfHeard
 	}
--- a/leadership/leadership_test.go
+++ b/leadership/leadership_test.go
@@ -44,8 +44,8 @@
 // that stops is replaced within two seconds.
 func TestClaimsAfterLeaderStops(t *testing.T) {
 	took := timeToClaim(newFollower(0.8), start, Row{Epoch: 1, Owner: "other"}, 5, time.Millisecond, nil)
-	if took < heartbeatTimeout+minUnchangedTime || took > 2*time.Second {
-		t.Errorf("claim after %s, want between %s and 2s", took, heartbeatTimeout+minUnchangedTime)
+	if took < heartbeatTimeout+MinUnchangedTime || took > 2*time.Second {
+		t.Errorf("claim after %s, want between %s and 2s", took, heartbeatTimeout+MinUnchangedTime)
 	}
 }
 
@@ -55,7 +55,7 @@
 	f := newFollower(0.8)
 	f.Reduce(start, ConnectionLost{})
 	f.Reduce(start, Tick{})
-	row := RowRead{Row: Row{Epoch: 1, Owner: "other"}, Version: 5, RoundTrip: time.Millisecond, StoreTime: structs.Timestamp(minUnchangedTime)}
+	row := RowRead{Row: Row{Epoch: 1, Owner: "other"}, Version: 5, RoundTrip: time.Millisecond, StoreTime: structs.Timestamp(MinUnchangedTime)}
 	if effects := f.Reduce(start, row); len(effects) != 1 {
 		t.Errorf("effects for a row that is %d ns old: %v, want a claim", row.StoreTime, effects)
 	}
@@ -150,8 +150,8 @@
 		f.Reduce(start, HeartbeatReceived{Epoch: 1, StoreHealthy: true, MaxProcessorShare: 0.8})
 		f.roundTrip = 5 * time.Millisecond // observed before the store became slow
 		took := timeToClaim(f, start, Row{Epoch: 1, Owner: "other"}, 5, slow, nil)
-		if took < heartbeatTimeout+minUnchangedTime+slow {
-			t.Errorf("claim after %s, want at least %s plus the time of a slow read", took, heartbeatTimeout+minUnchangedTime)
+		if took < heartbeatTimeout+MinUnchangedTime+slow {
+			t.Errorf("claim after %s, want at least %s plus the time of a slow read", took, heartbeatTimeout+MinUnchangedTime)
 		}
 		claims[took/readInterval]++
 	}
