--- a/cell/jobcalls.go
+++ b/cell/jobcalls.go
@@ -67,24 +67,20 @@
 // processJobCall runs on the leader's loop. It sends the answer to result, or
 // registers reply for the dispatcher's answer.
 func (l *leader) processJobCall(method string, in jobCall, result chan jobReply, reply chan dispatch.Reply) {
+	if (method == methodState || method == methodCancel) && !l.knows(in.ID) && !l.isConfirmed() {
+		result <- jobReply{NotLeader: true}
+		return
+	}
 	switch method {
 	case methodState:
 		state, known := l.dispatcher.State(in.ID)
 		if !known && l.dispatcher.IsPending(in.ID) {
 			state = workflow.Pending
 		}
-		if state == "" && !l.isConfirmed() {
-			result <- jobReply{NotLeader: true}
-			return
-		}
 		result <- jobReply{State: state}
 	case methodWaiting:
 		result <- jobReply{Waiting: l.dispatcher.WaitingJobs(in.Name)}
 	case methodSubmit, methodCancel:
-		if _, known := l.dispatcher.State(in.ID); method == methodCancel && !known && !l.dispatcher.IsPending(in.ID) && !l.isConfirmed() {
-			result <- jobReply{NotLeader: true}
-			return
-		}
 		l.lastRef++
 		l.replies[l.lastRef] = reply
 		var deadline structs.Timestamp
@@ -99,6 +95,12 @@
 	}
 }
 
+// knows reports whether the job was submitted to this leader or is stored.
+func (l *leader) knows(id structs.JobID) bool {
+	_, stored := l.dispatcher.State(id)
+	return stored || l.dispatcher.IsPending(id)
+}
+
 // isConfirmed reports whether no other instance can have become the leader, so that
 // a job which this leader does not know does not exist. A process that was paused
 // may have been replaced meanwhile: the last commit that proves the leadership must
--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -15,7 +15,7 @@
 // the store returns. Callers try for a few seconds in all and are limited to a few
 // attempts. A caller that is sent away at once uses up its attempts, and is not
 // there when the store returns; one that waits is accepted with the first commit.
-// A submission therefore waits as long as its caller does, unless too many wait
+// A submission therefore waits for most of its caller's time, unless too many wait
 // already.
 
 // RefusalReason says why a submission is refused. A refused submission is not part
@@ -24,8 +24,8 @@
 
 // Reasons for refusals.
 const (
-	// RefusedStoreAway means that the store did not answer before the caller's
-	// deadline.
+	// RefusedStoreAway means that the store did not answer in the time that the
+	// submission could wait.
 	RefusedStoreAway RefusalReason = "store is unavailable"
 	// RefusedNotCommitted means that the store answers, but too slowly for the
 	// caller's deadline.
@@ -105,7 +105,7 @@
 }
 
 // maxWaitingSubmissions limits the submissions that wait for a commit while the
-// store is away. A job of ten tasks takes 6 KB of memory, so they take up to 24 MB.
+// store is away. A job of ten tasks takes 3 KB of memory, so they take 12 MB.
 const maxWaitingSubmissions = 4096
 
 // canWait reports whether another submission may wait for a commit.
@@ -126,16 +126,19 @@
 	maxRetryAfter     = 8 * time.Second
 )
 
+// isAway reports whether the store is away.
+func (h *outageHistory) isAway() bool { return h.since != 0 }
+
 // began records that the store has not answered since the given time.
 func (h *outageHistory) began(since structs.Timestamp) {
-	if h.since == 0 {
+	if !h.isAway() {
 		h.since = since
 	}
 }
 
 // ended records that the store answers.
 func (h *outageHistory) ended(now structs.Timestamp) {
-	if h.since == 0 {
+	if !h.isAway() {
 		return
 	}
 	h.lengths = append(h.lengths, now.Sub(h.since))
@@ -147,7 +150,7 @@
 // outages that lasted longer than the current one has so far. If none did, an
 // outage is expected to last as long again as it has lasted.
 func (h *outageHistory) remaining(now structs.Timestamp) time.Duration {
-	if h.since == 0 {
+	if !h.isAway() {
 		return 0
 	}
 	elapsed := now.Sub(h.since)
--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -25,7 +25,7 @@
 	case c.refused.contains(e.Request):
 		c.refuse(e, RefusedBefore)
 		return
-	case !canWait(c.outages.since != 0, len(c.dirty)):
+	case !canWait(c.outages.isAway(), len(c.dirty)):
 		c.refuse(e, RefusedTooManyWaiting)
 		return
 	}
@@ -34,7 +34,7 @@
 	c.updateMeanWork(j)
 	c.jobs[e.Job.ID] = j
 	c.markDirty(j)
-	if c.outages.since == 0 {
+	if !c.outages.isAway() {
 		c.requestAdviceForNewJob(j) // tickets would expire before a commit
 	}
 }
--- a/dispatch/reduce.go
+++ b/dispatch/reduce.go
@@ -166,7 +166,7 @@
 		c.replyExpired(&j.pendingCancels, CommitPending, c.retryAfter(j))
 		return false
 	}
-	away := c.outages.since != 0
+	away := c.outages.isAway()
 	if slices.ContainsFunc(j.pendingSubmits, func(call pendingCall) bool { return c.now.Before(call.waitsUntil(away)) }) {
 		return false
 	}
