Settings: an impact names the shards whose jobs could not be listed

Cause: one shard without an owner dropped the jobs of all shards from the impact of a change, without a word.

--- a/instance/backendsettings.go
+++ b/instance/backendsettings.go
@@ -82,16 +82,24 @@
 	return settings.Decode("settings", []byte(request.YAML))
 }
 
-// impact returns the workloads that a settings change affects. If the jobs of
-// a shard cannot be listed, no job is considered.
+// impact returns the workloads that a settings change affects. It names the shards
+// whose jobs cannot be listed.
 func (b *backend) impact(ctx context.Context, old, next *settings.Tree) settings.Impact {
 	var jobs []structs.Job
-	if all, err := collectFromShards[operatorapi.JobStatus](ctx, b.Instance, methodJobs); err == nil {
-		for _, status := range all {
+	var unknown []structs.ShardID
+	for _, shard := range b.shards() {
+		list, err := callShardOwner[[]operatorapi.JobStatus](ctx, b.Instance, shard, methodJobs, nil)
+		if err != nil {
+			unknown = append(unknown, shard)
+			continue
+		}
+		for _, status := range list {
 			jobs = append(jobs, status.Job)
 		}
 	}
-	return settings.ImpactOf(old, next, jobs)
+	impact := settings.ImpactOf(old, next, jobs)
+	impact.UnknownShards = unknown
+	return impact
 }
 
 // SettingsHistory implements operatorapi.Backend.
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -11,6 +11,8 @@
 	"github.com/goccy/go-yaml"
 
 	"github.com/mangodrum/mangodrum/errs"
+	"github.com/mangodrum/mangodrum/settings"
+	"github.com/mangodrum/mangodrum/structs"
 )
 
 const bureauDir = "../../examples/bureau/"
@@ -228,3 +230,15 @@
 		t.Errorf("code %d, %q", code, diagnostics.String())
 	}
 }
+
+// Guards against an impact that silently lacks the jobs of a shard without an owner.
+func TestImpactNamesUnknownShards(t *testing.T) {
+	text := impactText(settings.Impact{
+		Changes:       []settings.Change{{Path: "/a", Field: "weight", Old: "1", New: "2"}},
+		Teams:         []settings.TeamImpact{{Team: "a", Jobs: 1}},
+		UnknownShards: []structs.ShardID{"oshima"},
+	})
+	if !strings.Contains(text, "oshima") || !strings.Contains(text, "could not be listed") {
+		t.Errorf("text does not name the shard: %s", text)
+	}
+}
--- a/internal/cli/settings.go
+++ b/internal/cli/settings.go
@@ -199,6 +199,9 @@
 	if len(impact.Jobs) > 0 {
 		text += fmt.Sprintf("\njobs concerned: %s\n", joinIDs(impact.Jobs))
 	}
+	if len(impact.UnknownShards) > 0 {
+		text += fmt.Sprintf("\nthe jobs of these shards could not be listed and are missing above: %s; repeat with --dry-run to see them\n", joinIDs(impact.UnknownShards))
+	}
 	return text
 }
 
--- a/settings/impact.go
+++ b/settings/impact.go
@@ -21,6 +21,9 @@
 	Teams   []TeamImpact        `json:"teams,omitempty"`
 	Classes []structs.ClassName `json:"classes,omitempty"`
 	Jobs    []structs.JobID     `json:"jobs,omitempty"` // jobs of the affected teams and classes
+	// UnknownShards are shards whose jobs could not be listed, so that Jobs lacks
+	// them.
+	UnknownShards []structs.ShardID `json:"unknown_shards,omitempty"`
 }
 
 // ImpactOf compares the effective settings of all teams in two trees. A team
