--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -31,6 +31,7 @@
 	"leader-cut":     leaderCut,
 	"hidden-ends":    hiddenEnds,
 	"crash-loop":     crashLoop,
+	"foreign-reply":  foreignReply,
 }
 
 func main() { os.Exit(run()) }
--- a/review/harness/scenarios.go
+++ b/review/harness/scenarios.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -406,3 +407,73 @@
 	c.store.mu.Unlock()
 	return append(broken, rec.checkTwice()...), nil
 }
+
+// foreignReply: the store is down for 3.5 s, and a follower that was started a short
+// time before is killed and started again meanwhile.
+func foreignReply(_, binary string, rec *recorder, trouble bool) ([]string, error) {
+	c, err := newCell(rec, binary, "", 6, 3, true)
+	if err != nil {
+		return nil, err
+	}
+	defer c.close()
+	follower := c.instances[0]
+	for _, i := range c.instances {
+		if i != c.leader() {
+			follower = i
+		}
+	}
+	small := job{Spec: "ms=300", Steps: []step{{Count: 2, CPU: 1000, MemMB: 256, EstimateMs: 300}}}
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	rejected := map[string]bool{} // jobs whose only attempt was answered with 503
+	hand := func() {
+		mu.Lock()
+		id := c.newID()
+		mu.Unlock()
+		group.Go(func() {
+			status, _ := c.call(follower, http.MethodPost, id, small)
+			mu.Lock()
+			defer mu.Unlock()
+			rejected[id] = status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
+		})
+	}
+	if trouble {
+		c.store.setDown(true)
+	}
+	down := time.Now()
+	time.Sleep(50 * time.Millisecond)
+	for range 12 {
+		hand()
+	}
+	time.Sleep(100 * time.Millisecond)
+	if trouble {
+		rec.note("trouble", "SIGKILL to %s, a follower", follower.name)
+		follower.signal(syscall.SIGKILL)
+		<-follower.done
+		time.Sleep(300 * time.Millisecond)
+		if err := follower.start(c.binary); err != nil {
+			return nil, err
+		}
+	}
+	for time.Since(down) < 3*time.Second {
+		hand()
+		time.Sleep(20 * time.Millisecond)
+	}
+	time.Sleep(time.Until(down.Add(3500 * time.Millisecond)))
+	if trouble {
+		c.store.setDown(false)
+	}
+	group.Wait()
+	time.Sleep(5 * time.Second)
+	started := map[string]bool{}
+	for _, r := range rec.runs() {
+		started[jobOf(r.task)] = true
+	}
+	var broken []string
+	for id, all := range rejected {
+		if all && started[id] {
+			broken = append(broken, fmt.Sprintf("REFUSED: job %s has started, and its client's only attempt to hand it in was rejected with 503", id))
+		}
+	}
+	return broken, nil
+}
