--- a/review/harness/cell.go
+++ b/review/harness/cell.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -92,16 +93,15 @@
 	})
 }
 
-// freePorts returns the first of n consecutive free ports.
+// freePorts returns the first of n consecutive free ports. They lie below the range
+// from which the kernel takes the ports of clients, so that none of these can take
+// the port of a process while it is down.
 func freePorts(n int) (int, error) {
-	for range 200 {
-		first, err := net.Listen("tcp4", "127.0.0.1:0")
-		if err != nil {
-			return 0, err
-		}
-		port := first.Addr().(*net.TCPAddr).Port
-		opened := []net.Listener{first}
-		for k := 1; k < n; k++ {
+	const lowest, highest = 12000, 31000
+	for range 500 {
+		port := lowest + rand.IntN(highest-lowest)
+		var opened []net.Listener
+		for k := range n {
 			if l, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", port+k)); err == nil {
 				opened = append(opened, l)
 			}
