A lost run and the start that replaces it have their reason in one log line

What operators saw: a task that ran twice left no line that says why its first run counted as over: run_missing, lease_over, worker_restarted and worker_left named a worker or a run, and the start on another worker named neither. Change: dispatch/lost.go. runLost is the only way to end a run without its worker's word, with a reason; run_lost and mangodrum_cell_runs_lost_total{reason} count them, run_replaced names both workers, runs, the incarnation and the lease. Result: TestReplacedRunIsExplained; on the code before, the events don't exist. Needed to tell the causes of the double runs apart.

--- a/cell/effects.go
+++ b/cell/effects.go
@@ -59,7 +59,7 @@
 // decisionValueKeys is the log key of a decision's value, by event.
 var decisionValueKeys = map[string]string{
 	"accept": "since_submit_ms", "refuse": "since_submit_ms",
-	"start": "since_ready_ms", "stop": "percent", "run_ended": "failed_runs", "start_unanswered": "tries",
+	"start": "since_ready_ms", "stop": "percent", "run_ended": "failed_runs", "run_lost": "lease_left_ms", "start_unanswered": "tries",
 	"job_done": "since_submit_ms", "job_failed": "since_submit_ms", "job_cancelled": "since_submit_ms",
 	"advice": "good_workers", "task_stalled": "percent", "quarantine": "failures",
 	"worker_silent": "runs", "worker_restarted": "runs", "lease_over": "runs", "worker_left": "runs", "worker_back": "missed_renewals",
@@ -69,7 +69,10 @@
 // logDecision logs and counts a decision of the dispatcher.
 func (l *leader) logDecision(d dispatch.Decision) {
 	l.instance.metrics.count("decisions", "event", d.Event)
-	args := make([]any, 0, 12)
+	if d.Event == "run_lost" {
+		l.instance.metrics.count("runs_lost", "reason", d.Reason)
+	}
+	args := make([]any, 0, 20)
 	if d.Job != "" {
 		args = append(args, "job", string(d.Job))
 	}
@@ -88,6 +91,10 @@
 	if key := decisionValueKeys[d.Event]; key != "" {
 		args = append(args, key, d.Value)
 	}
+	if e := d.Earlier; e != nil {
+		args = append(args, "earlier_worker", string(e.Worker), "earlier_incarnation", int64(e.Incarnation), "earlier_run", e.Run,
+			"earlier_lease_left_ms", int64(e.LeaseLeft/time.Millisecond))
+	}
 	l.log.Info(d.Event, args...)
 }
 
--- a/dispatch/events.go
+++ b/dispatch/events.go
@@ -194,6 +194,8 @@
 	Run    uint64
 	Reason string
 	Value  int64 // number that explains the decision; its meaning depends on Event
+	// Earlier is the run that a start replaces, for the event run_replaced.
+	Earlier *EarlierRun
 }
 
 // Observation is a measured latency of a job, for histograms.
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -62,6 +62,10 @@
 	if t.step.spec.Gang {
 		checkpoint = t.step.checkpoint
 	}
+	if t.lostRun != nil {
+		c.logDecision(Decision{Event: "run_replaced", Job: t.step.job.spec.ID, Task: t.name, Worker: w.ID, Run: run, Reason: t.lostRun.Reason, Earlier: t.lostRun})
+		t.lostRun = nil
+	}
 	t.run, t.state = run, taskStarting
 	a.run, a.state, a.startedAt, a.progressedAt = run, taskStarting, c.now, c.now
 	a.startOrder = workflow.StartOrder{
@@ -168,7 +172,7 @@
 		c.incarnationEnded(w, "another incarnation answered")
 		return
 	}
-	c.runEnded(w, a, endLost)
+	c.runLost(w, a, lossRejected)
 }
 
 // pauseAfterRejection is how long a worker gets no new tasks after it rejected
@@ -198,7 +202,7 @@
 		c.recordFailure(w, t.step.job.spec.ID)
 		c.fail(t, a.run)
 	}
-	if end.Kind != workflow.EndDone {
+	if end.Kind != workflow.EndDone && end.Kind != workflow.EndLost {
 		c.logDecision(Decision{Event: "run_ended", Job: t.step.job.spec.ID, Task: t.name, Worker: w.ID, Run: a.run, Reason: string(end.Kind), Value: int64(len(t.failedRuns))})
 	}
 	if t.state == taskDone {
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -163,6 +163,7 @@
 	failedRuns  []uint64 // run numbers of failed runs, each once
 	checkpoint  string
 	avoidWorker structs.WorkerID // worker of its last failed run
+	lostRun     *EarlierRun      // its last run, if that counted as lost
 }
 
 // allocation holds the resources of a placed task, or of a run that is running or
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -67,7 +67,7 @@
 		return
 	}
 	c.logDecision(Decision{Event: "worker_restarted", Worker: w.ID, Reason: reason, Value: int64(len(w.allocations))})
-	c.endAllAsLost(w)
+	c.allLost(w, lossNewIncarnation)
 	w.known = false
 	w.processedEnd, w.acknowledgedEnd, w.pendingAcks = 0, 0, nil
 	w.clock, w.clockAt, w.leaseDeadline, w.leaseEnd = 0, 0, 0, 0
@@ -75,17 +75,6 @@
 	clear(w.failedJobs)
 }
 
-// endAllAsLost ends all runs on a worker whose leases have certainly expired or
-// whose incarnation is over.
-func (c *Dispatcher) endAllAsLost(w *worker) {
-	for _, a := range sortedAllocations(w) {
-		c.runEnded(w, a, endLost)
-	}
-}
-
-// endLost is the end of a run that the worker can no longer report.
-var endLost = workflow.EndedTask{Kind: workflow.EndLost}
-
 // sortedAllocations returns all allocations sorted by name, which keeps the
 // reducer deterministic.
 func sortedAllocations(w *worker) []*allocation {
@@ -213,11 +202,11 @@
 func (c *Dispatcher) tickWorker(w *worker) {
 	if w.missedRenewals > 0 && !w.unreported && len(w.allocations) > 0 && c.now.After(w.leaseEnd) {
 		c.logDecision(Decision{Event: "lease_over", Worker: w.ID, Value: int64(len(w.allocations))})
-		c.endAllAsLost(w)
+		c.allLost(w, lossLeaseEnded)
 	}
 	if w.hasDrainedAndLeft() && len(w.allocations) > 0 {
 		c.logDecision(Decision{Event: "worker_left", Worker: w.ID, Value: int64(len(w.allocations))})
-		c.endAllAsLost(w)
+		c.allLost(w, lossWorkerLeft)
 	}
 	if c.isCertainlyGone(w) {
 		c.logDecision(Decision{Event: "worker_gone", Worker: w.ID})
@@ -414,8 +403,7 @@
 		return listed[a.name] < a.run && a.confirmedAt != 0 && a.confirmedAt.Before(sentAt) && a.state != taskPlaced
 	})
 	for _, a := range missing {
-		c.logDecision(Decision{Event: "run_missing", Task: a.name, Worker: w.ID, Run: a.run})
-		c.runEnded(w, a, endLost)
+		c.runLost(w, a, lossMissing)
 	}
 }
 
