--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -111,6 +111,31 @@
 	}
 }
 
+// createOccurrencesThrough creates the occurrences up to the given index of a job of
+// the previous leader. That leader has started tasks of this occurrence, so they
+// were due, whatever this instance's time of day is.
+func (c *Dispatcher) createOccurrencesThrough(j *job, index int) {
+	if !j.active() || !j.recovered || index >= j.spec.Occurrences {
+		return
+	}
+	tasks := 0
+	for n := range j.spec.Steps {
+		tasks += j.spec.Steps[n].Tasks
+	}
+	if index+1-j.nextDue > maxInheritedTasks/max(tasks, 1) {
+		return
+	}
+	for ; j.nextDue <= index; j.nextDue++ {
+		c.queueReady(c.addOccurrence(j, j.nextDue, c.now))
+	}
+	c.markDirtyDeferred(j)
+}
+
+// maxInheritedTasks limits the tasks that a report can create, in case it names an
+// occurrence that was never due. The previous leader has at most MaxTasksPerJob
+// open tasks, and as many that succeeded since its last commit.
+const maxInheritedTasks = 2 * workflow.MaxTasksPerJob
+
 // openTasks returns the number of tasks of the job that have not succeeded. It
 // limits how many occurrences of a job exist at a time.
 func (j *job) openTasks() int {
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -252,32 +252,66 @@
 	return string(id) + "." + strconv.Itoa(occurrence) + "." + strconv.Itoa(step)
 }
 
-// findTask returns the task with the given name, or nil.
-func (c *Dispatcher) findTask(name string) *task {
+// taskPosition is a parsed task name.
+type taskPosition struct {
+	job                     *job
+	occurrence, step, index int
+}
+
+// parseTaskName parses the name of a task of a known job.
+func (c *Dispatcher) parseTaskName(name string) (taskPosition, bool) {
 	parts := strings.Split(name, ".")
 	if len(parts) != 4 {
-		return nil
+		return taskPosition{}, false
 	}
 	j := c.jobs[structs.JobID(parts[0])]
 	if j == nil {
-		return nil
+		return taskPosition{}, false
 	}
 	var numbers [3]int
 	for n, text := range parts[1:] {
 		value, err := strconv.Atoi(text)
 		if err != nil || value < 0 {
-			return nil
+			return taskPosition{}, false
 		}
 		numbers[n] = value
 	}
-	if occ := j.occurrence(numbers[0]); occ != nil && numbers[1] < len(occ.steps) {
-		if s := occ.steps[numbers[1]]; numbers[2] < len(s.tasks) {
-			return s.tasks[numbers[2]]
+	return taskPosition{j, numbers[0], numbers[1], numbers[2]}, true
+}
+
+// findTask returns the task with the given name, or nil.
+func (c *Dispatcher) findTask(name string) *task {
+	if at, ok := c.parseTaskName(name); ok {
+		return at.task()
+	}
+	return nil
+}
+
+// task returns the task at a position, or nil.
+func (p *taskPosition) task() *task {
+	if occ := p.job.occurrence(p.occurrence); occ != nil && p.step < len(occ.steps) {
+		if s := occ.steps[p.step]; p.index < len(s.tasks) {
+			return s.tasks[p.index]
 		}
 	}
 	return nil
 }
 
+// findReportedTask returns the task that a worker's report names, or nil. An
+// occurrence that the previous leader has started need not be stored, and it may
+// not be due yet by this instance's time of day; it is created here, because the
+// end of its run would otherwise be acknowledged and forgotten.
+func (c *Dispatcher) findReportedTask(name string) *task {
+	at, ok := c.parseTaskName(name)
+	if !ok {
+		return nil
+	}
+	if at.occurrence >= at.job.nextDue {
+		c.createOccurrencesThrough(at.job, at.occurrence)
+	}
+	return at.task()
+}
+
 // findStep returns the step with the given name, or nil.
 func (c *Dispatcher) findStep(name string) *step {
 	if t := c.findTask(name + ".0"); t != nil {
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -286,7 +286,7 @@
 		return
 	}
 	w.processedEnd = end.Sequence
-	t := c.findTask(end.Task)
+	t := c.findReportedTask(end.Task)
 	ack := pendingAck{number: end.Sequence}
 	if t != nil {
 		ack.job = t.step.job
@@ -374,7 +374,7 @@
 // adoptRun adds an allocation for a run that this leader did not start. It keeps
 // the run if the task is waiting, and stops it otherwise.
 func (c *Dispatcher) adoptRun(w *worker, r workflow.RunningTask) *allocation {
-	t := c.findTask(r.Task)
+	t := c.findReportedTask(r.Task)
 	a := &allocation{name: r.Task, run: r.Run, state: taskRunning, confirmedAt: c.now, startedAt: c.now, progressedAt: c.now}
 	a.resources = w.Capacity // the size is no longer stored once a job has ended
 	if t != nil {
