--- a/dispatch/faults_test.go
+++ b/dispatch/faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -48,6 +49,16 @@
 	}
 }
 
+// scheduleRestarts draws workers that restart at once under their identifier. It has
+// a generator of its own, so that the other faults of a seed stay the same.
+func (s *simulation) scheduleRestarts(seed uint64, length time.Duration) {
+	rng := rand.New(rand.NewPCG(seed, 3))
+	for range rng.IntN(4) {
+		w := s.workers[rng.IntN(len(s.workers))]
+		s.at(time.Duration(rng.Int64N(int64(length))), func() { s.powerCycleWorker(w) })
+	}
+}
+
 // crashWorker crashes a worker, removes its directory entry and restarts it.
 func (s *simulation) crashWorker(w *fakeWorker) {
 	if !w.up {
@@ -66,6 +77,26 @@
 	})
 }
 
+// powerCycleWorker makes a worker lose its power for a short time, again and again.
+// Its directory entry tells of each new incarnation before or after it was reached.
+func (s *simulation) powerCycleWorker(w *fakeWorker) {
+	for n := range 4 {
+		s.at(time.Duration(n)*1500*time.Millisecond, func() {
+			if !w.up {
+				return
+			}
+			w.crash()
+			w.lostPower = true
+			s.at(time.Duration(s.rng.IntN(700))*time.Millisecond, func() {
+				w.restart()
+				w.lostPower = false
+				entry := w.directoryEntry()
+				s.at(time.Duration(s.rng.IntN(900))*time.Millisecond, func() { s.leader.reduce(WorkerListed{Worker: entry}) })
+			})
+		})
+	}
+}
+
 // replaceLeader elects a new leader. The old one stops or, if livesOn is set, is
 // cut off from the store and keeps sending requests until a worker rejects one.
 func (s *simulation) replaceLeader(livesOn bool) {
@@ -105,6 +136,9 @@
 		s.at(time.Duration(s.rng.Int64N(int64(length))), func() { s.submit(job) })
 	}
 	s.scheduleFaults(length)
+	if !slices.Contains(regressionSeeds, seed) {
+		s.scheduleRestarts(seed, length)
+	}
 	s.run(structs.Timestamp(120 * time.Second))
 	s.checkEnd(seed)
 }
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -23,6 +23,9 @@
 func (c *Dispatcher) release(w *worker, a *allocation) {
 	delete(w.allocations, a.name)
 	w.used = w.used.Sub(a.resources)
+	if a.openStarts > 0 {
+		c.rememberLateStart(w, a)
+	}
 	if a.task == nil {
 		return
 	}
@@ -92,6 +95,7 @@
 	}
 	a.startOrder.Deadline = deadline
 	a.sends++
+	a.openStarts++
 	a.retryAt = c.now.Add(c.policy.StartRetryDelay + resendBackoff(a.sends))
 	c.emit(StartTask{Worker: w.Worker, Order: a.startOrder})
 }
@@ -106,9 +110,19 @@
 		return
 	}
 	a := w.allocations[e.Task]
-	if a == nil || a.run != e.Run || a.state != taskStarting {
+	if a == nil || a.run != e.Run {
+		w.lateStartAnswered(e)
+		return
+	}
+	if e.Outcome != workflow.Unanswered {
+		a.openStarts--
+	}
+	if a.state != taskStarting {
 		return
 	}
+	if e.Outcome == workflow.OtherIncarnation {
+		w.askAgain()
+	}
 	switch e.Outcome {
 	case workflow.OK:
 		c.started(w, a)
@@ -168,9 +182,6 @@
 		w.pausedUntil = c.now.Add(pauseAfterRejection)
 	case workflow.LeaseExpired:
 		w.known = false // its clock differs from the assumed one
-	case workflow.OtherIncarnation:
-		c.incarnationEnded(w, "another incarnation answered")
-		return
 	}
 	c.runLost(w, a, lossRejected)
 }
@@ -294,10 +305,14 @@
 	case workflow.Fenced:
 		c.emit(StepDown{Worker: w.ID})
 	case workflow.OtherIncarnation:
-		c.incarnationEnded(w, "another incarnation answered")
+		w.askAgain()
 	}
 }
 
+// askAgain makes a renewal due, whose answer shows whether the worker is still at
+// its address. Until then it gets no new tasks.
+func (w *worker) askAgain() { w.known, w.nextRenewalAt = false, 0 }
+
 // stopGrace is added to the longest time that a stop can take before the stop
 // request is sent again.
 const stopGrace = 1500 * time.Millisecond
--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -5,6 +5,7 @@
 // Policy holds the timeouts and limits of a dispatcher.
 type Policy struct {
 	Lease                   time.Duration // length of the leases granted to workers
+	MaxLease                time.Duration // longest lease that a worker grants, whatever a request asks for
 	RenewalWait             time.Duration // a worker delays the answer to a renewal by up to this time, until a run ends
 	Horizon                 time.Duration // all leases end within this time after the last confirmed commit
 	MaxStopTime             time.Duration // longest time that a stop can take
@@ -23,7 +24,8 @@
 	return Policy{
 		// Longer than a change of leader (about 2 s), and short enough that the
 		// tasks of a lost worker are restarted within 4 s.
-		Lease: 4 * time.Second,
+		Lease:    4 * time.Second,
+		MaxLease: 10 * time.Second,
 		// A quarter of a lease, so that a worker is renewed at least once in
 		// each third of its lease.
 		RenewalWait: 1 * time.Second,
@@ -58,6 +60,9 @@
 	// leaseMargin covers rounding and network latency before a lease is assumed to
 	// have expired.
 	leaseMargin = 150 * time.Millisecond
+	// lateRequestTime is how long after its timeout the platform may carry out a
+	// request that has no answer.
+	lateRequestTime = 12 * time.Second
 	// maxStartSends is how often an unanswered start request is sent before the
 	// run is stopped.
 	maxStartSends = 4
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -184,6 +184,9 @@
 	firstProgressAt structs.Timestamp
 	startedAt       structs.Timestamp
 	startOrder      workflow.StartOrder
+	openStarts      int               // start requests without an answer; each may be carried out late
+	reportedAt      structs.Timestamp // last report of the worker's incarnation that listed the run; 0: none
+	carriedOver     bool              // sent to an earlier incarnation; see mayReachNextIncarnation
 }
 
 // worker is the state of a worker that is listed or may be running tasks.
@@ -214,6 +217,9 @@
 	leaseEnd       structs.Timestamp // all leases granted so far have expired by then
 	leaseDeadline  time.Duration     // latest end of a granted lease on the worker's clock
 	nextRenewalAt  structs.Timestamp // earliest time of the next renewal
+	// incarnationSince is when the end of the previous incarnation became known.
+	incarnationSince structs.Timestamp
+	lateStarts       map[string]lateStart // unanswered start requests of ended runs, by task
 
 	failures    int // failed runs since the last success
 	failedJobs  map[structs.JobID]bool
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -18,16 +18,18 @@
 	if entry.Incarnation != 0 && w.Incarnation != 0 && entry.Incarnation < w.Incarnation {
 		return // late entry of an earlier incarnation
 	}
-	if entry.Incarnation != w.Incarnation || entry.Address != w.Address {
+	earlier := w.Worker
+	if entry.Incarnation != earlier.Incarnation || entry.Address != earlier.Address {
+		w.Worker = entry // requests that concern the earlier runs go to the new incarnation
 		c.incarnationEnded(w, "directory entry of another incarnation")
 	}
-	if entry.Draining != w.Draining {
+	if entry.Draining != earlier.Draining {
 		c.logDecision(Decision{Event: "worker_draining", Worker: w.ID, Value: int64(entry.RemainingTime / time.Millisecond)})
 	}
-	if w.Address != entry.Address || !w.listed {
+	if earlier.Address != entry.Address || !w.listed {
 		c.workerChanged(w.ID)
 	}
-	if w.Draining != entry.Draining || !w.listed {
+	if earlier.Draining != entry.Draining || !w.listed {
 		c.placementNeeded = true
 	}
 	w.Worker = entry
@@ -59,22 +61,51 @@
 	}
 }
 
-// incarnationEnded discards the state of an incarnation of a worker that is
-// certainly over. An unreported worker remains unreported, because its next
-// incarnation may also run tasks of the previous leader.
+// incarnationEnded discards the state of an incarnation of a worker that is over.
+// Its runs are over too, except those that the next incarnation may have been asked
+// to start: a worker accepts requests for all incarnations of its identifier. An
+// unreported worker remains unreported, because its next incarnation may also run
+// tasks of the previous leader.
 func (c *Dispatcher) incarnationEnded(w *worker, reason string) {
-	if !w.known && len(w.allocations) == 0 {
-		return
+	if w.known || len(w.allocations) > 0 {
+		c.logDecision(Decision{Event: "worker_restarted", Worker: w.ID, Reason: reason, Value: int64(len(w.allocations))})
 	}
-	c.logDecision(Decision{Event: "worker_restarted", Worker: w.ID, Reason: reason, Value: int64(len(w.allocations))})
-	c.allLost(w, lossNewIncarnation)
-	w.known = false
+	for _, a := range sortedAllocations(w) {
+		if a.mayReachNextIncarnation() {
+			a.carryOver(c.now)
+			continue
+		}
+		c.runLost(w, a, lossNewIncarnation)
+	}
+	c.resetWorker(w)
+	c.stopLateStarts(w)
+	if len(w.allocations) > 0 {
+		// A deadline on the clock of the ended incarnation grants the longest lease.
+		w.leaseEnd = c.now.Add(time.Duration(float64(c.policy.MaxLease)/minClockRate) + leaseMargin)
+	}
+}
+
+// resetWorker forgets what an incarnation of a worker has reported, and makes the
+// next renewal due. Answers to renewals that were sent before are ignored.
+func (c *Dispatcher) resetWorker(w *worker) {
+	w.known, w.renewing, w.nextRenewalAt, w.incarnationSince = false, false, 0, c.now
 	w.processedEnd, w.acknowledgedEnd, w.pendingAcks = 0, 0, nil
 	w.clock, w.clockAt, w.leaseDeadline, w.leaseEnd = 0, 0, 0, 0
 	w.failures, w.pausedUntil = 0, 0
 	clear(w.failedJobs)
 }
 
+// addressTaken handles a renewal that was answered for another worker: the one that
+// was asked has ended, and requests to its address start nothing.
+func (c *Dispatcher) addressTaken(w *worker) {
+	if w.known || len(w.allocations) > 0 {
+		c.logDecision(Decision{Event: "worker_restarted", Worker: w.ID, Reason: "another worker answered", Value: int64(len(w.allocations))})
+	}
+	c.allLost(w, lossNewIncarnation)
+	c.resetWorker(w)
+	w.nextRenewalAt = c.now.Add(renewalRetryDelay)
+}
+
 // sortedAllocations returns all allocations sorted by name, which keeps the
 // reducer deterministic.
 func sortedAllocations(w *worker) []*allocation {
@@ -152,8 +183,8 @@
 	if w == nil {
 		return
 	}
-	if e.SentAt.Before(w.reportSentAt) {
-		return // a later request has been answered before
+	if e.SentAt.Before(w.reportSentAt) || e.SentAt.Before(w.incarnationSince) {
+		return // a later request has been answered before, or the incarnation that was asked is over
 	}
 	w.renewing = false
 	switch e.Outcome {
@@ -163,8 +194,7 @@
 		c.emit(StepDown{Worker: w.ID})
 		return
 	case workflow.OtherIncarnation:
-		c.incarnationEnded(w, "another incarnation answered")
-		w.nextRenewalAt = c.now.Add(renewalRetryDelay)
+		c.addressTaken(w)
 		return
 	default:
 		c.renewalMissed(w, e.Outcome)
@@ -252,7 +282,7 @@
 // applyReport applies the running and ended runs that a worker lists.
 func (c *Dispatcher) applyReport(w *worker, e LeaseAnswered) {
 	r := &e.Report
-	if w.known && w.Incarnation != 0 && r.Incarnation != w.Incarnation {
+	if w.Incarnation != 0 && r.Incarnation != w.Incarnation {
 		c.incarnationEnded(w, "report of another incarnation")
 	}
 	if w.silent {
@@ -274,6 +304,7 @@
 		c.applyRunning(w, running, first)
 	}
 	c.endMissingRuns(w, listed, e.SentAt)
+	c.stopCarriedOver(w)
 	c.markReported(w)
 	c.stopPartialGangs(w)
 	c.checkStalled(w)
@@ -358,6 +389,7 @@
 	if a.state == taskStarting {
 		c.started(w, a)
 	}
+	a.reportedAt, a.carriedOver = c.now, false
 	a.confirmedAt = max(a.confirmedAt, c.now)
 	if a.firstProgressAt == 0 {
 		a.firstPercent, a.firstProgressAt = r.Percent, c.now
@@ -400,6 +432,9 @@
 // requested and no longer lists.
 func (c *Dispatcher) endMissingRuns(w *worker, listed map[string]uint64, sentAt structs.Timestamp) {
 	missing := w.matchingAllocations(func(a *allocation) bool {
+		if a.carriedOver && a.openStarts > 0 {
+			return false // an earlier request may still be carried out
+		}
 		return listed[a.name] < a.run && a.confirmedAt != 0 && a.confirmedAt.Before(sentAt) && a.state != taskPlaced
 	})
 	for _, a := range missing {
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -91,6 +91,7 @@
 	policy := dispatch.DefaultPolicy()
 	if limits.MaxLease > 0 {
 		policy.Lease = min(policy.Lease, limits.MaxLease)
+		policy.MaxLease = limits.MaxLease
 	}
 	if limits.MaxStopTime > 0 {
 		policy.MaxStopTime = limits.MaxStopTime
