--- a/dispatch/faults_test.go
+++ b/dispatch/faults_test.go
@@ -59,6 +59,22 @@
 	}
 }
 
+// scheduleHiddenEnds draws how many ends a worker lists at a time, and times at which
+// the store is slow, so that more ends than that wait for a commit.
+func (s *simulation) scheduleHiddenEnds(seed uint64, length time.Duration) {
+	rng := rand.New(rand.NewPCG(seed, 4))
+	if rng.IntN(2) == 0 {
+		return
+	}
+	s.maxListedEnds = 1 + rng.IntN(4)
+	for range 1 + rng.IntN(3) {
+		slow := time.Duration(500+rng.IntN(4000)) * time.Millisecond
+		s.at(time.Duration(rng.Int64N(int64(length))), func() { s.storeDelay = slow })
+		s.at(time.Duration(rng.Int64N(int64(length)))+slow, func() { s.storeDelay = 0 })
+	}
+	s.at(length, func() { s.storeDelay = 0 })
+}
+
 // crashWorker crashes a worker, removes its directory entry and restarts it.
 func (s *simulation) crashWorker(w *fakeWorker) {
 	if !w.up {
@@ -138,6 +154,7 @@
 	s.scheduleFaults(length)
 	if !slices.Contains(regressionSeeds, seed) {
 		s.scheduleRestarts(seed, length)
+		s.scheduleHiddenEnds(seed, length)
 	}
 	s.run(structs.Timestamp(120 * time.Second))
 	s.checkEnd(seed)
--- a/dispatch/reduce.go
+++ b/dispatch/reduce.go
@@ -80,13 +80,16 @@
 }
 
 // endRecoveryIfDue stops waiting for workers that do not answer once all leases
-// of the previous leader have expired.
+// have expired. A worker that answers but has not listed all its ends yet is waited
+// for.
 func (c *Dispatcher) endRecoveryIfDue() {
 	if c.unreported == 0 || c.now.Before(c.previousLeasesEnd) {
 		return
 	}
 	for _, w := range c.sortedWorkers {
-		c.markReported(w)
+		if !w.known || (w.missedRenewals > 0 && c.now.After(w.leaseEnd)) {
+			c.markReported(w)
+		}
 	}
 }
 
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -40,6 +40,8 @@
 	everDone        map[string]bool        // tasks of which any run has ended as done
 	failures        map[string]int         // number of failed runs, by task or by step of a gang
 	listedEnds      map[string]int         // number of workers that list an end, by endKey
+	maxListedEnds   int                    // ends that a worker lists at a time
+	storeDelay      time.Duration          // added to each commit
 	lossProbability float64                // probability that the answer to a request is lost
 	lateProbability float64                // probability that a request is carried out late
 	onDecision      func(Decision)         // called for each decision, if set
@@ -97,7 +99,7 @@
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), policy: DefaultPolicy(), now: structs.Timestamp(time.Second),
 		rows: map[[2]string][]byte{}, gangs: map[string]*fakeGang{}, tickets: map[string]structs.Timestamp{},
 		jobs: map[structs.JobID]*simJob{}, stored: map[structs.JobID]bool{}, done: map[string]uint64{}, failures: map[string]int{}, listedEnds: map[string]int{}, everDone: map[string]bool{},
-		lastCommitAt: NoPreviousLeader,
+		lastCommitAt: NoPreviousLeader, maxListedEnds: 500,
 	}
 	for n := range workers {
 		s.workers = append(s.workers, &fakeWorker{
@@ -169,7 +171,7 @@
 	}
 	l.committing = true
 	sentAt := s.now
-	s.at(s.randomDelay(10, 80), func() {
+	s.at(s.randomDelay(10, 80)+s.storeDelay, func() {
 		if l.epoch != s.epoch || l.cutOff {
 			return // deposed, or the store does not answer
 		}
--- a/dispatch/sim_worker_test.go
+++ b/dispatch/sim_worker_test.go
@@ -168,7 +168,10 @@
 	for len(w.ended) > 0 && w.ended[0].Sequence <= order.AcknowledgedThrough {
 		w.ended = w.ended[1:]
 	}
-	report := workflow.Report{Incarnation: w.Incarnation, Clock: w.clock(), Ended: slices.Clone(w.ended)}
+	listed := min(len(w.ended), w.sim.maxListedEnds)
+	report := workflow.Report{
+		Incarnation: w.Incarnation, Clock: w.clock(), Ended: slices.Clone(w.ended[:listed]), EndsTruncated: listed == w.sim.maxListedEnds,
+	}
 	for _, r := range w.sorted() {
 		percent := int(100 * w.sim.now.Sub(r.started) / max(r.duration, 1))
 		report.Running = append(report.Running, workflow.RunningTask{Task: r.task, Run: r.run, Percent: min(percent, 100)})
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -202,6 +202,7 @@
 	reservations []reservation     // of waiting gangs
 	releases     []capacityRelease // expected ends of its runs; nil if not computed
 
+	endsTruncated   bool   // the last report may not list all ends
 	processedEnd    uint64 // highest number of a processed end
 	acknowledgedEnd uint64 // the effects of ends up to this number are stored
 	pendingAcks     []pendingAck
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -134,7 +134,9 @@
 	order := workflow.LeaseOrder{FencingToken: c.epoch, AcknowledgedThrough: w.acknowledgedEnd}
 	if w.known && w.missedRenewals == 0 {
 		order.Deadline = c.extendLease(w)
-		order.Wait = c.policy.RenewalWait
+		if !w.endsTruncated { // the next ends are listed once these are acknowledged
+			order.Wait = c.policy.RenewalWait
+		}
 	}
 	w.renewalSentAt = c.now
 	c.emit(RenewLease{Worker: w.Worker, Order: order})
@@ -303,9 +305,12 @@
 		listed[running.Task] = max(listed[running.Task], running.Run)
 		c.applyRunning(w, running, first)
 	}
-	c.endMissingRuns(w, listed, e.SentAt)
-	c.stopCarriedOver(w)
-	c.markReported(w)
+	w.endsTruncated = r.EndsTruncated
+	if !w.endsTruncated {
+		c.endMissingRuns(w, listed, e.SentAt)
+		c.stopCarriedOver(w)
+		c.markReported(w)
+	}
 	c.stopPartialGangs(w)
 	c.checkStalled(w)
 	c.placementNeeded = true
@@ -429,7 +434,7 @@
 }
 
 // endMissingRuns ends runs that the worker had confirmed before the report was
-// requested and no longer lists.
+// requested and that the report, which lists all ends, does not contain.
 func (c *Dispatcher) endMissingRuns(w *worker, listed map[string]uint64, sentAt structs.Timestamp) {
 	missing := w.matchingAllocations(func(a *allocation) bool {
 		if a.carriedOver && a.openStarts > 0 {
@@ -460,10 +465,11 @@
 // stalled. The slowest tasks progress by a percent in less than a second.
 const stallTimeout = 2200 * time.Millisecond
 
-// checkStalled stops stalled runs and gives their worker no new tasks for a while.
+// checkStalled stops the listed runs that are stalled and gives their worker no new
+// tasks for a while.
 func (c *Dispatcher) checkStalled(w *worker) {
 	stalled := w.matchingAllocations(func(a *allocation) bool {
-		return a.task != nil && a.state == taskRunning && !a.task.step.spec.LongRunning && c.now.Sub(a.progressedAt) >= stallTimeout
+		return a.task != nil && a.state == taskRunning && a.reportedAt == c.now && !a.task.step.spec.LongRunning && c.now.Sub(a.progressedAt) >= stallTimeout
 	})
 	for _, a := range stalled {
 		if a.task.step.spec.Gang && (a.percent >= fullProgress || !a.task.step.allRunning()) {
--- a/workflow/worker.go
+++ b/workflow/worker.go
@@ -106,7 +106,10 @@
 	Incarnation Incarnation
 	Clock       time.Duration // the worker's monotonic clock
 	Running     []RunningTask
-	Ended       []EndedTask
+	Ended       []EndedTask // unacknowledged, in the order of their sequence numbers
+	// EndsTruncated is true if the worker may have more unacknowledged ends than it
+	// lists. A run that is not listed may then be one of them.
+	EndsTruncated bool
 }
 
 // Ticket allows tasks of a step to start on a worker for a limited time.
