The runs on a silent worker are over when all its leases are, and not before

Cause: a new leader stopped waiting for a silent worker of the leader before after 2.5 s if it had no directory entry; a draining worker that was silent without an entry counted as left. A worker that is cut off is both, and runs on until its lease ends. DirectoryListed had no other use and is gone.

--- a/cell/effects.go
+++ b/cell/effects.go
@@ -62,7 +62,7 @@
 	"start": "since_ready_ms", "stop": "percent", "run_ended": "failed_runs", "run_lost": "lease_left_ms", "start_unanswered": "tries",
 	"job_done": "since_submit_ms", "job_failed": "since_submit_ms", "job_cancelled": "since_submit_ms",
 	"advice": "good_workers", "task_stalled": "percent", "quarantine": "failures",
-	"worker_silent": "runs", "worker_restarted": "runs", "lease_over": "runs", "worker_left": "runs", "worker_back": "missed_renewals",
+	"worker_silent": "runs", "worker_restarted": "runs", "lease_over": "runs", "worker_gone": "since_change_ms", "worker_back": "missed_renewals",
 	"worker_draining": "remaining_ms", "recovery_complete": "jobs",
 }
 
--- a/cell/leader.go
+++ b/cell/leader.go
@@ -387,7 +387,6 @@
 				l.post(dispatch.WorkerUnlisted{ID: id})
 			}
 		}
-		l.post(dispatch.DirectoryListed{})
 	}
 	f.run(l.ctx)
 }
--- a/dispatch/events.go
+++ b/dispatch/events.go
@@ -32,10 +32,6 @@
 // WorkerUnlisted reports that the directory entry of a worker was removed.
 type WorkerUnlisted struct{ ID structs.WorkerID }
 
-// DirectoryListed reports that every entry of the directory has been delivered
-// as WorkerListed.
-type DirectoryListed struct{}
-
 // LeaseAnswered is the result of RenewLease.
 type LeaseAnswered struct {
 	Worker  structs.WorkerID
@@ -104,9 +100,6 @@
 // Kind implements structs.Event.
 func (WorkerUnlisted) Kind() string { return "worker_unlisted" }
 
-// Kind implements structs.Event.
-func (DirectoryListed) Kind() string { return "directory_listed" }
-
 // Kind implements structs.Event.
 func (LeaseAnswered) Kind() string { return "lease_answered" }
 
--- a/dispatch/faults_test.go
+++ b/dispatch/faults_test.go
@@ -75,6 +75,41 @@
 	s.at(length, func() { s.storeDelay = 0 })
 }
 
+// scheduleCuts draws workers that are cut off and run on, some of them while they
+// drain. Their directory entries expire three status reports after the last one that
+// arrived. The leader is often replaced at about the same time.
+func (s *simulation) scheduleCuts(seed uint64, length time.Duration) {
+	rng := rand.New(rand.NewPCG(seed, 5))
+	const reportInterval = 1500 * time.Millisecond
+	for range rng.IntN(4) {
+		at, cut := time.Duration(rng.Int64N(int64(length))), time.Duration(2000+rng.IntN(4000))*time.Millisecond
+		expires := 3*reportInterval - time.Duration(rng.Int64N(int64(reportInterval)))
+		draining, livesOn := rng.IntN(2) == 0, rng.IntN(2) == 0
+		if rng.IntN(2) == 0 {
+			s.at(at+time.Duration(rng.IntN(1500)-1000)*time.Millisecond, func() { s.replaceLeader(livesOn) })
+		}
+		for range 1 + rng.IntN(3) {
+			s.cutWorker(s.workers[rng.IntN(len(s.workers))], at, cut, expires, draining)
+		}
+	}
+}
+
+// cutWorker cuts a worker off for a time. It is listed again after that.
+func (s *simulation) cutWorker(w *fakeWorker, at, cut, expires time.Duration, draining bool) {
+	report := func(draining bool) {
+		w.Draining = draining
+		s.leader.reduce(WorkerListed{Worker: w.directoryEntry()})
+	}
+	if draining {
+		s.at(at-time.Second, func() { report(true) })
+	}
+	s.at(at, func() { w.unresponsiveUntil = s.now.Add(cut) })
+	if expires < cut {
+		s.at(at+expires, func() { s.leader.reduce(WorkerUnlisted{ID: w.ID}); w.unlisted = true })
+	}
+	s.at(at+cut+500*time.Millisecond, func() { w.unlisted = false; report(false) })
+}
+
 // crashWorker crashes a worker, removes its directory entry and restarts it.
 func (s *simulation) crashWorker(w *fakeWorker) {
 	if !w.up {
@@ -155,6 +190,7 @@
 	if !slices.Contains(regressionSeeds, seed) {
 		s.scheduleRestarts(seed, length)
 		s.scheduleHiddenEnds(seed, length)
+		s.scheduleCuts(seed, length)
 	}
 	s.run(structs.Timestamp(120 * time.Second))
 	s.checkEnd(seed)
--- a/dispatch/lost.go
+++ b/dispatch/lost.go
@@ -16,7 +16,6 @@
 	lossMissing        lossReason = "missing in a report"  // the worker listed its runs and ends without it
 	lossNewIncarnation lossReason = "worker restarted"     // the run ended with its incarnation
 	lossLeaseEnded     lossReason = "lease ended"          // the worker is silent and its leases have ended
-	lossWorkerLeft     lossReason = "drained worker left"  // the worker left after a drain
 	lossRejected       lossReason = "start never accepted" // the worker has rejected every start request of the run
 )
 
--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -5,6 +5,7 @@
 // Policy holds the timeouts and limits of a dispatcher.
 type Policy struct {
 	Lease                   time.Duration // length of the leases granted to workers
+	DrainingLease           time.Duration // length of the leases granted to workers that drain
 	MaxLease                time.Duration // longest lease that a worker grants, whatever a request asks for
 	RenewalWait             time.Duration // a worker delays the answer to a renewal by up to this time, until a run ends
 	Horizon                 time.Duration // all leases end within this time after the last confirmed commit
@@ -24,8 +25,11 @@
 	return Policy{
 		// Longer than a change of leader (about 2 s), and short enough that the
 		// tasks of a lost worker are restarted within 4 s.
-		Lease:    4 * time.Second,
-		MaxLease: 10 * time.Second,
+		Lease: 4 * time.Second,
+		// A draining worker leaves soon, and what runs on it then counts as lost
+		// when its lease has ended.
+		DrainingLease: 2 * time.Second,
+		MaxLease:      10 * time.Second,
 		// A quarter of a lease, so that a worker is renewed at least once in
 		// each third of its lease.
 		RenewalWait: 1 * time.Second,
--- a/dispatch/reduce.go
+++ b/dispatch/reduce.go
@@ -23,8 +23,6 @@
 		c.updateWorker(e.Worker)
 	case WorkerUnlisted:
 		c.unlistWorker(e.ID)
-	case DirectoryListed:
-		c.directoryListed = true
 	case LeaseAnswered:
 		c.leaseAnswered(e)
 	case StartAnswered:
@@ -74,25 +72,10 @@
 	}
 	c.expireCalls()
 	c.refused.prune(c.now)
-	c.endRecoveryIfDue()
 	c.forgetEnded()
 	c.placementNeeded = true
 }
 
-// endRecoveryIfDue stops waiting for workers that do not answer once all leases
-// have expired. A worker that answers but has not listed all its ends yet is waited
-// for.
-func (c *Dispatcher) endRecoveryIfDue() {
-	if c.unreported == 0 || c.now.Before(c.previousLeasesEnd) {
-		return
-	}
-	for _, w := range c.sortedWorkers {
-		if !w.known || (w.missedRenewals > 0 && c.now.After(w.leaseEnd)) {
-			c.markReported(w)
-		}
-	}
-}
-
 // markReported records that the runs of the previous leader on a worker are known
 // or over.
 func (c *Dispatcher) markReported(w *worker) {
--- a/dispatch/sim_worker_test.go
+++ b/dispatch/sim_worker_test.go
@@ -17,6 +17,7 @@
 	sim *simulation
 	workflow.Worker
 	up                bool
+	unlisted          bool              // has no directory entry
 	lostPower         bool              // while it is not up, requests get no answer instead of a refused connection
 	unresponsiveUntil structs.Timestamp // answers no requests until then, but keeps running tasks
 	failsAllTasks     bool              // every task that it runs fails
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -29,7 +29,6 @@
 	// previous leader: they have not reported, and its leases have not expired.
 	unreported            int
 	startedAt             structs.Timestamp // start of this leader
-	directoryListed       bool
 	previousLeasesEnd     structs.Timestamp
 	leadershipConfirmedAt structs.Timestamp  // send time of the last successful commit
 	dirty                 []*job             // jobs for the next commit
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -138,7 +138,7 @@
 		order.AcknowledgedThrough = w.acknowledgedEnd
 		order.Deadline = c.extendLease(w)
 		if !w.endsTruncated { // the next ends are listed once these are acknowledged
-			order.Wait = c.policy.RenewalWait
+			order.Wait = min(c.policy.RenewalWait, c.leaseLength(w)/4)
 		}
 	}
 	w.renewalSentAt = c.now
@@ -169,7 +169,7 @@
 // extendLease grants a lease and returns its end on the worker's clock, or 0 if no
 // lease may be granted.
 func (c *Dispatcher) extendLease(w *worker) time.Duration {
-	granted := min(c.policy.Lease, c.leadershipConfirmedAt.Add(c.policy.Horizon).Sub(c.now))
+	granted := min(c.leaseLength(w), c.leadershipConfirmedAt.Add(c.policy.Horizon).Sub(c.now))
 	if granted <= 0 || !w.known {
 		return 0
 	}
@@ -235,17 +235,8 @@
 // tickWorker renews the lease of a worker, ends its runs once they are certainly
 // over, and resends unanswered requests.
 func (c *Dispatcher) tickWorker(w *worker) {
-	if w.missedRenewals > 0 && !w.unreported && len(w.allocations) > 0 && c.now.After(w.leaseEnd) {
-		c.logDecision(Decision{Event: "lease_over", Worker: w.ID, Value: int64(len(w.allocations))})
-		c.allLost(w, lossLeaseEnded)
-	}
-	if w.hasDrainedAndLeft() && len(w.allocations) > 0 {
-		c.logDecision(Decision{Event: "worker_left", Worker: w.ID, Value: int64(len(w.allocations))})
-		c.allLost(w, lossWorkerLeft)
-	}
-	if c.isCertainlyGone(w) {
-		c.logDecision(Decision{Event: "worker_gone", Worker: w.ID})
-		c.markReported(w)
+	if c.haveLeasesEnded(w) {
+		c.silentWorkerEnded(w)
 	}
 	if !w.listed && len(w.allocations) == 0 && w.missedRenewals > 0 && !w.unreported {
 		c.removeWorker(w)
@@ -258,24 +249,6 @@
 	}
 }
 
-// hasDrainedAndLeft reports whether a draining worker has shut down. Its directory
-// entry is removed when it leaves, and all its runs end with it.
-func (w *worker) hasDrainedAndLeft() bool {
-	return w.Draining && !w.listed && w.missedRenewals >= missedRenewalsBeforeSilent
-}
-
-// directoryRecoveryTime is how long after an outage of the store the entries of
-// running workers may be missing from the directory. The platform documents a
-// time of about two seconds. A worker whose entry is missing for longer is gone.
-const directoryRecoveryTime = 2500 * time.Millisecond
-
-// isCertainlyGone reports whether an unreported worker can no longer run tasks of
-// the previous leader.
-func (c *Dispatcher) isCertainlyGone(w *worker) bool {
-	return w.unreported && !w.listed && c.directoryListed && w.missedRenewals >= missedRenewalsBeforeSilent &&
-		c.now.Sub(c.startedAt) >= directoryRecoveryTime
-}
-
 func (c *Dispatcher) removeWorker(w *worker) {
 	delete(c.workers, w.ID)
 	n := slices.Index(c.sortedWorkers, w)
@@ -308,6 +281,9 @@
 		listed[running.Task] = max(listed[running.Task], running.Run)
 		c.applyRunning(w, running, first)
 	}
+	if w.unreported {
+		c.countPreviousLease(w)
+	}
 	w.endsTruncated = r.EndsTruncated
 	if !w.endsTruncated {
 		c.endMissingRuns(w, listed, e.SentAt)
--- a/soak/cell_test.go
+++ b/soak/cell_test.go
@@ -134,7 +134,8 @@
 	c.processes = append(c.processes, p)
 }
 
-// daemonPath is the path of the daemon that TestMain builds.
+// daemonPath is the path of the daemon, which TestMain builds unless SOAK_DAEMON
+// names one.
 var daemonPath string
 
 func (p *process) start(t *testing.T) {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -34,11 +34,14 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
-	daemonPath = filepath.Join(dir, "mangodrumd")
-	out, err := exec.Command("go", "build", "-o", daemonPath, "../cmd/mangodrumd").CombinedOutput()
-	if err != nil {
-		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
-		os.Exit(1)
+	daemonPath = os.Getenv("SOAK_DAEMON") // plays the same faults against another build
+	if daemonPath == "" {
+		daemonPath = filepath.Join(dir, "mangodrumd")
+		out, err := exec.Command("go", "build", "-o", daemonPath, "../cmd/mangodrumd").CombinedOutput()
+		if err != nil {
+			fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
+			os.Exit(1)
+		}
 	}
 	code := m.Run()
 	_ = os.RemoveAll(dir)
--- /dev/null
+++ b/soak/workers_test.go
@@ -0,0 +1,159 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/mangodrum/mangodrum/dispatch"
+	"github.com/mangodrum/mangodrum/leadership"
+	"github.com/mangodrum/mangodrum/platform/platformtest"
+)
+
+// Size of the cell in TestWorkerSoak. The jobs use about two thirds of the workers.
+const (
+	workerSoakInstances = 5
+	workerSoakWorkers   = 24
+	workerSoakClients   = 8
+)
+
+// TestWorkerSoak guards against tasks that run twice while workers restart under their
+// identifier, are cut off and run on, drain and leave, or carry out requests late, and
+// the leader is killed, paused or stopped as planned shortly before, with or after
+// that.
+func TestWorkerSoak(t *testing.T) {
+	for seed := *firstSeed; seed < *firstSeed+uint64(*seeds); seed++ {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { runWorkerSeed(t, seed) })
+	}
+}
+
+func runWorkerSeed(t *testing.T, seed uint64) {
+	rng := rand.New(rand.NewPCG(seed, 5))
+	c := startCell(t, workerSoakInstances, workerSoakWorkers)
+	c.platform.WriteOddEntries()
+	ctx, stop := context.WithTimeout(context.Background(), 2**faultDuration)
+	defer stop()
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	var jobs []*soakJob
+	for client := range workerSoakClients {
+		clientRNG := rand.New(rand.NewPCG(seed, uint64(100+client)))
+		group.Go(func() {
+			http := &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 4}}
+			for n := 0; ctx.Err() == nil; n++ {
+				job := newWorkerSoakJob(clientRNG, seed, client, n)
+				mu.Lock()
+				jobs = append(jobs, job)
+				mu.Unlock()
+				c.submit(http, clientRNG, job)
+				time.Sleep(time.Duration(20+clientRNG.IntN(80)) * time.Millisecond)
+			}
+		})
+	}
+	c.platform.SetLateShare(0.02)
+	group.Go(func() { c.injectWorkerFaults(ctx, rng) })
+	group.Wait()
+	c.platform.SetLateShare(0)
+	c.removeFaults()
+	c.check(jobs)
+}
+
+// newWorkerSoakJob returns a job of one or two steps whose tasks take up to 4 s.
+func newWorkerSoakJob(rng *rand.Rand, seed uint64, client, n int) *soakJob {
+	job := newJob(rng, seed, client, n)
+	longest := []int{300, 1500, 6000}[rng.IntN(3)]
+	for k := range job.body.Steps {
+		job.body.Steps[k].EstimateMs = float64(100 + rng.IntN(longest))
+	}
+	return job
+}
+
+// injectWorkerFaults injects faults until ctx ends. Each concerns up to four workers at
+// once, and often the leader within a second of it.
+func (c *testCell) injectWorkerFaults(ctx context.Context, rng *rand.Rand) {
+	var group sync.WaitGroup
+	for ctx.Err() == nil {
+		kind, leader := rng.IntN(4), rng.IntN(6)
+		first, count := rng.IntN(len(c.platform.Workers)), 1+rng.IntN(8)
+		before, length := time.Duration(rng.IntN(1000))*time.Millisecond, time.Duration(1000+rng.IntN(4500))*time.Millisecond
+		group.Go(func() { c.injectLeaderFault(ctx, leader, before, length/4) })
+		sleepContext(ctx, 500*time.Millisecond)
+		for n := range count {
+			w := c.platform.Workers[(first+n)%len(c.platform.Workers)]
+			group.Go(func() { c.injectWorkerFault(ctx, kind, w, length) })
+		}
+		sleepContext(ctx, time.Duration(800+rng.IntN(2500))*time.Millisecond)
+	}
+	group.Wait()
+}
+
+func (c *testCell) injectWorkerFault(ctx context.Context, kind int, w *platformtest.Worker, length time.Duration) {
+	switch kind {
+	case 0: // back within a second, often before anyone has noticed
+		w.LosePower()
+		sleepContext(ctx, length/6)
+		w.RestorePower()
+	case 1:
+		w.SetCut(true)
+		sleepContext(ctx, length)
+		w.SetCut(false)
+	case 2: // restarts behind a cut
+		w.SetCut(true)
+		sleepContext(ctx, length/2)
+		w.LosePower()
+		w.RestorePower()
+		w.SetCut(false)
+	case 3: // drains, is cut off meanwhile, and leaves
+		w.SetDraining(true)
+		sleepContext(ctx, 500*time.Millisecond)
+		w.SetCut(true)
+		sleepContext(ctx, length)
+		w.SetCut(false)
+		sleepContext(ctx, 500*time.Millisecond)
+		w.LosePower()
+		w.RestorePower()
+	}
+}
+
+// injectLeaderFault kills, pauses or stops the leader, or makes the store unavailable.
+func (c *testCell) injectLeaderFault(ctx context.Context, kind int, after, length time.Duration) {
+	sleepContext(ctx, after)
+	p := c.leader()
+	switch {
+	case kind == 0 && p != nil:
+		c.tryExclusive(p, func() { c.restart(p, syscall.SIGKILL, length/4) })
+	case kind == 1 && p != nil:
+		c.tryExclusive(p, func() { c.restart(p, syscall.SIGTERM, 0) })
+	case kind == 2 && p != nil:
+		c.tryExclusive(p, func() {
+			p.signal(syscall.SIGSTOP)
+			sleepContext(ctx, length)
+			p.signal(syscall.SIGCONT)
+		})
+	case kind == 3:
+		c.platform.SetStoreMode(platformtest.StoreUnavailable)
+		sleepContext(ctx, 3*length)
+		c.platform.SetStoreMode(platformtest.StoreOK)
+	}
+}
+
+// leader returns the process in the leadership row, or nil.
+func (c *testCell) leader() *process {
+	var row leadership.Row
+	if cbor.Unmarshal(c.platform.RowValue(dispatch.CellTable, "leader"), &row) != nil {
+		return nil
+	}
+	for _, p := range c.processes {
+		if p.name == string(row.Owner) {
+			return p
+		}
+	}
+	return nil
+}
