--- a/dispatch/commit.go
+++ b/dispatch/commit.go
@@ -106,17 +106,19 @@
 )
 
 // specRow is a stored row of JobTable. It is removed once all its jobs have
-// ended.
+// ended, and written again without those whose outcomes are to be removed.
 type specRow struct {
 	key    string
-	active int // jobs whose outcome is not stored
+	jobs   []*job // that the stored row holds
+	active int    // jobs whose outcome is not stored
 }
 
 // outcomeRow is a stored row of EndedJobTable. It is removed a fixed time after the
-// last of its jobs has ended.
+// last of its jobs has ended, and after the specifications of these jobs: a stored
+// specification without an outcome is that of an active job.
 type outcomeRow struct {
 	key         string
-	jobs        []structs.JobID
+	jobs        []*job
 	lastEndedAt structs.Timestamp // latest end of these jobs
 }
 
@@ -156,7 +158,7 @@
 
 // NeedsCommit reports whether a commit would write anything.
 func (c *Dispatcher) NeedsCommit() bool {
-	return len(c.dirty) > 0 || len(c.dirtyWorkers) > 0 || len(c.removals) > 0
+	return len(c.dirty) > 0 || len(c.dirtyWorkers) > 0 || len(c.removals) > 0 || len(c.expiredOutcomes) > 0
 }
 
 // NextCommit returns the rows to write next. The caller must pass Committed
--- a/dispatch/commit_builder.go
+++ b/dispatch/commit_builder.go
@@ -82,9 +82,61 @@
 		return
 	}
 	if j.specRow.active--; j.specRow.active == 0 {
-		b.dispatcher.removals = append(b.dispatcher.removals, tablestore.RowID{Table: JobTable, Key: j.specRow.key})
+		j.specRow.release(b.dispatcher)
 	}
-	j.specRow = nil
+}
+
+// release removes a row whose jobs have all ended with one of the next commits.
+func (r *specRow) release(c *Dispatcher) {
+	c.removals = append(c.removals, tablestore.RowID{Table: JobTable, Key: r.key})
+	for _, j := range r.jobs {
+		j.specRow = nil
+	}
+	r.jobs = nil
+}
+
+// removeOutcomes removes expired outcomes. The specifications of their jobs that are
+// still stored, in rows with active jobs, are removed in the same commit or before.
+func (b *commitBuilder) removeOutcomes() error {
+	c := b.dispatcher
+	for len(c.expiredOutcomes) > 0 {
+		expired := c.expiredOutcomes[0]
+		for _, j := range expired.jobs {
+			if j.specRow == nil {
+				continue
+			}
+			if len(b.commit.Puts) >= maxEntries || b.isFull() {
+				return nil // with the next commit
+			}
+			if err := b.compact(j.specRow); err != nil {
+				return err
+			}
+		}
+		c.expiredOutcomes = c.expiredOutcomes[1:]
+		c.removals = append(c.removals, tablestore.RowID{Table: EndedJobTable, Key: expired.key})
+	}
+	return nil
+}
+
+// compact writes a row of JobTable without the jobs whose outcomes are stored.
+func (b *commitBuilder) compact(r *specRow) error {
+	specs := make([]storedJob, 0, r.active)
+	kept := r.jobs[:0]
+	for _, j := range r.jobs {
+		if j.outcomeStored {
+			j.specRow = nil
+			continue
+		}
+		kept = append(kept, j)
+		specs = append(specs, storedJob{j.spec, j.queue, j.acceptedAt})
+	}
+	clear(r.jobs[len(kept):])
+	r.jobs = kept
+	if err := putRow(&b.commit, JobTable, r.key, specs); err != nil {
+		return err
+	}
+	b.bytes += len(b.commit.Puts[len(b.commit.Puts)-1].Value)
+	return nil
 }
 
 // bucketOf returns the bucket of an identifier.
@@ -117,6 +169,9 @@
 			}
 		}
 	}
+	if err := b.removeOutcomes(); err != nil {
+		return err
+	}
 	if err := c.writeWorkers(&b.commit); err != nil {
 		return err
 	}
@@ -136,6 +191,7 @@
 		for _, row := range rows {
 			if j := b.dispatcher.jobs[row.Spec.ID]; j != nil && j.specRow == b.specRow {
 				j.specRow = newRow
+				newRow.jobs = append(newRow.jobs, j)
 				newRow.active++
 			}
 		}
@@ -150,7 +206,7 @@
 		newRow := &outcomeRow{key: b.key(n)}
 		n++
 		for _, row := range rows {
-			newRow.jobs = append(newRow.jobs, row.ID)
+			newRow.jobs = append(newRow.jobs, b.dispatcher.jobs[row.ID])
 			newRow.lastEndedAt = max(newRow.lastEndedAt, row.EndedAt)
 		}
 		b.dispatcher.outcomeRows = append(b.dispatcher.outcomeRows, newRow)
@@ -169,7 +225,9 @@
 	}
 	part := 0
 	err := putInRows(rows, func(_ []storedProgress, data []byte) {
-		b.commit.Puts = append(b.commit.Puts, tablestore.Put{Table: ProgressTable, Key: progressKey(n, part), Value: data})
+		id := tablestore.RowID{Table: ProgressTable, Key: progressKey(n, part)}
+		c.removals = slices.DeleteFunc(c.removals, func(r tablestore.RowID) bool { return r == id }) // of a bucket that has grown again
+		b.commit.Puts = append(b.commit.Puts, tablestore.Put{Table: id.Table, Key: id.Key, Value: data})
 		part++
 	})
 	for old := part; old < c.bucketRows[n]; old++ {
--- a/dispatch/recover.go
+++ b/dispatch/recover.go
@@ -84,7 +84,7 @@
 		}
 		j.visibleState = workflowState(j)
 		c.jobs[e.ID] = j
-		outcomes.jobs = append(outcomes.jobs, e.ID)
+		outcomes.jobs = append(outcomes.jobs, j)
 		outcomes.lastEndedAt = max(outcomes.lastEndedAt, e.EndedAt)
 	}
 	c.outcomeRows = append(c.outcomeRows, outcomes)
@@ -99,16 +99,19 @@
 	}
 	storedRow := &specRow{key: row.Key}
 	for _, spec := range specs {
-		if c.jobs[spec.Spec.ID] != nil {
-			continue // the job has ended
+		if ended := c.jobs[spec.Spec.ID]; ended != nil {
+			ended.specRow = storedRow
+			storedRow.jobs = append(storedRow.jobs, ended)
+			continue
 		}
 		j := c.newJob(spec.Spec, spec.Queue, spec.Accepted)
 		j.durable, j.recovered, j.specRow = true, true, storedRow
+		storedRow.jobs = append(storedRow.jobs, j)
 		storedRow.active++
 		c.jobs[j.spec.ID] = j
 	}
 	if storedRow.active == 0 {
-		c.removals = append(c.removals, tablestore.RowID{Table: JobTable, Key: row.Key})
+		storedRow.release(c)
 	}
 	return nil
 }
--- a/dispatch/reduce.go
+++ b/dispatch/reduce.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/mangodrum/mangodrum/structs"
-	"github.com/mangodrum/mangodrum/tablestore"
 	"github.com/mangodrum/mangodrum/workflow"
 )
 
@@ -108,10 +107,10 @@
 		batch := c.outcomeRows[0]
 		c.outcomeRows[0] = nil
 		c.outcomeRows = c.outcomeRows[1:]
-		for _, id := range batch.jobs {
-			delete(c.jobs, id)
+		for _, j := range batch.jobs {
+			delete(c.jobs, j.spec.ID)
 		}
-		c.removals = append(c.removals, tablestore.RowID{Table: EndedJobTable, Key: batch.key})
+		c.expiredOutcomes = append(c.expiredOutcomes, batch)
 	}
 }
 
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -38,6 +38,7 @@
 	buckets               [progressBuckets][]*job
 	bucketRows            [progressBuckets]int // number of stored rows of each progress bucket
 	outcomeRows           []*outcomeRow        // stored rows of EndedJobTable in commit order
+	expiredOutcomes       []*outcomeRow        // of these, rows to remove with the next commits
 	sequence              uint64
 	dirtyWorkers          []int // worker buckets for the next commits, ascending
 	placementNeeded       bool
@@ -73,7 +74,7 @@
 	started          bool
 	recovered        bool // accepted by a previous leader
 	objective        time.Duration
-	specRow          *specRow // stored row with its specification, or nil
+	specRow          *specRow // stored row that holds its specification, or nil
 	inBucket         bool     // in Dispatcher.buckets
 	// outcomeStored is true once the outcome is stored or part of the commit in
 	// progress.
