--- a/dispatch/commit.go
+++ b/dispatch/commit.go
@@ -65,7 +65,8 @@
 	Tasks      []storedTask `cbor:"3,keyasint,omitempty"` // tasks with failed runs or a checkpoint
 }
 
-// storedTask is the stored progress of a task that has not succeeded.
+// storedTask is the stored progress of a task that has not succeeded. FailedRuns is
+// bounded by the attempts of the job; see task.
 type storedTask struct {
 	Index      int      `cbor:"1,keyasint"`
 	FailedRuns []uint64 `cbor:"2,keyasint,omitempty"`
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -202,13 +202,15 @@
 	if end.Sequence != 0 {
 		t.step.job.started = true // the end may arrive before the answer to the start request
 	}
-	switch end.Kind {
-	case workflow.EndDone:
+	switch {
+	case t.step.spec.LongRunning:
+		c.lastingRunEnded(w, a, end)
+	case end.Kind == workflow.EndDone:
 		w.recordSuccess()
 		c.observeRun(t, a)
 		c.learnRunTime(t, a)
 		c.succeed(t)
-	case workflow.EndFailed:
+	case end.Kind == workflow.EndFailed:
 		t.avoidWorker = w.ID
 		c.recordFailure(w, t.step.job.spec.ID)
 		c.fail(t, a.run)
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -60,7 +60,7 @@
 	s := ranked.step
 	candidates := c.candidateWorkers(s)
 	for _, t := range s.tasks {
-		if t.state != taskWaiting || t.hasAllocation() {
+		if t.state != taskWaiting || t.hasAllocation() || c.now.Before(t.restartAt) {
 			continue
 		}
 		w := c.chooseWorker(t, candidates, ranked)
@@ -133,8 +133,8 @@
 // call for advice takes a quarter of a gang's run time.
 func (c *Dispatcher) placeGang(ranked *rankedStep) {
 	s := ranked.step
-	if !s.isWaitingGang() {
-		return // an earlier run has not ended yet
+	if !s.isWaitingGang() || s.isRestartPaused(c.now) {
+		return // an earlier run has not ended yet, or has ended just after its start
 	}
 	assignments := c.assignMembers(s, func(w *worker) structs.Resources { return c.freeFor(w, ranked) })
 	if assignments == nil {
--- a/dispatch/recover.go
+++ b/dispatch/recover.go
@@ -143,14 +143,14 @@
 			if occ == nil {
 				occ = c.addOccurrence(j, run.Index, c.now)
 			}
-			occ.restore(run)
+			occ.restore(run, c.now)
 		}
 	}
 	return nil
 }
 
-// restore applies the stored progress of an occurrence.
-func (o *occurrence) restore(saved storedOccurrence) {
+// restore applies the stored progress of an occurrence at the given time.
+func (o *occurrence) restore(saved storedOccurrence, now structs.Timestamp) {
 	for n, stored := range saved.Steps {
 		if n >= len(o.steps) {
 			return
@@ -158,6 +158,9 @@
 		s := o.steps[n]
 		s.checkpoint = stored.Checkpoint
 		for i, t := range s.tasks {
+			if s.spec.LongRunning {
+				break // none is ever done; earlier versions have stored that
+			}
 			if i/8 < len(stored.Done) && stored.Done[i/8]&(1<<(i%8)) != 0 {
 				t.state = taskDone
 				s.remainingTasks--
@@ -167,7 +170,12 @@
 		for _, kept := range stored.Tasks {
 			if kept.Index < len(s.tasks) {
 				t := s.tasks[kept.Index]
-				t.failedRuns, t.checkpoint = kept.FailedRuns, kept.Checkpoint
+				t.checkpoint = kept.Checkpoint
+				t.failedRuns = kept.FailedRuns
+				if s.spec.LongRunning {
+					t.pauseRestart(now)
+					continue
+				}
 				for _, run := range kept.FailedRuns {
 					t.run = max(t.run, run)
 				}
--- a/dispatch/retention_test.go
+++ b/dispatch/retention_test.go
@@ -28,8 +28,8 @@
 }
 
 // nextLeader replaces the leader of a harness by one that has loaded the stored rows
-// and the reports of all workers.
-func (s *dispatcherHarness) nextLeader(stored map[tablestore.RowID][]byte) {
+// and the reports of all workers. The first one lists the given ends.
+func (s *dispatcherHarness) nextLeader(stored map[tablestore.RowID][]byte, ends ...workflow.EndedTask) {
 	s.t.Helper()
 	earlier := s.dispatcher
 	s.now = s.now.Add(time.Second)
@@ -44,7 +44,8 @@
 	s.effects = nil
 	for _, w := range earlier.sortedWorkers {
 		s.reduce(WorkerListed{Worker: w.Worker})
-		s.report(w.ID, time.Second)
+		s.report(w.ID, time.Second, ends...)
+		ends = nil
 	}
 	s.place()
 }
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -154,16 +154,20 @@
 
 // task is the state of one task of a step.
 type task struct {
-	step        *step
-	index       int
-	name        string
-	state       taskState
-	worker      *worker
-	run         uint64
-	failedRuns  []uint64 // run numbers of failed runs, each once
+	step   *step
+	index  int
+	name   string
+	state  taskState
+	worker *worker
+	run    uint64
+	// failedRuns has the numbers of the failed runs, each once. For a long-running task
+	// it has the last runs in a row, at most maxShortRuns, that ended soon after their
+	// start.
+	failedRuns  []uint64
 	checkpoint  string
-	avoidWorker structs.WorkerID // worker of its last failed run
-	lostRun     *EarlierRun      // its last run, if that counted as lost
+	avoidWorker structs.WorkerID  // worker of its last failed run
+	lostRun     *EarlierRun       // its last run, if that counted as lost
+	restartAt   structs.Timestamp // when a long-running task may start again
 }
 
 // allocation holds the resources of a placed task, or of a run that is running or
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -324,6 +324,10 @@
 	c.logDecision(Decision{
 		Event: "run_of_previous_leader_ended", Job: t.step.job.spec.ID, Task: t.name, Run: end.Run, Reason: string(end.Kind),
 	})
+	if t.step.spec.LongRunning {
+		t.run = max(t.run, end.Run)
+		return // it is started again, however it has ended
+	}
 	switch end.Kind {
 	case workflow.EndDone:
 		if t.state != taskDone && t.step.job.active() {
