--- a/cell/peers.go
+++ b/cell/peers.go
@@ -13,7 +13,7 @@
 // callRegistry matches replies from peers to pending calls.
 type callRegistry struct {
 	mu      sync.Mutex
-	lastID  uint64
+	ids     peer.CallIDs
 	replies map[uint64]chan peer.Reply
 }
 
@@ -23,10 +23,10 @@
 func (c *callRegistry) add() (uint64, chan peer.Reply) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.lastID++
+	id := c.ids.Next()
 	ch := make(chan peer.Reply, 1)
-	c.replies[c.lastID] = ch
-	return c.lastID, ch
+	c.replies[id] = ch
+	return id, ch
 }
 
 func (c *callRegistry) remove(id uint64) {
@@ -35,13 +35,19 @@
 	delete(c.replies, id)
 }
 
-func (c *callRegistry) deliver(id uint64, r peer.Reply) {
+// deliver passes a reply to the call that waits for it, if any. It returns false for
+// a reply to a call of an earlier process of this instance.
+func (c *callRegistry) deliver(id uint64, r peer.Reply) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if !c.ids.IsOwn(id) {
+		return false
+	}
 	if ch := c.replies[id]; ch != nil {
 		delete(c.replies, id)
 		ch <- r
 	}
+	return true
 }
 
 // call makes a call to a peer and waits for its reply. The error is NotRun if
@@ -95,7 +101,9 @@
 			i.log.Warn("dropped a malformed reply from a peer", "peer", m.From, "error", err)
 			return
 		}
-		i.pendingCalls.deliver(m.CallID, reply)
+		if !i.pendingCalls.deliver(m.CallID, reply) {
+			i.metrics.count("peer_replies_dropped", "peer", string(m.From))
+		}
 	}
 }
 
--- a/instance/calls.go
+++ b/instance/calls.go
@@ -15,10 +15,10 @@
 const callTimeout = 5 * time.Second
 
 // pendingCalls matches replies to the calls that wait for them, by a reference
-// number that is unique in the table.
+// number that no other table has, nor that of an earlier process.
 type pendingCalls[T any] struct {
 	mu      sync.Mutex
-	lastRef uint64
+	ids     peer.CallIDs
 	replies map[uint64]chan T
 }
 
@@ -30,10 +30,10 @@
 	if t.replies == nil {
 		t.replies = map[uint64]chan T{}
 	}
-	t.lastRef++
+	ref := t.ids.Next()
 	reply := make(chan T, 1)
-	t.replies[t.lastRef] = reply
-	return t.lastRef, reply
+	t.replies[ref] = reply
+	return ref, reply
 }
 
 // close ends a call; replies to it are dropped from then on.
@@ -44,15 +44,17 @@
 }
 
 // deliver passes a reply to the call that waits for it. Late and duplicate
-// replies are dropped.
-func (t *pendingCalls[T]) deliver(ref uint64, reply T) {
+// replies are dropped. It returns false for a reply to a call of an earlier process.
+func (t *pendingCalls[T]) deliver(ref uint64, reply T) bool {
 	t.mu.Lock()
+	own := t.ids.IsOwn(ref)
 	replyChan := t.replies[ref]
 	delete(t.replies, ref)
 	t.mu.Unlock()
 	if replyChan != nil {
 		replyChan <- reply
 	}
+	return own
 }
 
 // peerCalls sends calls to other instances and waits for the replies.
--- a/instance/instruments.go
+++ b/instance/instruments.go
@@ -26,6 +26,7 @@
 	workerCallErrors     *metrics.Counter
 	directoryErrors      *metrics.Counter
 	malformedMessages    *metrics.Counter
+	foreignReplies       *metrics.Counter
 	peerBytesReceived    *metrics.Counter
 	settingsReverts      *metrics.Counter
 	settingsChanges      *metrics.Counter
@@ -45,6 +46,7 @@
 		workerCallErrors:     set.NewCounter("mangodrum_worker_call_errors_total"),
 		directoryErrors:      set.NewCounter("mangodrum_directory_errors_total"),
 		malformedMessages:    set.NewCounter("mangodrum_peer_malformed_messages_total"),
+		foreignReplies:       set.NewCounter("mangodrum_peer_foreign_replies_total"),
 		peerBytesReceived:    set.NewCounter("mangodrum_peer_received_bytes_total"),
 		settingsReverts:      set.NewCounter("mangodrum_settings_reverts_total"),
 		settingsChanges:      set.NewCounter("mangodrum_settings_changes_total"),
--- a/instance/receive.go
+++ b/instance/receive.go
@@ -69,7 +69,9 @@
 	case peer.KindReply:
 		var reply peer.Reply
 		if err = peer.Decode(m.Body, &reply); err == nil {
-			i.peerCalls.pending.deliver(m.CallID, reply)
+			if !i.peerCalls.pending.deliver(m.CallID, reply) {
+				i.metrics.foreignReplies.Inc()
+			}
 		}
 	}
 	if err != nil {
