--- a/dispatch/commit.go
+++ b/dispatch/commit.go
@@ -36,7 +36,7 @@
 }
 
 // storedProgress is the stored progress of an active job. A row of ProgressTable
-// holds a list of them.
+// holds a list of them. An occurrence below Next that is not in Runs is complete.
 type storedProgress struct {
 	ID      structs.JobID      `cbor:"1,keyasint"`
 	Next    int                `cbor:"3,keyasint,omitempty"` // next occurrence to create
@@ -90,6 +90,9 @@
 	// maxRowBytes keeps a row within the store's limit of 64 KiB after that
 	// encoding.
 	maxRowBytes = 44 << 10
+	// maxCheckpointBytes limits the checkpoints of a job that are stored, so that its
+	// progress fits into a row.
+	maxCheckpointBytes = 24 << 10
 	// progressBuckets is the number of buckets for the progress of the active
 	// jobs. All of them fit into one commit.
 	progressBuckets = 64
@@ -171,7 +174,7 @@
 	c.committing = c.committing[:0]
 	taken := 0
 	for _, j := range c.dirty {
-		if b.isFull() {
+		if !b.fits(j) {
 			break
 		}
 		taken++
@@ -188,32 +191,78 @@
 // progress returns the stored form of the job's progress.
 func (j *job) progress() storedProgress {
 	row := storedProgress{ID: j.spec.ID, Next: j.nextDue, Started: j.started}
+	budget := maxCheckpointBytes
 	for _, occ := range j.occurrences {
-		run := storedOccurrence{Index: occ.index}
-		for _, s := range occ.steps {
-			run.Steps = append(run.Steps, s.progress())
+		run := storedOccurrence{Index: occ.index, Steps: []storedStep{}}
+		for n, s := range occ.steps {
+			if s.hasProgress() {
+				for len(run.Steps) < n {
+					run.Steps = append(run.Steps, storedStep{})
+				}
+				run.Steps = append(run.Steps, s.progress(&budget))
+			}
 		}
 		row.Runs = append(row.Runs, run)
 	}
 	return row
 }
 
-// progress returns the stored form of the step's progress.
-func (s *step) progress() storedStep {
-	row := storedStep{Checkpoint: s.checkpoint}
+// hasProgress reports whether the step has any progress to store.
+func (s *step) hasProgress() bool {
+	return s.remainingTasks < len(s.tasks) || s.checkpoint != "" ||
+		slices.ContainsFunc(s.tasks, func(t *task) bool { return len(t.failedRuns) > 0 || t.checkpoint != "" })
+}
+
+// progress returns the stored form of the step's progress. Checkpoints are left out
+// once the budget of the job is used up; a new leader then starts these tasks from
+// their beginning.
+func (s *step) progress(budget *int) storedStep {
+	row := storedStep{Checkpoint: takeCheckpoint(budget, s.checkpoint)}
 	if s.remainingTasks < len(s.tasks) {
 		row.Done = make([]byte, (len(s.tasks)+7)/8)
 	}
 	for n, t := range s.tasks {
 		if t.state == taskDone {
 			row.Done[n/8] |= 1 << (n % 8)
-		} else if len(t.failedRuns) > 0 || t.checkpoint != "" {
-			row.Tasks = append(row.Tasks, storedTask{n, slices.Clone(t.failedRuns), t.checkpoint})
+		} else if checkpoint := takeCheckpoint(budget, t.checkpoint); len(t.failedRuns) > 0 || checkpoint != "" {
+			row.Tasks = append(row.Tasks, storedTask{n, slices.Clone(t.failedRuns), checkpoint})
 		}
 	}
 	return row
 }
 
+// takeCheckpoint returns a checkpoint if it fits into the rest of a budget in bytes,
+// and takes it from that.
+func takeCheckpoint(budget *int, checkpoint string) string {
+	size := len(checkpoint) + taskBytes
+	if checkpoint == "" || size > *budget {
+		return ""
+	}
+	*budget -= size
+	return checkpoint
+}
+
+// progressSize returns an upper estimate of the encoded size of the job's progress.
+func (j *job) progressSize() int {
+	size, checkpoints := progressBytes, 0
+	for _, occ := range j.occurrences {
+		size += occurrenceBytes
+		for _, s := range occ.steps {
+			size += stepBytes/4 + len(s.tasks)/8
+			checkpoints += len(s.checkpoint)
+			for _, t := range s.tasks {
+				if len(t.failedRuns) > 0 {
+					size += taskBytes + failedRunBytes*len(t.failedRuns)
+				}
+				if t.checkpoint != "" {
+					checkpoints += len(t.checkpoint) + taskBytes
+				}
+			}
+		}
+	}
+	return size + min(checkpoints, maxCheckpointBytes)
+}
+
 // putRow adds a row with the encoded value to a commit.
 func putRow(commit *Commit, table, key string, value any) error {
 	data, err := cbor.Marshal(value)
--- a/dispatch/commit_builder.go
+++ b/dispatch/commit_builder.go
@@ -23,10 +23,35 @@
 	buckets    map[int]bool
 }
 
-// isFull reports whether the commit takes no further jobs. maxCommitBytes leaves
-// space for the progress buckets and for removals.
+// isFull reports whether the commit takes no further rows.
 func (b *commitBuilder) isFull() bool { return b.bytes > maxCommitBytes }
 
+// fits reports whether the commit takes a job. It takes any first one.
+func (b *commitBuilder) fits(j *job) bool {
+	return b.bytes == 0 || b.bytes+b.sizeOf(j) <= maxCommitBytes
+}
+
+// sizeOf returns an upper estimate of the bytes that adding a job adds to the commit.
+func (b *commitBuilder) sizeOf(j *job) int {
+	switch {
+	case !j.active() && j.outcomeStored:
+		return 0
+	case !j.active():
+		return outcomeBytes
+	case j.specRow == nil:
+		return specBytes + len(j.spec.Spec) + len(j.spec.Steps)*stepBytes
+	}
+	n := jobBucket(j.spec.ID)
+	if b.buckets[n] {
+		return 0 // a job that joins its bucket has been counted with its first progress
+	}
+	size := 0
+	for _, other := range b.dispatcher.buckets[n] {
+		size += other.progressSize()
+	}
+	return size
+}
+
 // key returns the key of the n-th row that this commit adds to a table. Keys are
 // unique because they contain the epoch and the sequence number of the commit.
 func (b *commitBuilder) key(n int) string {
@@ -36,6 +61,10 @@
 // add adds a job to the commit: its specification when it is accepted, its
 // progress after that, and only its outcome once it has ended.
 func (b *commitBuilder) add(j *job) {
+	if j.active() && j.specRow != nil {
+		b.addToBucket(j)
+	}
+	b.bytes += b.sizeOf(j)
 	switch {
 	case !j.active() && j.outcomeStored:
 		// There is nothing to write. The callers wait for a commit to succeed,
@@ -43,7 +72,6 @@
 	case !j.active():
 		b.outcomes = append(b.outcomes, storedOutcome{j.spec.ID, j.state, j.endedAt})
 		j.outcomeStored = true
-		b.bytes += outcomeBytes
 		b.releaseSpec(j)
 	case j.specRow == nil:
 		if b.specRow == nil {
@@ -52,27 +80,34 @@
 		j.specRow = b.specRow
 		b.specRow.active++
 		b.specs = append(b.specs, storedJob{j.spec, j.queue, j.acceptedAt})
-		b.bytes += specBytes + len(j.spec.Spec) + len(j.spec.Steps)*stepBytes
 	default:
-		if !j.inBucket {
-			j.inBucket = true
-			n := jobBucket(j.spec.ID)
-			b.dispatcher.buckets[n] = append(b.dispatcher.buckets[n], j)
-		}
-		if n := jobBucket(j.spec.ID); !b.buckets[n] {
-			b.buckets[n] = true
-			b.bytes += progressBytes * len(b.dispatcher.buckets[n])
-		}
+		b.buckets[jobBucket(j.spec.ID)] = true
+	}
+}
+
+// addToBucket adds a job to its progress bucket with its first progress.
+func (b *commitBuilder) addToBucket(j *job) {
+	if j.inBucket {
+		return
+	}
+	j.inBucket = true
+	n := jobBucket(j.spec.ID)
+	b.dispatcher.buckets[n] = append(b.dispatcher.buckets[n], j)
+	if b.buckets[n] {
+		b.bytes += j.progressSize()
 	}
 }
 
 // Upper estimates of encoded sizes in bytes, larger than those of the jobs at
 // the known sites.
 const (
-	outcomeBytes  = 40
-	specBytes     = 300
-	stepBytes     = 100
-	progressBytes = 600
+	outcomeBytes    = 40
+	specBytes       = 300
+	stepBytes       = 100
+	progressBytes   = 100 // of a job without occurrences
+	occurrenceBytes = 16
+	taskBytes       = 12 // of a task without its checkpoint and failed runs
+	failedRunBytes  = 9
 )
 
 // releaseSpec removes an ended job from the count of its row in JobTable, and
@@ -221,7 +256,7 @@
 	c.buckets[n] = slices.DeleteFunc(c.buckets[n], func(j *job) bool { return !j.active() })
 	rows := make([]storedProgress, 0, len(c.buckets[n]))
 	for _, j := range c.buckets[n] {
-		rows = append(rows, j.progress())
+		rows = append(rows, splitProgress(j.progress())...)
 	}
 	part := 0
 	err := putInRows(rows, func(_ []storedProgress, data []byte) {
@@ -260,3 +295,33 @@
 	}
 	return putInRows(rows[half:], emit)
 }
+
+// maxTasksPerPart is the number of tasks with failed runs or a checkpoint in a part of
+// a job's progress. With ten failed runs each, such a part takes 40 KB.
+const maxTasksPerPart = 400
+
+// splitProgress splits the progress of a job so that each part fits into a row. Most
+// jobs have one part. A new leader merges them.
+func splitProgress(whole storedProgress) []storedProgress {
+	part := storedProgress{ID: whole.ID, Next: whole.Next, Started: whole.Started}
+	parts, tasks := []storedProgress{}, 0
+	for _, run := range whole.Runs {
+		occ := storedOccurrence{Index: run.Index, Steps: []storedStep{}}
+		for n, step := range run.Steps {
+			rest := step.Tasks
+			for len(rest) > maxTasksPerPart-tasks {
+				step.Tasks, rest = rest[:maxTasksPerPart-tasks], rest[maxTasksPerPart-tasks:]
+				occ.Steps = append(occ.Steps, step)
+				part.Runs = append(part.Runs, occ)
+				parts = append(parts, part)
+				part.Runs, tasks = nil, 0
+				occ.Steps, step = make([]storedStep, n), storedStep{}
+			}
+			step.Tasks = rest
+			tasks += len(rest)
+			occ.Steps = append(occ.Steps, step)
+		}
+		part.Runs = append(part.Runs, occ)
+	}
+	return append(parts, part)
+}
--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -101,7 +101,7 @@
 		}
 		for j.nextDue < j.spec.Occurrences {
 			due := structs.Timestamp(j.spec.FirstDue + time.Duration(j.nextDue)*j.spec.Interval)
-			if c.wallTime().Before(due) || j.openTasks() >= workflow.MaxTasksPerJob {
+			if c.wallTime().Before(due) || len(j.occurrences) >= maxOpenOccurrences || j.openTasks() >= workflow.MaxTasksPerJob {
 				break
 			}
 			occ := c.addOccurrence(j, j.nextDue, c.now)
@@ -111,6 +111,10 @@
 	}
 }
 
+// maxOpenOccurrences limits the occurrences of a job that exist at a time, so that
+// their progress fits into a row. Further ones wait for the first to complete.
+const maxOpenOccurrences = 500
+
 // createOccurrencesThrough creates the occurrences up to the given index of a job of
 // the previous leader. That leader has started tasks of this occurrence, so they
 // were due, whatever this instance's time of day is.
@@ -292,11 +296,23 @@
 		c.queueReady(s.occ)
 		return
 	}
+	s.job.dropOccurrence(s.occ)
 	if s.job.isComplete() {
 		c.endJob(s.job, jobDone)
 	}
 }
 
+// dropOccurrence forgets a completed occurrence of a scheduled job. An occurrence
+// below nextDue that the job does not have is complete.
+func (j *job) dropOccurrence(occ *occurrence) {
+	if j.spec.Occurrences == 0 {
+		return
+	}
+	if n := slices.Index(j.occurrences, occ); n >= 0 {
+		j.occurrences = slices.Delete(j.occurrences, n, n+1)
+	}
+}
+
 // taskSucceeded marks a task as done. The allocation of a gang member remains
 // until the worker lists the end of that member.
 func (c *Dispatcher) taskSucceeded(t *task) {
--- a/dispatch/occurrences_test.go
+++ b/dispatch/occurrences_test.go
@@ -121,3 +121,57 @@
 		t.Errorf("%d occurrences created, want none", n)
 	}
 }
+
+// TestManyOccurrencesFitIntoARow guards against the progress of a job with many
+// occurrences that outgrows its row: the store then refused every commit of the cell.
+// It also guards against running completed ones again after a change of leader.
+func TestManyOccurrencesFitIntoARow(t *testing.T) {
+	const occurrences = 4000
+	s := newDispatcherHarness(t, 1, largeWorker)
+	job := timedJob(s.now)
+	job.Occurrences, job.Interval = occurrences, 10*time.Millisecond
+	first := job.Steps[0]
+	first.DependsOn = []int{0}
+	job.Steps = append(job.Steps, first, first, first)
+	stored := map[tablestore.RowID][]byte{}
+	s.reduce(SubmitJob{Call: 1, Job: job, Queue: batchQueue(nil)})
+	s.commitTo(stored)
+	done, number, largest := map[string]bool{}, uint64(0), 0
+	for round := 0; len(done) < 4*occurrences && round < 4*occurrences; round++ {
+		var ends []workflow.EndedTask
+		for _, start := range takeEffects[StartTask](s) {
+			if done[start.Order.Task] {
+				t.Fatalf("%s starts again", start.Order.Task)
+			}
+			done[start.Order.Task] = true
+			number++
+			ends = append(ends, workflow.EndedTask{Sequence: number, Task: start.Order.Task, Run: start.Order.Run, Kind: workflow.EndDone})
+		}
+		s.now = s.now.Add(10 * time.Millisecond)
+		s.report("w0", s.now.Sub(0), ends...)
+		s.dispatcher.ConfirmLeadership(s.now)
+		s.reduce(Tick{})
+		s.commitTo(stored)
+		for _, value := range stored {
+			largest = max(largest, len(value))
+		}
+		if round == occurrences/2 {
+			s.advance(maxProgressDelay)
+			s.commitTo(stored)
+			for _, start := range takeEffects[StartTask](s) {
+				delete(done, start.Order.Task) // not carried out
+			}
+			s.nextLeader(stored)
+		}
+	}
+	if len(done) != 4*occurrences {
+		t.Errorf("%d tasks were started, want %d", len(done), 4*occurrences)
+	}
+	if largest > maxRowBytes {
+		t.Errorf("the largest row has %d bytes, want at most %d", largest, maxRowBytes)
+	}
+	s.advance(time.Second)
+	if state, _ := s.dispatcher.State(job.ID); state != workflow.Done {
+		t.Errorf("state at the end: %s, want done", state)
+	}
+}
--- a/dispatch/recover.go
+++ b/dispatch/recover.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"math"
@@ -130,12 +131,14 @@
 	c.bucketRows[bucket] = max(c.bucketRows[bucket], part+1)
 	for _, stored := range list {
 		j := c.jobs[stored.ID]
-		if j == nil || !j.active() || j.inBucket {
+		if j == nil || !j.active() {
 			continue
 		}
-		j.inBucket = true
-		home := jobBucket(j.spec.ID)
-		c.buckets[home] = append(c.buckets[home], j)
+		if !j.inBucket { // else it is a further part of the job's progress
+			j.inBucket = true
+			home := jobBucket(j.spec.ID)
+			c.buckets[home] = append(c.buckets[home], j)
+		}
 		j.started = stored.Started
 		j.nextDue = max(j.nextDue, stored.Next)
 		for _, run := range stored.Runs {
@@ -144,24 +147,28 @@
 				occ = c.addOccurrence(j, run.Index, c.now)
 			}
 			occ.restore(run, c.now)
+			if occ.remainingSteps == 0 {
+				j.dropOccurrence(occ) // an earlier version has stored it, in one part
+			}
 		}
 	}
 	return nil
 }
 
-// restore applies the stored progress of an occurrence at the given time.
+// restore applies the stored progress of an occurrence, or a part of it, at the given
+// time.
 func (o *occurrence) restore(saved storedOccurrence, now structs.Timestamp) {
 	for n, stored := range saved.Steps {
 		if n >= len(o.steps) {
 			return
 		}
 		s := o.steps[n]
-		s.checkpoint = stored.Checkpoint
+		s.checkpoint = cmp.Or(stored.Checkpoint, s.checkpoint)
 		for i, t := range s.tasks {
 			if s.spec.LongRunning {
 				break // none is ever done; earlier versions have stored that
 			}
-			if i/8 < len(stored.Done) && stored.Done[i/8]&(1<<(i%8)) != 0 {
+			if t.state != taskDone && i/8 < len(stored.Done) && stored.Done[i/8]&(1<<(i%8)) != 0 {
 				t.state = taskDone
 				s.remainingTasks--
 				s.unplacedTasks--
@@ -181,8 +188,11 @@
 				}
 			}
 		}
-		if s.remainingTasks == 0 {
-			o.remainingSteps--
+	}
+	o.remainingSteps = 0
+	for _, s := range o.steps {
+		if s.remainingTasks > 0 {
+			o.remainingSteps++
 		}
 	}
 }
