A run that no report has listed may hold the longest lease

Cause: the lease of a silent worker is counted from the clock of the incarnation that the leader knows. A worker that has restarted unnoticed carries out a start with a deadline on the earlier clock, which grants it the longest lease (6 or 10 s). While renewals were missed, tasks were also started under what was left of a lease, down to nothing, and counted as lost at the next tick. Change: a run whose worker's incarnation has not listed it, or that has a start request without an answer, is lost only when the longest lease since that request has ended; no task starts under less than a second of a lease. TestSilentWorkersLeaseEnds keeps its bound for reported runs and has one on both sides for the others.

--- a/dispatch/leases.go
+++ b/dispatch/leases.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"github.com/mangodrum/mangodrum/structs"
+)
 
 // haveLeasesEnded reports whether every run on a silent worker is over, whichever
 // leader has started it: all leases that may have been granted have expired. Nothing
@@ -33,12 +37,36 @@
 	return c.policy.Lease
 }
 
+// isLeaseOver reports whether a run on a worker is over whose leases have expired. The
+// worker may have restarted before it received a start request, whose deadline on the
+// clock of the earlier incarnation then grants the longest lease.
+func (c *Dispatcher) isLeaseOver(a *allocation) bool {
+	return !a.mayReachNextIncarnation() || c.now.After(a.sentAt.Add(c.longestLease()))
+}
+
+// longestLease returns the longest time for which a worker may hold a lease, on this
+// instance's clock.
+func (c *Dispatcher) longestLease() time.Duration {
+	return time.Duration(float64(c.policy.MaxLease)/minClockRate) + leaseMargin
+}
+
+// canStartTasks reports whether the lease of a worker lasts for long enough to start
+// tasks under it. It is not extended while the worker misses renewals.
+func (w *worker) canStartTasks(now structs.Timestamp) bool {
+	return w.missedRenewals == 0 || w.leaseEnd.Sub(now) > minRemainingLease
+}
+
+// minRemainingLease is the rest of a lease below which no task is started under it.
+const minRemainingLease = time.Second
+
 // silentWorkerEnded ends the runs on a worker whose leases have expired. New leaders
 // no longer wait for its report.
 func (c *Dispatcher) silentWorkerEnded(w *worker) {
-	if len(w.allocations) > 0 {
-		c.logDecision(Decision{Event: "lease_over", Worker: w.ID, Value: int64(len(w.allocations))})
-		c.allLost(w, lossLeaseEnded)
+	if over := w.matchingAllocations(c.isLeaseOver); len(over) > 0 {
+		c.logDecision(Decision{Event: "lease_over", Worker: w.ID, Value: int64(len(over))})
+		for _, a := range over {
+			c.runLost(w, a, lossLeaseEnded)
+		}
 	}
 	if w.unreported {
 		c.logDecision(Decision{Event: "worker_gone", Worker: w.ID, Value: int64(c.now.Sub(c.startedAt) / time.Millisecond)})
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -96,6 +96,7 @@
 	a.startOrder.Deadline = deadline
 	a.sends++
 	a.openStarts++
+	a.sentAt = c.now
 	a.retryAt = c.now.Add(c.policy.StartRetryDelay + resendBackoff(a.sends))
 	c.emit(StartTask{Worker: w.Worker, Order: a.startOrder})
 }
--- a/dispatch/orders_test.go
+++ b/dispatch/orders_test.go
@@ -69,26 +69,42 @@
 }
 
 // TestSilentWorkersLeaseEnds guards against unanswered renewals that extend the
-// assumed lease of a silent worker. Its tasks were never run again.
+// assumed lease of a silent worker. Its tasks were never run again. It also guards
+// against running a task again before the longest lease has ended that a new
+// incarnation of the worker can hold, if no report has listed the run.
 func TestSilentWorkersLeaseEnds(t *testing.T) {
-	s, starts := submitJob(t, 1, arrayJob(1, false), batchQueue(nil))
-	s.reduce(StartAnswered{Worker: "w0", Task: starts[0].Order.Task, Run: starts[0].Order.Run, Outcome: workflow.OK})
-	s.reduce(WorkerListed{Worker: workflow.Worker{ID: "w1", Incarnation: 1, Service: "svc", Address: "w1", Capacity: largeWorker}})
-	s.report("w1", 0)
-	for range 80 {
-		s.advance(100 * time.Millisecond)
-		for _, e := range takeEffects[RenewLease](s) {
-			if e.Worker.ID == "w1" {
-				s.report("w1", time.Minute)
-				continue
+	for _, reported := range []bool{true, false} {
+		s, starts := submitJob(t, 1, arrayJob(1, false), batchQueue(nil))
+		order := starts[0].Order
+		s.reduce(StartAnswered{Worker: "w0", Task: order.Task, Run: order.Run, Outcome: workflow.OK})
+		from, limit := time.Duration(0), 8*time.Second
+		if reported {
+			s.now = s.now.Add(time.Millisecond)
+			s.reportOf("w0", workflow.Report{Incarnation: 1, Clock: time.Millisecond, Running: []workflow.RunningTask{{Task: order.Task, Run: order.Run}}})
+		} else {
+			from = s.dispatcher.policy.MaxLease
+			limit = from + time.Second
+		}
+		s.reduce(WorkerListed{Worker: workflow.Worker{ID: "w1", Incarnation: 1, Service: "svc", Address: "w1", Capacity: largeWorker}})
+		s.report("w1", 0)
+		again, began := time.Duration(-1), s.now
+		for again < 0 && s.now.Sub(began) < limit {
+			s.advance(100 * time.Millisecond)
+			for _, e := range takeEffects[RenewLease](s) {
+				if e.Worker.ID == "w1" {
+					s.report("w1", time.Minute)
+					continue
+				}
+				s.reduce(LeaseAnswered{Worker: e.Worker.ID, SentAt: s.now, Outcome: workflow.Unanswered})
+			}
+			if task := s.dispatcher.findTask(order.Task); task.worker != nil && task.worker.ID == "w1" {
+				again = s.now.Sub(began)
 			}
-			s.reduce(LeaseAnswered{Worker: e.Worker.ID, SentAt: s.now, Outcome: workflow.Unanswered})
 		}
-		if again := s.dispatcher.findTask("0000000000000001.0.0.0"); again.worker != nil && again.worker.ID == "w1" {
-			return
+		if again < from {
+			t.Errorf("reported %t: started on another worker after %s, want between %s and %s", reported, again, from, limit)
 		}
 	}
-	t.Error("task of a silent worker was not started on another worker within 8 s")
 }
 
 // TestNewIncarnationCountsAfterReport guards against starting tasks again before a
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -23,7 +23,7 @@
 // eligible reports whether a worker may get new tasks of a step, apart from the
 // approval of the advisor.
 func (c *Dispatcher) eligible(s *step, w *worker) bool {
-	return w.known && w.listed && !w.unreported && !w.Draining && w.missedRenewals < missedRenewalsBeforeSilent && (w.missedRenewals == 0 || !s.spec.Gang) &&
+	return w.known && w.listed && !w.unreported && !w.Draining && w.canStartTasks(c.now) && w.missedRenewals < missedRenewalsBeforeSilent && (w.missedRenewals == 0 || !s.spec.Gang) &&
 		!c.now.Before(w.pausedUntil) && w.Service == s.job.queue.Service &&
 		(s.spec.RequiredLabel == "" || w.HasLabel(s.spec.RequiredLabel)) &&
 		s.spec.RequiredCapacity().Fits(w.Capacity)
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -188,6 +188,7 @@
 	firstProgressAt structs.Timestamp
 	startedAt       structs.Timestamp
 	startOrder      workflow.StartOrder
+	sentAt          structs.Timestamp // when the last start request was sent
 	openStarts      int               // start requests without an answer; each may be carried out late
 	reportedAt      structs.Timestamp // last report of the worker's incarnation that listed the run; 0: none
 	carriedOver     bool              // sent to an earlier incarnation; see mayReachNextIncarnation
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -81,7 +81,7 @@
 	c.stopLateStarts(w)
 	if len(w.allocations) > 0 {
 		// A deadline on the clock of the ended incarnation grants the longest lease.
-		w.leaseEnd = c.now.Add(time.Duration(float64(c.policy.MaxLease)/minClockRate) + leaseMargin)
+		w.leaseEnd = c.now.Add(c.longestLease())
 	}
 }
 
