Fault schedules draw jobs with times and cancels

Checked on each start: no task of a job whose cancelling was acknowledged over 3 s before, none before its occurrence is due.

--- a/dispatch/faults_test.go
+++ b/dispatch/faults_test.go
@@ -110,6 +110,34 @@
 	s.at(at+cut+500*time.Millisecond, func() { w.unlisted = false; report(false) })
 }
 
+// lastSeedWithoutTimes is the last seed whose schedule has no jobs with times and no
+// cancels, which keeps the seeds of earlier findings as they were.
+const lastSeedWithoutTimes = 30_000
+
+// scheduleTimedJobs submits jobs that run several times, and cancels some jobs.
+func (s *simulation) scheduleTimedJobs(seed uint64, length time.Duration) {
+	rng := rand.New(rand.NewPCG(seed, 6))
+	for n := range 1 + rng.IntN(4) {
+		job := s.randomJob(1000 + n)
+		job.alwaysFails = false
+		job.job.Occurrences = 2 + rng.IntN(8)
+		job.job.FirstDue = time.Duration(s.now) + time.Duration(rng.Int64N(int64(length)))
+		job.job.Interval = time.Duration(100+rng.IntN(3000)) * time.Millisecond
+		s.at(time.Duration(rng.Int64N(int64(length))), func() { s.submit(job) })
+		if rng.IntN(4) == 0 {
+			s.at(time.Duration(rng.Int64N(int64(2*length))), func() { s.cancel(job) })
+		}
+	}
+	for range rng.IntN(10) {
+		id := structs.JobID(fmt.Sprintf("%016x", 1+rng.IntN(60)))
+		s.at(time.Duration(rng.Int64N(int64(length))), func() {
+			if job := s.jobs[id]; job != nil {
+				s.cancel(job)
+			}
+		})
+	}
+}
+
 // crashWorker crashes a worker, removes its directory entry and restarts it.
 func (s *simulation) crashWorker(w *fakeWorker) {
 	if !w.up {
@@ -187,6 +215,9 @@
 		s.at(time.Duration(s.rng.Int64N(int64(length))), func() { s.submit(job) })
 	}
 	s.scheduleFaults(length)
+	if seed > lastSeedWithoutTimes {
+		s.scheduleTimedJobs(seed, length)
+	}
 	if !slices.Contains(regressionSeeds, seed) {
 		s.scheduleRestarts(seed, length)
 		s.scheduleHiddenEnds(seed, length)
@@ -205,6 +236,8 @@
 			s.t.Errorf("seed %d: job %s was never accepted", seed, id)
 		case !known:
 			s.t.Errorf("seed %d: job %s is not known", seed, id)
+		case job.cancelledAt != 0 && !state.IsTerminal():
+			s.t.Errorf("seed %d: cancelled job %s (%s) is %s", seed, id, job.queue.Name, state)
 		case !state.IsTerminal():
 			s.t.Errorf("seed %d: job %s (%s) is still %s", seed, id, job.queue.Name, state)
 		case state == workflow.Done && job.alwaysFails:
@@ -217,10 +250,12 @@
 
 // checkAllDone checks that every task of a successful job has succeeded.
 func (s *simulation) checkAllDone(seed uint64, job *simJob) {
-	for n, st := range job.job.Steps {
-		for i := range st.Tasks {
-			if !s.everDone[taskName(stepName(job.job.ID, 0, n), i)] {
-				s.t.Errorf("seed %d: job %s has state done, but task %d of step %d is not done", seed, job.job.ID, i, n)
+	for k := range max(1, job.job.Occurrences) {
+		for n, st := range job.job.Steps {
+			for i := range st.Tasks {
+				if name := taskName(stepName(job.job.ID, k, n), i); !s.everDone[name] {
+					s.t.Errorf("seed %d: job %s has state done, but task %s is not done", seed, job.job.ID, name)
+				}
 			}
 		}
 	}
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -53,6 +54,7 @@
 	queue       workflow.Queue
 	accepted    bool
 	alwaysFails bool
+	cancelledAt structs.Timestamp // when its cancelling was acknowledged; 0 if it was not
 }
 
 // timer is a function to call at a virtual time.
@@ -392,19 +394,42 @@
 	if s.failures[key] >= job.queue.MaxAttempts {
 		s.t.Errorf("%v: %s starts again after %d failed runs", s.now, order.Task, s.failures[key])
 	}
+	occurrence := strings.Split(order.Task, ".")[1]
 	for _, before := range st.DependsOn {
 		for n := range job.job.Steps[before].Tasks {
-			name := fmt.Sprintf("%s.0.%d.%d", job.job.ID, before, n)
+			name := fmt.Sprintf("%s.%s.%d.%d", job.job.ID, occurrence, before, n)
 			if !s.everDone[name] {
 				s.t.Errorf("%v: %s starts before %s is done", s.now, order.Task, name)
 			}
 		}
 	}
+	if at := job.cancelledAt; at != 0 && s.now.Sub(at) > maxStartAfterCancel {
+		s.t.Errorf("%v: %s starts %v after its cancelling was acknowledged", s.now, order.Task, s.now.Sub(at))
+	}
+	if due := s.dueTime(job, occurrence); s.now.Before(due) {
+		s.t.Errorf("%v: %s starts before it is due at %v", s.now, order.Task, due)
+	}
 	if !job.accepted && !s.stored[job.job.ID] {
 		s.t.Errorf("%v: %s starts before its job is durable", s.now, order.Task)
 	}
 }
 
+// maxStartAfterCancel is the time after the acknowledgement of a job's cancelling in
+// which its tasks may still start.
+const maxStartAfterCancel = 3 * time.Second
+
+// dueTime returns when an occurrence of a job is due, or 0 for a job without times.
+func (s *simulation) dueTime(job *simJob, occurrence string) structs.Timestamp {
+	if job.job.Occurrences == 0 {
+		return 0
+	}
+	n, err := strconv.Atoi(occurrence)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return structs.Timestamp(job.job.FirstDue + time.Duration(n)*job.job.Interval)
+}
+
 // endKey returns the key of an end in listedEnds, and the task or step that owns the
 // end. The members of a gang share one key.
 func (s *simulation) endKey(task string, run uint64, how workflow.EndKind) (string, string) {
@@ -471,9 +496,15 @@
 		if callIDOf(job.job.ID) == r.Call && r.Verdict == Accepted {
 			job.accepted = true
 		}
+		if cancelIDOf(job.job.ID) == r.Call && r.Verdict == Accepted && job.cancelledAt == 0 {
+			job.cancelledAt = s.now
+		}
 	}
 }
 
+// cancelIDOf returns the call that cancels a job.
+func cancelIDOf(id structs.JobID) CallID { return callIDOf(id) | 1<<40 }
+
 func callIDOf(id structs.JobID) CallID { return CallID(hash(string(id))) }
 
 // submit submits a job to the leader repeatedly until it is accepted.
@@ -489,3 +520,18 @@
 	}
 	try()
 }
+
+// cancel asks the leader to cancel a job repeatedly until it acknowledges that.
+func (s *simulation) cancel(job *simJob) {
+	var try func()
+	try = func() {
+		if job.cancelledAt != 0 {
+			return
+		}
+		if job.accepted {
+			s.leader.reduce(CancelJob{Call: cancelIDOf(job.job.ID), ID: job.job.ID})
+		}
+		s.at(time.Second, try)
+	}
+	try()
+}
