Steps find their approved workers again after these have come back

Cause: a step keeps its approved workers. One that was cut off for long enough to be removed was known as another object when it came back: the step took it for the removed one, which is never known again, and the advisor was not asked about it a second time. TestApprovedWorkersComeBack: no start without the change. Change: a worker that comes back takes the place of its earlier state in all steps.

--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -194,6 +194,23 @@
 	c.placementNeeded, c.nextReservationAt = true, 0
 }
 
+// replaceApprovedWorker puts a worker that has come back in the place of its earlier
+// state among the approved workers of all steps. The approval of a worker for a step
+// does not change, and the advisor is not asked about it again.
+func (c *Dispatcher) replaceApprovedWorker(w *worker) {
+	for _, j := range c.jobs {
+		for _, occ := range j.occurrences {
+			for _, s := range occ.steps {
+				for n, approved := range s.approvedWorkers {
+					if approved.ID == w.ID {
+						s.approvedWorkers[n] = w
+					}
+				}
+			}
+		}
+	}
+}
+
 // adviceRetryDelay is the delay after a failed call to the advisor.
 const adviceRetryDelay = 200 * 1e6
 
--- a/dispatch/advice_test.go
+++ b/dispatch/advice_test.go
@@ -164,3 +164,56 @@
 		t.Errorf("calls of an urgent job during long calls: %v, want one through the instance that takes no long calls", calls)
 	}
 }
+
+// TestApprovedWorkersComeBack guards against a step that never starts although its
+// approved workers are idle: they were cut off for long enough to be removed, and had
+// come back (gangs of sadm-drum-grown trouble-1 and others).
+func TestApprovedWorkersComeBack(t *testing.T) {
+	s := newDispatcherHarness(t, 2, largeWorker)
+	advisor := &workflow.Advisor{BaseTime: 10 * time.Millisecond, TimePerWorker: time.Millisecond, Validity: 1500 * time.Millisecond}
+	step := workflow.Step{Tasks: 4, Gang: true, Estimate: time.Second, Resources: structs.Resources{MilliCPU: 15_000}}
+	s.reduce(SubmitJob{Call: 1, Job: workflow.Job{ID: "0000000000000001", Steps: []workflow.Step{step}}, Queue: batchQueue(advisor)})
+	var entries []workflow.Worker
+	for _, w := range s.dispatcher.sortedWorkers {
+		entries = append(entries, w.Worker)
+		w.pausedUntil = s.now.Add(time.Hour)
+	}
+	for _, call := range takeEffects[RequestAdvice](s) {
+		s.answerAdvice(call)
+	}
+	s.commit()
+	for _, entry := range entries {
+		s.reduce(WorkerUnlisted{ID: entry.ID})
+	}
+	for len(s.dispatcher.workers) > 0 {
+		s.advance(time.Second)
+		for _, sent := range takeEffects[RenewLease](s) {
+			s.reduce(LeaseAnswered{Worker: sent.Worker.ID, SentAt: s.now, Outcome: workflow.Unanswered})
+		}
+	}
+	for _, entry := range entries {
+		s.reduce(WorkerListed{Worker: entry})
+		s.report(entry.ID, time.Minute)
+	}
+	var starts []StartTask
+	for range 40 {
+		for _, effect := range s.effects {
+			if start, ok := effect.(StartTask); ok {
+				starts = append(starts, start)
+			}
+		}
+		if len(starts) > 0 {
+			break
+		}
+		for _, call := range takeEffects[RequestAdvice](s) {
+			s.answerAdvice(call)
+		}
+		s.advance(50 * time.Millisecond)
+		for _, entry := range entries {
+			s.report(entry.ID, time.Minute)
+		}
+	}
+	if len(starts) != 4 {
+		t.Errorf("%d starts within 2 s after the workers have come back, want 4", len(starts))
+	}
+}
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -23,7 +23,8 @@
 	endedWithSteps []*job  // ended jobs that still have their steps
 	ready          []*step // steps whose dependencies are done
 	workers        map[structs.WorkerID]*worker
-	sortedWorkers  []*worker // workers by identifier
+	sortedWorkers  []*worker                 // workers by identifier
+	removedWorkers map[structs.WorkerID]bool // workers that were removed and may come back
 
 	// unreported is the number of workers that may still run tasks of the
 	// previous leader: they have not reported, and its leases have not expired.
@@ -246,7 +247,7 @@
 func New(policy Policy, epoch structs.Epoch, now, claimed structs.Timestamp) *Dispatcher {
 	return &Dispatcher{
 		policy: policy, epoch: epoch, now: now, leadershipConfirmedAt: claimed, startedAt: now,
-		jobs: map[structs.JobID]*job{}, workers: map[structs.WorkerID]*worker{}, approvalRates: map[string]float64{}, runTimeModels: map[string]*runTimeModel{}, meanWork: map[string]float64{},
+		jobs: map[structs.JobID]*job{}, workers: map[structs.WorkerID]*worker{}, removedWorkers: map[structs.WorkerID]bool{}, approvalRates: map[string]float64{}, runTimeModels: map[string]*runTimeModel{}, meanWork: map[string]float64{},
 	}
 }
 
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -48,6 +48,10 @@
 		c.unreported++
 	}
 	c.workers[entry.ID] = w
+	if c.removedWorkers[entry.ID] {
+		delete(c.removedWorkers, entry.ID)
+		c.replaceApprovedWorker(w)
+	}
 	at, _ := slices.BinarySearchFunc(c.sortedWorkers, w, func(a, b *worker) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	c.sortedWorkers = slices.Insert(c.sortedWorkers, at, w)
 	c.workerChanged(w.ID)
@@ -251,6 +255,7 @@
 
 func (c *Dispatcher) removeWorker(w *worker) {
 	delete(c.workers, w.ID)
+	c.removedWorkers[w.ID] = true
 	n := slices.Index(c.sortedWorkers, w)
 	c.sortedWorkers = slices.Delete(slices.Clone(c.sortedWorkers), n, n+1)
 	c.workerChanged(w.ID)
