Progress rows are removed with the commit that replaces them; no polling for ends that can't be acknowledged

A new leader merges all parts of a job's progress, so a part that a bucket no longer needs must not outlast the commit that writes the bucket; its removal could wait for a later one when 96 rows were written. While the store was away, a worker with more ends than it lists was asked 16 times a second; without an acknowledgement the answer is the same. Change: such rows are removed in the same commit, all entries count towards its limit; the wait is dropped only after an end was acknowledged. run_lost shows no time left where no lease was granted.

--- a/dispatch/commit.go
+++ b/dispatch/commit.go
@@ -281,9 +281,9 @@
 	}
 }
 
-// writeWorkers adds up to maxWorkerRows changed worker buckets to a commit.
-func (c *Dispatcher) writeWorkers(commit *Commit) error {
-	count := min(len(c.dirtyWorkers), maxWorkerRows, max(maxEntries-len(commit.Puts), 0))
+// writeWorkers adds up to limit changed worker buckets to a commit.
+func (c *Dispatcher) writeWorkers(commit *Commit, limit int) error {
+	count := min(len(c.dirtyWorkers), limit)
 	for _, n := range c.dirtyWorkers[:count] {
 		list := []workflow.Worker{}
 		for _, w := range c.sortedWorkers {
--- a/dispatch/commit_builder.go
+++ b/dispatch/commit_builder.go
@@ -26,6 +26,11 @@
 // isFull reports whether the commit takes no further rows.
 func (b *commitBuilder) isFull() bool { return b.bytes > maxCommitBytes }
 
+// remainingEntries returns how many more entries the commit takes.
+func (b *commitBuilder) remainingEntries() int {
+	return max(maxEntries-len(b.commit.Puts)-len(b.commit.Removes), 0)
+}
+
 // fits reports whether the commit takes a job. It takes any first one.
 func (b *commitBuilder) fits(j *job) bool {
 	return b.bytes == 0 || b.bytes+b.sizeOf(j) <= maxCommitBytes
@@ -140,7 +145,7 @@
 			if j.specRow == nil {
 				continue
 			}
-			if len(b.commit.Puts) >= maxEntries || b.isFull() {
+			if b.remainingEntries() == 0 || b.isFull() {
 				return nil // with the next commit
 			}
 			if err := b.compact(j.specRow); err != nil {
@@ -207,10 +212,10 @@
 	if err := b.removeOutcomes(); err != nil {
 		return err
 	}
-	if err := c.writeWorkers(&b.commit); err != nil {
+	if err := c.writeWorkers(&b.commit, min(maxWorkerRows, b.remainingEntries())); err != nil {
 		return err
 	}
-	removed := min(len(c.removals), max(maxEntries-len(b.commit.Puts), 0))
+	removed := min(len(c.removals), b.remainingEntries())
 	b.commit.Removes = append(b.commit.Removes, c.removals[:removed]...)
 	c.removals = append(c.removals[:0], c.removals[removed:]...)
 	return nil
@@ -260,13 +265,12 @@
 	}
 	part := 0
 	err := putInRows(rows, func(_ []storedProgress, data []byte) {
-		id := tablestore.RowID{Table: ProgressTable, Key: progressKey(n, part)}
-		c.removals = slices.DeleteFunc(c.removals, func(r tablestore.RowID) bool { return r == id }) // of a bucket that has grown again
-		b.commit.Puts = append(b.commit.Puts, tablestore.Put{Table: id.Table, Key: id.Key, Value: data})
+		b.commit.Puts = append(b.commit.Puts, tablestore.Put{Table: ProgressTable, Key: progressKey(n, part), Value: data})
 		part++
 	})
 	for old := part; old < c.bucketRows[n]; old++ {
-		c.removals = append(c.removals, tablestore.RowID{Table: ProgressTable, Key: progressKey(n, old)})
+		// In the same commit: a new leader merges all parts.
+		b.commit.Removes = append(b.commit.Removes, tablestore.RowID{Table: ProgressTable, Key: progressKey(n, old)})
 	}
 	c.bucketRows[n] = part
 	return err
--- a/dispatch/lost.go
+++ b/dispatch/lost.go
@@ -37,15 +37,24 @@
 func (c *Dispatcher) runLost(w *worker, a *allocation, reason lossReason) {
 	if a.task != nil && a.run != 0 {
 		a.task.lostRun = &EarlierRun{
-			Worker: w.ID, Incarnation: w.Incarnation, Run: a.run, Reason: string(reason), LeaseLeft: w.leaseEnd.Sub(c.now),
+			Worker: w.ID, Incarnation: w.Incarnation, Run: a.run, Reason: string(reason), LeaseLeft: w.leaseLeft(c.now),
 		}
 	}
 	if reason != lossRejected && a.run != 0 {
-		c.logDecision(Decision{Event: "run_lost", Task: a.name, Worker: w.ID, Run: a.run, Reason: string(reason), Value: int64(w.leaseEnd.Sub(c.now) / time.Millisecond)})
+		c.logDecision(Decision{Event: "run_lost", Task: a.name, Worker: w.ID, Run: a.run, Reason: string(reason), Value: int64(w.leaseLeft(c.now) / time.Millisecond)})
 	}
 	c.runEnded(w, a, endLost)
 }
 
+// leaseLeft returns the time until all leases that this leader has granted to a worker
+// have ended. It is negative if they have, and 0 if it has granted none.
+func (w *worker) leaseLeft(now structs.Timestamp) time.Duration {
+	if w.leaseEnd == 0 {
+		return 0
+	}
+	return w.leaseEnd.Sub(now)
+}
+
 // allLost ends all runs on a worker.
 func (c *Dispatcher) allLost(w *worker, reason lossReason) {
 	for _, a := range sortedAllocations(w) {
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -212,6 +212,8 @@
 	processedEnd    uint64 // highest number of a processed end
 	acknowledgedEnd uint64 // the effects of ends up to this number are stored
 	pendingAcks     []pendingAck
+	// sentAcknowledgement is the acknowledged end in the last renewal.
+	sentAcknowledgement uint64
 
 	renewing       bool
 	renewalSentAt  structs.Timestamp // when the latest renewal was sent
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -101,7 +101,7 @@
 // next renewal due. Answers to renewals that were sent before are ignored.
 func (c *Dispatcher) resetWorker(w *worker) {
 	w.known, w.renewing, w.nextRenewalAt, w.incarnationSince = false, false, 0, c.now
-	w.processedEnd, w.acknowledgedEnd, w.pendingAcks = 0, 0, nil
+	w.processedEnd, w.acknowledgedEnd, w.sentAcknowledgement, w.pendingAcks = 0, 0, 0, nil
 	w.clock, w.clockAt, w.leaseDeadline, w.leaseEnd = 0, 0, 0, 0
 	w.failures, w.pausedUntil = 0, 0
 	clear(w.failedJobs)
@@ -149,9 +149,11 @@
 		// counted anew: it would forget some that no leader has processed.
 		order.AcknowledgedThrough = w.acknowledgedEnd
 		order.Deadline = c.extendLease(w)
-		if !w.endsTruncated { // the next ends are listed once these are acknowledged
-			order.Wait = min(c.policy.RenewalWait, c.leaseLength(w)/4)
+		order.Wait = min(c.policy.RenewalWait, c.leaseLength(w)/4)
+		if w.endsTruncated && w.acknowledgedEnd > w.sentAcknowledgement {
+			order.Wait = 0 // the next ends are listed at once
 		}
+		w.sentAcknowledgement = w.acknowledgedEnd
 	}
 	w.renewalSentAt = c.now
 	c.emit(RenewLease{Worker: w.Worker, Order: order})
