A new leader does not wait for good for a worker whose address another one has taken

Cause: since the rule on silent workers (leases.go), one that answers is waited for. A renewal that another worker answers at the address counted neither as an answer nor as missed; before, the wait ended with the leases whatever the worker did. Change: such a renewal counts as missed, so the leases decide. The schedules draw workers that are replaced at their address.

--- a/dispatch/faults_test.go
+++ b/dispatch/faults_test.go
@@ -121,6 +121,27 @@
 // cancels and no leaders whose time of day is wrong, which keeps the seeds of earlier findings as they were.
 const lastSeedWithoutTimes = 30_000
 
+// lastSeedWithoutReplacements is the last seed whose schedule has no workers that
+// another one replaces at their address.
+const lastSeedWithoutReplacements = 60_000
+
+// scheduleReplacements draws workers that are lost for good. Another worker answers at
+// their address soon after. Every gang fits on the workers that stay.
+func (s *simulation) scheduleReplacements(seed uint64, length time.Duration) {
+	rng := rand.New(rand.NewPCG(seed, 8))
+	for range rng.IntN(3) {
+		w := s.workers[5+rng.IntN(5)]
+		at := time.Duration(rng.Int64N(int64(length)))
+		s.at(at, func() {
+			if w.up {
+				w.crash()
+				w.replaced = true
+			}
+		})
+		s.at(at+4500*time.Millisecond, func() { s.leader.reduce(WorkerUnlisted{ID: w.ID}) })
+	}
+}
+
 // scheduleTimedJobs submits jobs that run several times, and cancels some jobs.
 func (s *simulation) scheduleTimedJobs(seed uint64, length time.Duration) {
 	rng := rand.New(rand.NewPCG(seed, 6))
@@ -228,6 +249,9 @@
 	if seed > lastSeedWithoutTimes {
 		s.scheduleTimedJobs(seed, length)
 	}
+	if seed > lastSeedWithoutReplacements {
+		s.scheduleReplacements(seed, length)
+	}
 	if !slices.Contains(regressionSeeds, seed) {
 		s.scheduleRestarts(seed, length)
 		s.scheduleHiddenEnds(seed, length)
--- a/dispatch/orders_test.go
+++ b/dispatch/orders_test.go
@@ -253,6 +253,27 @@
 	}
 }
 
+// TestTakenAddressEndsRecovery guards against a new leader that waits for good for a
+// worker that has left and whose address another one has taken: jobs of the leader
+// before did not start any more (hunts of power-after-accept, LOST).
+func TestTakenAddressEndsRecovery(t *testing.T) {
+	c := New(DefaultPolicy(), 2, structs.Timestamp(time.Minute), structs.Timestamp(time.Minute))
+	const leases = 5 * time.Second
+	c.previousLeasesEnd = c.now.Add(leases)
+	c.markUnreported(c.addWorker(workflow.Worker{ID: "left", Incarnation: 1, Service: "svc", Address: "w0", Capacity: largeWorker}))
+	for passed := time.Duration(0); passed < leases+time.Second; passed += 100 * time.Millisecond {
+		now := structs.Timestamp(time.Minute).Add(passed)
+		for _, effect := range slices.Clone(c.Reduce(now, Tick{})) {
+			if _, ok := effect.(RenewLease); ok {
+				c.Reduce(now, LeaseAnswered{Worker: "left", SentAt: now, Outcome: workflow.OtherIncarnation})
+			}
+		}
+	}
+	if c.unreported != 0 || len(c.workers) != 0 {
+		t.Errorf("%d unreported of %d workers after all leases, want none", c.unreported, len(c.workers))
+	}
+}
+
 // TestDrainedWorkersTasksEndWithItsLease guards against starting tasks of a draining
 // worker again while they run there: its directory entry is missing and it is silent,
 // as it is when it has left, but also when it is cut off. It also guards against
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -268,6 +268,10 @@
 		return
 	}
 	s.at(s.randomDelay(1, 30), func() {
+		if w.replaced {
+			s.at(s.randomDelay(1, 30), func() { answer(workflow.OtherIncarnation) })
+			return
+		}
 		if !w.up && !w.lostPower {
 			answer(workflow.NotSent)
 			return
--- a/dispatch/sim_worker_test.go
+++ b/dispatch/sim_worker_test.go
@@ -18,6 +18,7 @@
 	workflow.Worker
 	up                bool
 	unlisted          bool              // has no directory entry
+	replaced          bool              // lost for good; another worker answers at its address
 	lostPower         bool              // while it is not up, requests get no answer instead of a refused connection
 	unresponsiveUntil structs.Timestamp // answers no requests until then, but keeps running tasks
 	failsAllTasks     bool              // every task that it runs fails
@@ -211,6 +212,9 @@
 }
 
 func (w *fakeWorker) restart() {
+	if w.replaced {
+		return
+	}
 	w.up, w.startedAt = true, w.sim.now
 	w.Incarnation++
 }
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -115,6 +115,7 @@
 	}
 	c.allLost(w, lossNewIncarnation)
 	c.resetWorker(w)
+	w.missedRenewals = max(w.missedRenewals, missedRenewalsBeforeSilent) // it does not answer
 	w.nextRenewalAt = c.now.Add(renewalRetryDelay)
 }
 
