Log runs that are listed after they counted as lost, forgotten ends and workers that are listed late

Cause: run_lost and run_replaced name the rule by which a run counts as over; nothing told whether its worker listed it later, whether a worker had forgotten ends that no leader processed, or whether a worker was first listed after the recovery. Change: lost_run_listed (rule, state, time since), ends_forgotten (gap in the numbers of a worker's ends) and worker_listed_late, each one line and counted by mangodrum_cell_decisions_total, the first also by rule in mangodrum_cell_lost_runs_listed_total. start, run_lost and worker_restarted name the worker's incarnation. No decision changes.

--- a/cell/effects.go
+++ b/cell/effects.go
@@ -64,15 +64,19 @@
 	"advice": "good_workers", "task_stalled": "percent", "quarantine": "failures",
 	"worker_silent": "runs", "worker_restarted": "runs", "lease_over": "runs", "worker_gone": "since_change_ms", "worker_back": "missed_renewals",
 	"worker_draining": "remaining_ms", "recovery_complete": "jobs",
+	"lost_run_listed": "since_loss_ms", "ends_forgotten": "ends", "worker_listed_late": "since_change_ms",
 }
 
 // logDecision logs and counts a decision of the dispatcher.
 func (l *leader) logDecision(d dispatch.Decision) {
 	l.instance.metrics.count("decisions", "event", d.Event)
-	if d.Event == "run_lost" {
+	switch d.Event {
+	case "run_lost":
 		l.instance.metrics.count("runs_lost", "reason", d.Reason)
+	case "lost_run_listed":
+		l.instance.metrics.count("lost_runs_listed", "reason", d.Reason)
 	}
-	args := make([]any, 0, 20)
+	args := make([]any, 0, 24)
 	if d.Job != "" {
 		args = append(args, "job", string(d.Job))
 	}
@@ -85,9 +89,15 @@
 	if d.Run != 0 {
 		args = append(args, "run", d.Run)
 	}
+	if d.Incarnation != 0 {
+		args = append(args, "incarnation", int64(d.Incarnation))
+	}
 	if d.Reason != "" {
 		args = append(args, "reason", d.Reason)
 	}
+	if d.State != "" {
+		args = append(args, "state", d.State)
+	}
 	if key := decisionValueKeys[d.Event]; key != "" {
 		args = append(args, key, d.Value)
 	}
--- a/dispatch/events.go
+++ b/dispatch/events.go
@@ -187,6 +187,12 @@
 	Run    uint64
 	Reason string
 	Value  int64 // number that explains the decision; its meaning depends on Event
+	// Incarnation is that of the worker as the leader knows it, for decisions that
+	// depend on it; 0: not given.
+	Incarnation workflow.Incarnation
+	// State is how the worker lists the run, for the event lost_run_listed: running, or
+	// the kind of its end.
+	State string
 	// Earlier is the run that a start replaces, for the event run_replaced.
 	Earlier *EarlierRun
 }
--- a/dispatch/lost.go
+++ b/dispatch/lost.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"time"
 
 	"github.com/mangodrum/mangodrum/structs"
@@ -35,17 +36,64 @@
 // runLost ends a run that is certainly over and that its worker does not list as
 // ended.
 func (c *Dispatcher) runLost(w *worker, a *allocation, reason lossReason) {
+	run := EarlierRun{Worker: w.ID, Incarnation: w.Incarnation, Run: a.run, Reason: string(reason), LeaseLeft: w.leaseLeft(c.now)}
 	if a.task != nil && a.run != 0 {
-		a.task.lostRun = &EarlierRun{
-			Worker: w.ID, Incarnation: w.Incarnation, Run: a.run, Reason: string(reason), LeaseLeft: w.leaseLeft(c.now),
-		}
+		a.task.lostRun = &run
 	}
 	if reason != lossRejected && a.run != 0 {
-		c.logDecision(Decision{Event: "run_lost", Task: a.name, Worker: w.ID, Run: a.run, Reason: string(reason), Value: int64(w.leaseLeft(c.now) / time.Millisecond)})
+		c.logDecision(Decision{
+			Event: "run_lost", Task: a.name, Worker: w.ID, Incarnation: w.Incarnation, Run: a.run, Reason: string(reason),
+			Value: int64(w.leaseLeft(c.now) / time.Millisecond),
+		})
+		c.rememberLostRun(a.name, run)
 	}
 	c.runEnded(w, a, endLost)
 }
 
+// lostRunMemory is how long a lost run is remembered. It is longer than a request
+// may be late and than a lease may last after that.
+const lostRunMemory = 30 * time.Second
+
+// lostRun is a run that counted as lost at the given time.
+type lostRun struct {
+	EarlierRun
+	at structs.Timestamp
+}
+
+// rememberLostRun keeps a lost run, so that a worker that lists it later shows that the
+// rule by which it was lost was wrong.
+func (c *Dispatcher) rememberLostRun(task string, run EarlierRun) {
+	if c.now.Sub(c.lostRunsPrunedAt) > lostRunMemory {
+		c.lostRunsPrunedAt = c.now
+		maps.DeleteFunc(c.lostRuns, func(_ string, lost lostRun) bool { return c.now.Sub(lost.at) > lostRunMemory })
+	}
+	c.lostRuns[task] = lostRun{run, c.now}
+}
+
+// checkLostRun logs a run that counted as lost and that its worker lists all the same,
+// as running or ended. Its task may have run twice.
+func (c *Dispatcher) checkLostRun(w *worker, task string, run uint64, state string) {
+	lost, known := c.lostRuns[task]
+	if !known || lost.Run != run || lost.Worker != w.ID {
+		return
+	}
+	delete(c.lostRuns, task)
+	c.logDecision(Decision{
+		Event: "lost_run_listed", Task: task, Worker: w.ID, Incarnation: w.Incarnation, Run: run, Reason: lost.Reason, State: state,
+		Value: int64(c.now.Sub(lost.at) / time.Millisecond), Earlier: &lost.EarlierRun,
+	})
+}
+
+// checkEndNumbers logs that a worker has forgotten ends which this leader has not
+// processed: it numbers its ends without gaps, and forgets only acknowledged ones.
+func (c *Dispatcher) checkEndNumbers(w *worker, end workflow.EndedTask) {
+	if w.endsFollow && end.Sequence > w.processedEnd+1 {
+		c.logDecision(Decision{
+			Event: "ends_forgotten", Worker: w.ID, Incarnation: w.Incarnation, Value: int64(end.Sequence - w.processedEnd - 1),
+		})
+	}
+}
+
 // leaseLeft returns the time until all leases that this leader has granted to a worker
 // have ended. It is negative if they have, and 0 if it has granted none.
 func (w *worker) leaseLeft(now structs.Timestamp) time.Duration {
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -77,7 +77,7 @@
 	}
 	c.sendStart(w, a)
 	c.logDecision(Decision{
-		Event: "start", Job: t.step.job.spec.ID, Task: t.name, Worker: w.ID, Run: run, Reason: t.step.job.queue.Name,
+		Event: "start", Job: t.step.job.spec.ID, Task: t.name, Worker: w.ID, Incarnation: w.Incarnation, Run: run, Reason: t.step.job.queue.Name,
 		Value: int64(c.now.Sub(t.step.readyAt) / time.Millisecond),
 	})
 }
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -29,6 +29,7 @@
 	// unreported is the number of workers that may still run tasks of the
 	// previous leader: they have not reported, and its leases have not expired.
 	unreported            int
+	recoveryLogged        bool              // unreported was 0 after a report
 	startedAt             structs.Timestamp // start of this leader
 	previousLeasesEnd     structs.Timestamp
 	leadershipConfirmedAt structs.Timestamp  // send time of the last successful commit
@@ -51,6 +52,8 @@
 	approvalRates         map[string]float64       // share of the workers named in calls that the advisor approved, by queue
 	runTimeModels         map[string]*runTimeModel // by queue
 	meanWork              map[string]float64       // mean work of a job by queue; see occurrence.work
+	lostRuns              map[string]lostRun       // by task; see rememberLostRun
+	lostRunsPrunedAt      structs.Timestamp
 }
 
 // job is a job that is stored or waits for its first commit.
@@ -212,6 +215,9 @@
 	processedEnd    uint64 // highest number of a processed end
 	acknowledgedEnd uint64 // the effects of ends up to this number are stored
 	pendingAcks     []pendingAck
+	// endsFollow is true once the next end to be listed has the number after
+	// processedEnd. Before the first report, a previous leader may have acknowledged some.
+	endsFollow bool
 	// sentAcknowledgement is the acknowledged end in the last renewal.
 	sentAcknowledgement uint64
 
@@ -249,7 +255,7 @@
 func New(policy Policy, epoch structs.Epoch, now, claimed structs.Timestamp) *Dispatcher {
 	return &Dispatcher{
 		policy: policy, epoch: epoch, now: now, leadershipConfirmedAt: claimed, startedAt: now,
-		jobs: map[structs.JobID]*job{}, workers: map[structs.WorkerID]*worker{}, removedWorkers: map[structs.WorkerID]bool{}, approvalRates: map[string]float64{}, runTimeModels: map[string]*runTimeModel{}, meanWork: map[string]float64{},
+		jobs: map[structs.JobID]*job{}, workers: map[structs.WorkerID]*worker{}, removedWorkers: map[structs.WorkerID]bool{}, approvalRates: map[string]float64{}, runTimeModels: map[string]*runTimeModel{}, meanWork: map[string]float64{}, lostRuns: map[string]lostRun{},
 	}
 }
 
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -44,6 +44,11 @@
 		Worker: entry, allocations: map[string]*allocation{}, failedJobs: map[structs.JobID]bool{},
 	}
 	if c.now.Before(c.previousLeasesEnd) {
+		if c.unreported == 0 && c.recoveryLogged {
+			// Tasks that this worker runs for the previous leader may have been
+			// started again already.
+			c.logDecision(Decision{Event: "worker_listed_late", Worker: entry.ID, Incarnation: entry.Incarnation, Value: int64(c.now.Sub(c.startedAt) / time.Millisecond)})
+		}
 		c.markUnreported(w)
 	}
 	c.workers[entry.ID] = w
@@ -80,7 +85,7 @@
 // tasks of the previous leader.
 func (c *Dispatcher) incarnationEnded(w *worker, reason string) {
 	if w.known || len(w.allocations) > 0 {
-		c.logDecision(Decision{Event: "worker_restarted", Worker: w.ID, Reason: reason, Value: int64(len(w.allocations))})
+		c.logDecision(Decision{Event: "worker_restarted", Worker: w.ID, Incarnation: w.Incarnation, Reason: reason, Value: int64(len(w.allocations))})
 	}
 	for _, a := range sortedAllocations(w) {
 		if a.mayReachNextIncarnation() {
@@ -102,6 +107,7 @@
 func (c *Dispatcher) resetWorker(w *worker) {
 	w.known, w.renewing, w.nextRenewalAt, w.incarnationSince = false, false, 0, c.now
 	w.processedEnd, w.acknowledgedEnd, w.sentAcknowledgement, w.pendingAcks = 0, 0, 0, nil
+	w.endsFollow = true // a new incarnation numbers its ends from 1
 	w.clock, w.clockAt, w.leaseDeadline, w.leaseEnd = 0, 0, 0, 0
 	w.failures, w.pausedUntil = 0, 0
 	clear(w.failedJobs)
@@ -300,6 +306,7 @@
 	if w.unreported {
 		c.countPreviousLease(w)
 	}
+	w.endsFollow = true
 	w.endsTruncated = r.EndsTruncated
 	if !w.endsTruncated {
 		c.endMissingRuns(w, listed, e.SentAt)
@@ -316,6 +323,7 @@
 	if end.Sequence <= w.processedEnd {
 		return
 	}
+	c.checkEndNumbers(w, end)
 	w.processedEnd = end.Sequence
 	t := c.findReportedTask(end.Task)
 	ack := pendingAck{number: end.Sequence}
@@ -324,8 +332,11 @@
 	}
 	if a := w.allocations[end.Task]; a != nil && a.run == end.Run {
 		c.runEnded(w, a, end)
-	} else if t != nil {
-		c.applyInheritedEnd(t, end)
+	} else {
+		c.checkLostRun(w, end.Task, end.Run, string(end.Kind))
+		if t != nil {
+			c.applyInheritedEnd(t, end)
+		}
 	}
 	if ack.job != nil {
 		ack.jobVersion = ack.job.version
@@ -384,6 +395,9 @@
 // of an incarnation.
 func (c *Dispatcher) applyRunning(w *worker, r workflow.RunningTask, first bool) {
 	a := w.allocations[r.Task]
+	if a == nil || a.run != r.Run {
+		c.checkLostRun(w, r.Task, r.Run, "running")
+	}
 	if a == nil {
 		a = c.adoptRun(w, r)
 	}
