soak: a renewal carried out on the next incarnation of a worker starts ended tasks again

What callers saw: a task starts again after it has ended as done and that end was acknowledged (rule TWICE).

Cause: a renewal without an answer may be carried out later, by whichever incarnation of the worker is up then. Its acknowledged end number makes that incarnation forget ends that no leader has processed. The next report lists neither run nor end, so the run counts as missing and its task starts again.

--- /dev/null
+++ b/soak/late_test.go
@@ -0,0 +1,78 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/mangodrum/mangodrum/platform/platformtest"
+	"github.com/mangodrum/mangodrum/platform/wire"
+)
+
+// lateTestTimeout limits each wait in the tests of late requests.
+const lateTestTimeout = 6 * time.Second
+
+// Guards against tasks that start again after an end as done that was acknowledged. A
+// renewal sent to the ended incarnation of a worker acknowledges its ends by number;
+// carried out late, it must not make the next incarnation forget ends that no leader has
+// processed.
+func TestLateRenewalForgetsNoEnds(t *testing.T) {
+	c := startCell(t, 1, 1)
+	w := c.platform.Workers[0]
+	c.runJob(1, 4, 100*time.Millisecond)
+	held := w.HoldBackRenewal(4)
+	c.awaitHeld(held)
+	w.LosePower()
+	w.RestorePower()
+	held.CarryOutAtNextEnd()
+	c.runJob(2, 2, 300*time.Millisecond)
+	time.Sleep(2 * time.Second) // for a second start of a task
+	c.reportViolations()
+}
+
+// submitTasks submits a job of one step and waits until it is accepted.
+func (c *testCell) submitTasks(number, tasks int, duration time.Duration) *soakJob {
+	c.t.Helper()
+	job := &soakJob{id: fmt.Sprintf("%016x", number), queue: "urgent"}
+	step := wire.Step{Count: tasks, CPU: 1500, MemMB: 512, EstimateMs: float64(duration.Milliseconds())}
+	job.body = wire.Submission{Spec: "spec", Steps: []wire.Step{step}}
+	c.submit(&http.Client{Timeout: 4 * time.Second}, rand.New(rand.NewPCG(1, 1)), job)
+	if !job.accepted {
+		c.t.Fatalf("job %s was not accepted", job.id)
+	}
+	return job
+}
+
+// runJob submits a job of one step and waits until its tasks have ended.
+func (c *testCell) runJob(number, tasks int, duration time.Duration) {
+	c.t.Helper()
+	job := c.submitTasks(number, tasks, duration)
+	c.await("the end of job "+job.id, func() bool { return c.platform.IsDone(job.id) })
+}
+
+func (c *testCell) await(what string, condition func() bool) {
+	c.t.Helper()
+	for deadline := time.Now().Add(lateTestTimeout); !condition(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			c.t.Fatalf("%s did not happen within %s", what, lateTestTimeout)
+		}
+	}
+}
+
+func (c *testCell) awaitHeld(held *platformtest.HeldRequest) {
+	c.t.Helper()
+	select {
+	case <-held.Received():
+	case <-time.After(lateTestTimeout):
+		c.t.Fatalf("no request was held back within %s", lateTestTimeout)
+	}
+}
+
+func (c *testCell) reportViolations() {
+	c.t.Helper()
+	for _, violation := range c.platform.Violations() {
+		c.t.Error(violation)
+	}
+}
