Requests to an ended incarnation of a worker do not act on the next one

Cause: a request names a worker's identifier and may be carried out seconds late, by the next incarnation too. Its numbers have a meaning for one incarnation only. The acknowledged end of a late renewal makes the next incarnation forget ends that no leader has processed: the runs count as missing. Its deadline, on a clock that is ahead, grants the longest lease, 6 or 10 s, while the leader counts 4 s: once the worker is cut off, its tasks start elsewhere while they run. A late start grants the same lease. Change: the fencing token of a worker rises with each incarnation that the leader sees end; epochs are multiples of 1,000 and the numbers between are those tokens. Once the next incarnation has received the raised token it rejects late requests of all kinds. The report that shows a new incarnation does not count, the next one does. A rejected older token of the same leader is no deposition. A run that is carried over to a new incarnation and not listed is over at once: the stop that it needed, up to 1 s, and the list of late starts are gone. Tests replaced, as the mechanism that they asked for (a stop) is: TestUnansweredStartIsStoppedAtNextIncarnation and TestLateStartOfEndedRunIsStopped by ...IsFenced..., which demand that no task starts again before a request with a higher token is answered, and that the next request to the new incarnation has one. New: TestReportBeforeTheFenceDoesNotCount, TestOwnFencedRequestIsNoDeposition, TestTokensStayBelowNextEpoch, TestReturnedWorkerGetsHigherToken.

--- a/cell/effects.go
+++ b/cell/effects.go
@@ -26,18 +26,18 @@
 		case dispatch.StartTask:
 			l.spawn("start", func() {
 				outcome := l.instance.options.Workers.Start(&e.Worker, e.Order, workerRequestTimeout)
-				l.post(dispatch.StartAnswered{Worker: e.Worker.ID, Task: e.Order.Task, Run: e.Order.Run, Outcome: outcome})
+				l.post(dispatch.StartAnswered{Worker: e.Worker.ID, FencingToken: e.Order.FencingToken, Task: e.Order.Task, Run: e.Order.Run, Outcome: outcome})
 			})
 		case dispatch.StopTask:
 			l.spawn("stop", func() {
 				outcome := l.instance.options.Workers.Stop(&e.Worker, e.Order, workerRequestTimeout)
-				l.post(dispatch.StopAnswered{Worker: e.Worker.ID, Task: e.Order.Task, Run: e.Order.Run, Outcome: outcome})
+				l.post(dispatch.StopAnswered{Worker: e.Worker.ID, FencingToken: e.Order.FencingToken, Task: e.Order.Task, Run: e.Order.Run, Outcome: outcome})
 			})
 		case dispatch.RenewLease:
 			sentAt := l.now()
 			l.spawn("renew", func() {
 				report, outcome := l.instance.options.Workers.Lease(&e.Worker, e.Order, e.Order.Wait+leaseTimeout)
-				l.post(dispatch.LeaseAnswered{Worker: e.Worker.ID, SentAt: sentAt, Report: report, Outcome: outcome})
+				l.post(dispatch.LeaseAnswered{Worker: e.Worker.ID, FencingToken: e.Order.FencingToken, SentAt: sentAt, Report: report, Outcome: outcome})
 			})
 		case dispatch.RequestAdvice:
 			l.requestAdvice(e)
@@ -47,7 +47,7 @@
 				ch <- e
 			}
 		case dispatch.StepDown:
-			l.depose("a worker has received a higher fencing token", 0)
+			l.depose(e.Reason, 0)
 		case dispatch.Decision:
 			l.logDecision(e)
 		case dispatch.Observation:
@@ -64,7 +64,7 @@
 	"advice": "good_workers", "task_stalled": "percent", "quarantine": "failures",
 	"worker_silent": "runs", "worker_restarted": "runs", "lease_over": "runs", "worker_gone": "since_change_ms", "worker_back": "missed_renewals",
 	"worker_draining": "remaining_ms", "recovery_complete": "jobs",
-	"lost_run_listed": "since_loss_ms", "ends_forgotten": "ends", "worker_listed_late": "since_change_ms",
+	"lost_run_listed": "since_loss_ms", "ends_forgotten": "ends", "worker_listed_late": "since_change_ms", "late_request_fenced": "token",
 }
 
 // logDecision logs and counts a decision of the dispatcher.
--- a/dispatch/events.go
+++ b/dispatch/events.go
@@ -34,26 +34,29 @@
 
 // LeaseAnswered is the result of RenewLease.
 type LeaseAnswered struct {
-	Worker  structs.WorkerID
-	SentAt  structs.Timestamp
-	Report  workflow.Report
-	Outcome workflow.Outcome
+	Worker       structs.WorkerID
+	FencingToken structs.Epoch // of the request
+	SentAt       structs.Timestamp
+	Report       workflow.Report
+	Outcome      workflow.Outcome
 }
 
 // StartAnswered is the result of StartTask.
 type StartAnswered struct {
-	Worker  structs.WorkerID
-	Task    string
-	Run     uint64
-	Outcome workflow.Outcome
+	Worker       structs.WorkerID
+	FencingToken structs.Epoch // of the request
+	Task         string
+	Run          uint64
+	Outcome      workflow.Outcome
 }
 
 // StopAnswered is the result of StopTask.
 type StopAnswered struct {
-	Worker  structs.WorkerID
-	Task    string
-	Run     uint64
-	Outcome workflow.Outcome
+	Worker       structs.WorkerID
+	FencingToken structs.Epoch // of the request
+	Task         string
+	Run          uint64
+	Outcome      workflow.Outcome
 }
 
 // AdviceAnswered is the result of RequestAdvice.
@@ -175,8 +178,12 @@
 	RetryAfter time.Duration // for Refused
 }
 
-// StepDown ends this leader because a worker has seen a higher fencing token.
-type StepDown struct{ Worker structs.WorkerID }
+// StepDown ends this leader: a worker has seen the fencing token of a later one, or the
+// tokens of this leader are used up.
+type StepDown struct {
+	Worker structs.WorkerID
+	Reason string
+}
 
 // Decision is a log entry about one decision.
 type Decision struct {
--- a/dispatch/incarnations.go
+++ b/dispatch/incarnations.go
@@ -1,96 +1,66 @@
 package dispatch
 
 import (
-	"maps"
-	"slices"
+	"time"
 
 	"github.com/mangodrum/mangodrum/structs"
-	"github.com/mangodrum/mangodrum/workflow"
 )
 
 // A worker may start again under its identifier and address. Requests name only the
-// identifier, so the new incarnation carries out what was sent to the old one: new
-// requests that are sent before the leader knows of the restart, repeated ones, and
-// those without an answer, seconds later.
+// identifier, and one without an answer may be carried out seconds later. So the new
+// incarnation carries out what was sent to the old one, although the request's numbers
+// have no meaning for it: an acknowledged end makes it forget ends that no leader has
+// processed, and a deadline on the clock of the old one grants the longest lease. The
+// leader therefore raises the fencing token of a worker with each incarnation. Once the
+// new one has received the raised token, it rejects the earlier requests.
 
-// mayReachNextIncarnation reports whether the next incarnation of the worker may run
-// an allocation of this one. It cannot if this incarnation has listed the run and
-// every start request has an answer.
-func (a *allocation) mayReachNextIncarnation() bool {
-	return a.run != 0 && (a.openStarts > 0 || a.reportedAt == 0)
+// fencingToken returns the token of requests to a worker. It is above the tokens of
+// requests to its earlier incarnations, and below those of the next leader.
+func (c *Dispatcher) fencingToken(w *worker) structs.Epoch {
+	return c.epoch + structs.Epoch(w.restarts)
 }
 
-// carryOver keeps an allocation until the next incarnation has reported. A stop
-// that the ended incarnation has confirmed has to be sent again.
-func (a *allocation) carryOver(now structs.Timestamp) {
-	a.carriedOver, a.reportedAt = true, 0
-	if a.state == taskStopping {
-		a.confirmedAt, a.retryAt = 0, now
+// raiseFencingToken keeps requests that were sent to a worker so far from being carried
+// out by its next incarnation.
+func (c *Dispatcher) raiseFencingToken(w *worker) {
+	w.restarts++
+	if w.restarts >= structs.TokensPerEpoch-1 {
+		c.emit(StepDown{Worker: w.ID, Reason: "the fencing tokens for a worker that restarts again and again are used up"})
 	}
 }
 
-// stopCarriedOver handles the runs of an earlier incarnation that the first report
-// of a worker does not list. A stop makes the worker reject requests that have no
-// answer yet; the task is free once a later report shows that none was carried out.
-func (c *Dispatcher) stopCarriedOver(w *worker) {
-	for _, a := range w.matchingAllocations(func(a *allocation) bool { return a.carriedOver }) {
-		a.carriedOver = false
-		switch {
-		case a.state == taskStopping:
-			// already being stopped
-		case a.openStarts > 0:
-			c.stopTask(a.task, "its worker has restarted")
-		case a.confirmedAt == 0:
-			c.runLost(w, a, lossNewIncarnation) // all requests were rejected
-		}
-		// A run that was confirmed after the report was requested may be in the
-		// next report; endMissingRuns ends it if it is not.
+// requestFenced handles a request that a worker has rejected because it has received a
+// higher token: that of a later leader, or a later one of this leader.
+func (c *Dispatcher) requestFenced(w *worker, token structs.Epoch) {
+	if token < c.fencingToken(w) {
+		c.logDecision(Decision{Event: "late_request_fenced", Worker: w.ID, Incarnation: w.Incarnation, Value: int64(token)})
+		return
 	}
+	c.emit(StepDown{Worker: w.ID, Reason: "a worker has received a higher fencing token"})
 }
 
-// lateStart is a start request of an ended run that has no answer.
-type lateStart struct {
-	run       uint64
-	open      int // requests without an answer
-	resources structs.Resources
-	releaseAt structs.Timestamp // until when the request may be carried out
+// mayReachNextIncarnation reports whether the next incarnation of the worker may run
+// an allocation of this one. It cannot if this incarnation has listed the run and
+// every start request has an answer.
+func (a *allocation) mayReachNextIncarnation() bool {
+	return a.run != 0 && (a.openStarts > 0 || a.reportedAt == 0)
 }
 
-// rememberLateStart records that start requests of a run have no answer although
-// the run is over. This incarnation of the worker rejects them.
-func (c *Dispatcher) rememberLateStart(w *worker, a *allocation) {
-	if w.lateStarts == nil {
-		w.lateStarts = map[string]lateStart{}
-	}
-	maps.DeleteFunc(w.lateStarts, func(_ string, s lateStart) bool { return c.now.After(s.releaseAt) })
-	w.lateStarts[a.name] = lateStart{a.run, a.openStarts, a.resources, c.now.Add(lateRequestTime)}
-}
+// carryOver keeps an allocation until the next incarnation has reported.
+func (a *allocation) carryOver() { a.carriedOver, a.reportedAt = true, 0 }
 
-// lateStartAnswered records the answer to a start request of an ended run.
-func (w *worker) lateStartAnswered(e StartAnswered) {
-	late, known := w.lateStarts[e.Task]
-	if !known || late.run != e.Run || e.Outcome == workflow.Unanswered {
-		return
-	}
-	if late.open--; late.open == 0 {
-		delete(w.lateStarts, e.Task)
-		return
+// settleCarriedOver ends the runs of an earlier incarnation that a report of the present
+// one does not list. The request for that report had the raised token, so no start
+// request of these runs is carried out any more.
+func (c *Dispatcher) settleCarriedOver(w *worker) {
+	for _, a := range w.matchingAllocations(func(a *allocation) bool { return a.carriedOver }) {
+		c.runLost(w, a, lossNewIncarnation)
 	}
-	w.lateStarts[e.Task] = late
 }
 
-// stopLateStarts makes a new incarnation of a worker reject the start requests of
-// ended runs that it may still carry out.
-func (c *Dispatcher) stopLateStarts(w *worker) {
-	for _, task := range slices.Sorted(maps.Keys(w.lateStarts)) {
-		late := w.lateStarts[task]
-		if c.now.After(late.releaseAt) || w.allocations[task] != nil {
-			continue
-		}
-		a := &allocation{name: task, run: late.run, resources: late.resources}
-		w.allocations[task] = a
-		w.used = w.used.Add(a.resources)
-		c.sendStop(w, a)
-	}
-	w.lateStarts = nil
+// mayHoldForeignLease reports whether the present incarnation of a worker may hold a
+// lease from a request that was sent to an earlier one: it was up for too short a time
+// when it first reported. Its clock begins with the incarnation.
+func (c *Dispatcher) mayHoldForeignLease(w *worker, uptime time.Duration) bool {
+	return w.Restarted && uptime < c.policy.Lease+lateRequestTime+c.longestLease()
 }
--- a/dispatch/incarnations_test.go
+++ b/dispatch/incarnations_test.go
@@ -29,9 +29,15 @@
 	return s, order
 }
 
-// reportOf delivers a report of an incarnation that was requested now.
+// reportOf delivers a report of an incarnation that was requested now. If it shows a new
+// incarnation, the leader asks again with a raised token, and gets the same report.
 func (s *dispatcherHarness) reportOf(id structs.WorkerID, r workflow.Report) {
-	s.reduce(LeaseAnswered{Worker: id, SentAt: s.now, Outcome: workflow.OK, Report: r})
+	for range 2 {
+		s.reduce(LeaseAnswered{Worker: id, SentAt: s.now, Outcome: workflow.OK, Report: r})
+		if s.dispatcher.workers[id].known {
+			break
+		}
+	}
 	s.place()
 }
 
@@ -61,34 +67,62 @@
 	}
 }
 
-// TestUnansweredStartIsStoppedAtNextIncarnation guards against starting a task on
+// TestUnansweredStartIsFencedAtNextIncarnation guards against starting a task on
 // another worker while a new incarnation of its worker may still carry out a start
-// request without an answer.
-func TestUnansweredStartIsStoppedAtNextIncarnation(t *testing.T) {
+// request without an answer: it has to receive a higher token first.
+func TestUnansweredStartIsFencedAtNextIncarnation(t *testing.T) {
 	s, order := restartedWorker(t, workflow.OK)
-	s.now = s.now.Add(5 * time.Millisecond)
-	s.reportOf("w0", workflow.Report{Incarnation: 2}) // lists nothing
-	stops, starts := 0, 0
+	s.advance(5 * time.Millisecond)
+	var fence structs.Epoch
 	for _, effect := range s.effects {
 		switch e := effect.(type) {
-		case StopTask:
-			stops++
-			s.reduce(StopAnswered{Worker: "w0", Task: e.Order.Task, Run: e.Order.Run, Outcome: workflow.OK})
 		case StartTask:
-			starts++
+			t.Fatalf("started on %s before the new incarnation has reported", e.Worker.ID)
+		case RenewLease:
+			if e.Worker.ID == "w0" {
+				fence = e.Order.FencingToken
+			}
 		}
 	}
-	if stops != 1 || starts != 0 {
-		t.Fatalf("%d stops and %d starts after the report, want 1 and 0", stops, starts)
+	if fence <= order.FencingToken {
+		t.Fatalf("renewal at the new incarnation with token %d, want one above %d of the start request", fence, order.FencingToken)
 	}
 	s.effects = nil
-	s.advance(s.dispatcher.policy.MaxStopTime + 10*time.Millisecond)
-	s.reportOf("w0", workflow.Report{Incarnation: 2, Clock: time.Second})
-	if starts := takeEffects[StartTask](s); len(starts) != 1 || starts[0].Order.Run <= order.Run {
+	s.reportOf("w0", workflow.Report{Incarnation: 2}) // lists nothing
+	starts := takeEffects[StartTask](s)
+	if len(starts) != 1 || starts[0].Order.Run <= order.Run || (starts[0].Worker.ID == "w0" && starts[0].Order.FencingToken < fence) {
 		t.Errorf("starts after the worker rejects the request: %+v, want one with a higher run", starts)
 	}
 }
 
+// TestReportBeforeTheFenceDoesNotCount guards against taking for over what a new
+// incarnation does not list yet: the request for its report had the token of the earlier
+// one, so requests of that may still be carried out after it.
+func TestReportBeforeTheFenceDoesNotCount(t *testing.T) {
+	s, starts := submitJob(t, 1, arrayJob(1, false), batchQueue(nil))
+	order := starts[0].Order
+	s.reduce(StartAnswered{Worker: "w0", FencingToken: order.FencingToken, Task: order.Task, Run: order.Run, Outcome: workflow.Unanswered})
+	s.now = s.now.Add(time.Millisecond)
+	s.effects = nil
+	s.reduce(LeaseAnswered{Worker: "w0", SentAt: s.now, Outcome: workflow.OK, Report: workflow.Report{Incarnation: 2}})
+	s.place()
+	asked, again := 0, 0
+	for _, effect := range s.effects {
+		switch e := effect.(type) {
+		case RenewLease:
+			asked++
+			if e.Order.FencingToken <= order.FencingToken || e.Order.AcknowledgedThrough != 0 || e.Order.Deadline != 0 {
+				t.Errorf("renewal after a report of a new incarnation: %+v, want only a token above %d", e.Order, order.FencingToken)
+			}
+		case StartTask:
+			again++
+		}
+	}
+	if asked != 1 || again != 0 {
+		t.Errorf("%d renewals and %d starts after a report of a new incarnation, want 1 and 0", asked, again)
+	}
+}
+
 // TestReportedRunsEndWithTheirIncarnation guards against waiting for the report of
 // a restarted worker before tasks that can no longer run there are started again.
 func TestReportedRunsEndWithTheirIncarnation(t *testing.T) {
@@ -136,19 +170,77 @@
 	}
 }
 
-// TestLateStartOfEndedRunIsStopped guards against a start request without an answer
+// TestLateStartOfEndedRunIsFenced guards against a start request without an answer
 // that a new incarnation of the worker carries out after the run has ended.
-func TestLateStartOfEndedRunIsStopped(t *testing.T) {
+func TestLateStartOfEndedRunIsFenced(t *testing.T) {
 	s, starts := submitJob(t, 1, arrayJob(2, false), batchQueue(nil))
 	order := starts[0].Order
-	s.reduce(StartAnswered{Worker: "w0", Task: order.Task, Run: order.Run, Outcome: workflow.Unanswered})
+	s.reduce(StartAnswered{Worker: "w0", FencingToken: order.FencingToken, Task: order.Task, Run: order.Run, Outcome: workflow.Unanswered})
 	s.report("w0", time.Second, workflow.EndedTask{Sequence: 1, Task: order.Task, Run: order.Run, Kind: workflow.EndDone})
 	s.commit()
 	s.effects = nil
 	s.now = s.now.Add(time.Second)
 	s.reduce(WorkerListed{Worker: workflow.Worker{ID: "w0", Incarnation: 2, Service: "svc", Address: "w0", Capacity: largeWorker}})
-	if stops := takeEffects[StopTask](s); len(stops) != 1 || stops[0].Order.Task != order.Task || stops[0].Order.Run != order.Run {
-		t.Errorf("stops at the new incarnation: %+v, want one of %s run %d", stops, order.Task, order.Run)
+	if sent := takeEffects[RenewLease](s); len(sent) != 1 || sent[0].Order.FencingToken <= order.FencingToken {
+		t.Errorf("renewals at the new incarnation: %+v, want one with a token above %d", sent, order.FencingToken)
+	}
+}
+
+// TestOwnFencedRequestIsNoDeposition guards against a leader that steps down because a
+// worker has rejected its own late request, and against one that goes on although a
+// worker has received the token of a later leader.
+func TestOwnFencedRequestIsNoDeposition(t *testing.T) {
+	s := newDispatcherHarness(t, 1, largeWorker)
+	earlier := s.dispatcher.fencingToken(s.dispatcher.workers["w0"])
+	s.now = s.now.Add(time.Second)
+	s.reportOf("w0", workflow.Report{Incarnation: 2})
+	s.effects = nil
+	present := s.dispatcher.fencingToken(s.dispatcher.workers["w0"])
+	s.reduce(LeaseAnswered{Worker: "w0", FencingToken: earlier, SentAt: s.now, Outcome: workflow.Fenced})
+	if ended := takeEffects[StepDown](s); present <= earlier || len(ended) != 0 {
+		t.Errorf("tokens %d, then %d; leader ended by its own earlier token: %+v", earlier, present, ended)
+	}
+	s.reduce(LeaseAnswered{Worker: "w0", FencingToken: present, SentAt: s.now, Outcome: workflow.Fenced})
+	if ended := takeEffects[StepDown](s); len(ended) != 1 {
+		t.Errorf("%d effects that end a leader whose present token is rejected, want 1", len(ended))
+	}
+}
+
+// TestTokensStayBelowNextEpoch guards against a fencing token that reaches those of the
+// next leader: a leader that has used up its tokens for a worker ends.
+func TestTokensStayBelowNextEpoch(t *testing.T) {
+	s := newDispatcherHarness(t, 1, largeWorker)
+	s.effects = nil
+	for n := workflow.Incarnation(2); len(takeEffects[StepDown](s)) == 0; n++ {
+		if n > 2*structs.TokensPerEpoch {
+			t.Fatalf("the leader goes on after %d incarnations", n)
+		}
+		if token := s.dispatcher.fencingToken(s.dispatcher.workers["w0"]); token >= s.dispatcher.epoch+structs.TokensPerEpoch {
+			t.Fatalf("token %d reaches that of the next leader", token)
+		}
+		s.now = s.now.Add(time.Second)
+		s.reportOf("w0", workflow.Report{Incarnation: n})
+	}
+}
+
+// TestReturnedWorkerGetsHigherToken guards against requests with a lower token than a
+// worker has received before it was removed and listed again: the leader would take the
+// rejection for its deposition.
+func TestReturnedWorkerGetsHigherToken(t *testing.T) {
+	s := newDispatcherHarness(t, 1, largeWorker)
+	s.now = s.now.Add(time.Second)
+	s.reportOf("w0", workflow.Report{Incarnation: 2})
+	w := s.dispatcher.workers["w0"]
+	before, entry := s.dispatcher.fencingToken(w), w.Worker
+	s.reduce(WorkerUnlisted{ID: "w0"})
+	s.reduce(LeaseAnswered{Worker: "w0", SentAt: s.now, Outcome: workflow.NotSent})
+	s.advance(time.Minute)
+	if s.dispatcher.workers["w0"] != nil {
+		t.Fatal("a worker that is not listed and does not answer is kept")
+	}
+	s.reduce(WorkerListed{Worker: entry})
+	if after := s.dispatcher.fencingToken(s.dispatcher.workers["w0"]); after < before {
+		t.Errorf("token of a worker that was listed again: %d, want at least %d", after, before)
 	}
 }
 
--- a/dispatch/late_requests_test.go
+++ b/dispatch/late_requests_test.go
@@ -87,11 +87,11 @@
 		switch e := effect.(type) {
 		case StartTask:
 			s.send(e.Worker.ID, func(w *fakeWorker) workflow.Outcome { return w.start(e.Order) }, func(o workflow.Outcome) structs.Event {
-				return StartAnswered{Worker: e.Worker.ID, Task: e.Order.Task, Run: e.Order.Run, Outcome: o}
+				return StartAnswered{Worker: e.Worker.ID, FencingToken: e.Order.FencingToken, Task: e.Order.Task, Run: e.Order.Run, Outcome: o}
 			})
 		case StopTask:
 			s.send(e.Worker.ID, func(w *fakeWorker) workflow.Outcome { return w.stop(e.Order) }, func(o workflow.Outcome) structs.Event {
-				return StopAnswered{Worker: e.Worker.ID, Task: e.Order.Task, Run: e.Order.Run, Outcome: o}
+				return StopAnswered{Worker: e.Worker.ID, FencingToken: e.Order.FencingToken, Task: e.Order.Task, Run: e.Order.Run, Outcome: o}
 			})
 		case RenewLease:
 			s.renew(e)
@@ -114,7 +114,7 @@
 	var report workflow.Report
 	s.at(min(e.Order.Wait, 300*time.Millisecond), func() {
 		s.send(e.Worker.ID, func(w *fakeWorker) (o workflow.Outcome) { report, o = w.renewLease(e.Order); return o }, func(o workflow.Outcome) structs.Event {
-			return LeaseAnswered{Worker: e.Worker.ID, SentAt: sentAt, Report: report, Outcome: o}
+			return LeaseAnswered{Worker: e.Worker.ID, FencingToken: e.Order.FencingToken, SentAt: sentAt, Report: report, Outcome: o}
 		})
 	})
 }
--- a/dispatch/leases.go
+++ b/dispatch/leases.go
@@ -21,12 +21,18 @@
 	return c.now.After(w.leaseEnd)
 }
 
-// countPreviousLease includes the lease that the previous leader may have granted to a
-// worker until this leader reached it. It may be longer than the first one granted now,
-// for example if the worker drains.
-func (c *Dispatcher) countPreviousLease(w *worker) {
-	longest := c.now.Add(time.Duration(float64(c.policy.Lease)/minClockRate) + leaseMargin)
-	w.leaseEnd = max(w.leaseEnd, min(longest, c.previousLeasesEnd))
+// countForeignLeases includes the leases that a worker may hold at its first report and
+// that this leader has not granted to this incarnation: one of the previous leader, which
+// may be longer than the first one granted now, for example if the worker drains, and one
+// of a late request to an earlier incarnation.
+func (c *Dispatcher) countForeignLeases(w *worker) {
+	if w.unreported {
+		longest := c.now.Add(time.Duration(float64(c.policy.Lease)/minClockRate) + leaseMargin)
+		w.leaseEnd = max(w.leaseEnd, min(longest, c.previousLeasesEnd))
+	}
+	if c.mayHoldForeignLease(w, w.clock) {
+		w.leaseEnd = max(w.leaseEnd, c.now.Add(c.longestLease()))
+	}
 }
 
 // leaseLength returns the length of the leases granted to a worker.
@@ -53,7 +59,7 @@
 // canStartTasks reports whether the lease of a worker lasts for long enough to start
 // tasks under it. It is not extended while the worker misses renewals.
 func (w *worker) canStartTasks(now structs.Timestamp) bool {
-	return w.missedRenewals == 0 || w.leaseEnd.Sub(now) > minRemainingLease
+	return w.missedRenewals == 0 || w.grantedEnd.Sub(now) > minRemainingLease
 }
 
 // minRemainingLease is the rest of a lease below which no task is started under it.
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -23,9 +23,6 @@
 func (c *Dispatcher) release(w *worker, a *allocation) {
 	delete(w.allocations, a.name)
 	w.used = w.used.Sub(a.resources)
-	if a.openStarts > 0 {
-		c.rememberLateStart(w, a)
-	}
 	if a.task == nil {
 		return
 	}
@@ -72,8 +69,7 @@
 	t.run, t.state = run, taskStarting
 	a.run, a.state, a.startedAt, a.progressedAt = run, taskStarting, c.now, c.now
 	a.startOrder = workflow.StartOrder{
-		Task: t.name, Run: run, Spec: t.step.job.spec.Spec, FencingToken: c.epoch,
-		Checkpoint: checkpoint, Ticket: t.step.advice[w.ID].token,
+		Task: t.name, Run: run, Spec: t.step.job.spec.Spec, Checkpoint: checkpoint, Ticket: t.step.advice[w.ID].token,
 	}
 	c.sendStart(w, a)
 	c.logDecision(Decision{
@@ -93,7 +89,7 @@
 		a.retryAt = c.now.Add(c.policy.StartRetryDelay)
 		return
 	}
-	a.startOrder.Deadline = deadline
+	a.startOrder.Deadline, a.startOrder.FencingToken = deadline, c.fencingToken(w)
 	a.sends++
 	a.openStarts++
 	a.sentAt = c.now
@@ -112,7 +108,6 @@
 	}
 	a := w.allocations[e.Task]
 	if a == nil || a.run != e.Run {
-		w.lateStartAnswered(e)
 		return
 	}
 	if e.Outcome != workflow.Unanswered {
@@ -128,7 +123,7 @@
 	case workflow.OK:
 		c.started(w, a)
 	case workflow.Fenced:
-		c.emit(StepDown{Worker: w.ID})
+		c.requestFenced(w, e.FencingToken)
 	case workflow.RunTooOld:
 		// If the request was sent before, an earlier copy was carried out, and
 		// the worker's reports tell how the run ended. Otherwise the worker knows
@@ -286,7 +281,7 @@
 	}
 	a.sends++
 	a.retryAt = c.now.Add(c.policy.StartRetryDelay + resendBackoff(a.sends))
-	c.emit(StopTask{Worker: w.Worker, Order: workflow.StartOrder{Task: a.name, Run: a.run, FencingToken: c.epoch}})
+	c.emit(StopTask{Worker: w.Worker, Order: workflow.StartOrder{Task: a.name, Run: a.run, FencingToken: c.fencingToken(w)}})
 }
 
 func (c *Dispatcher) stopAnswered(e StopAnswered) {
@@ -306,7 +301,7 @@
 		a.confirmedAt = c.now.Add(c.policy.MaxStopTime)
 		a.retryAt = c.now.Add(c.policy.MaxStopTime + stopGrace)
 	case workflow.Fenced:
-		c.emit(StepDown{Worker: w.ID})
+		c.requestFenced(w, e.FencingToken)
 	case workflow.OtherIncarnation:
 		w.askAgain()
 	}
@@ -320,9 +315,10 @@
 // request is sent again.
 const stopGrace = 1500 * time.Millisecond
 
-// isResendDue reports whether an unanswered request has to be sent again.
+// isResendDue reports whether an unanswered request has to be sent again. A request of
+// a run that is carried over is not: settleCarriedOver decides on the run.
 func (c *Dispatcher) isResendDue(a *allocation) bool {
-	return (a.state == taskStarting || a.state == taskStopping) && a.retryAt != 0 && !c.now.Before(a.retryAt)
+	return !a.carriedOver && (a.state == taskStarting || a.state == taskStopping) && a.retryAt != 0 && !c.now.Before(a.retryAt)
 }
 
 // resend sends an unanswered request again. After maxStartSends start requests,
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -131,7 +131,7 @@
 
 // elect replaces the leader by one that has recovered from the stored rows.
 func (s *simulation) elect() {
-	s.epoch++
+	s.epoch = s.epoch.Next()
 	l := &fakeLeader{sim: s, dispatcher: New(s.policy, s.epoch, s.now, s.now), epoch: s.epoch, alive: true}
 	rows := make([]tablestore.Row, 0, len(s.rows))
 	for key, value := range s.rows {
@@ -227,12 +227,12 @@
 		case StartTask:
 			s.deliver(e.Worker, func(w *fakeWorker) workflow.Outcome { return w.start(e.Order) },
 				func(o workflow.Outcome) {
-					l.reduce(StartAnswered{Worker: e.Worker.ID, Task: e.Order.Task, Run: e.Order.Run, Outcome: o})
+					l.reduce(StartAnswered{Worker: e.Worker.ID, FencingToken: e.Order.FencingToken, Task: e.Order.Task, Run: e.Order.Run, Outcome: o})
 				})
 		case StopTask:
 			s.deliver(e.Worker, func(w *fakeWorker) workflow.Outcome { return w.stop(e.Order) },
 				func(o workflow.Outcome) {
-					l.reduce(StopAnswered{Worker: e.Worker.ID, Task: e.Order.Task, Run: e.Order.Run, Outcome: o})
+					l.reduce(StopAnswered{Worker: e.Worker.ID, FencingToken: e.Order.FencingToken, Task: e.Order.Task, Run: e.Order.Run, Outcome: o})
 				})
 		case RenewLease:
 			l.renew(e)
@@ -304,7 +304,7 @@
 			report, outcome = w.renewLease(e.Order)
 			return outcome
 		}, func(o workflow.Outcome) {
-			l.reduce(LeaseAnswered{Worker: e.Worker.ID, SentAt: sentAt, Report: report, Outcome: o})
+			l.reduce(LeaseAnswered{Worker: e.Worker.ID, FencingToken: e.Order.FencingToken, SentAt: sentAt, Report: report, Outcome: o})
 		})
 	})
 }
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -23,8 +23,8 @@
 	endedWithSteps []*job  // ended jobs that still have their steps
 	ready          []*step // steps whose dependencies are done
 	workers        map[structs.WorkerID]*worker
-	sortedWorkers  []*worker                 // workers by identifier
-	removedWorkers map[structs.WorkerID]bool // workers that were removed and may come back
+	sortedWorkers  []*worker                   // workers by identifier
+	removedWorkers map[structs.WorkerID]uint64 // workers that were removed and may come back, with their restarts
 
 	// unreported is the number of workers that may still run tasks of the
 	// previous leader: they have not reported, and its leases have not expired.
@@ -201,8 +201,12 @@
 // worker is the state of a worker that is listed or may be running tasks.
 type worker struct {
 	workflow.Worker
-	listed     bool
-	known      bool // the current incarnation has answered a renewal
+	listed bool
+	known  bool // the current incarnation has answered a renewal
+	// restarts counts the ended incarnations of the worker to which this leader has sent
+	// requests that may still arrive; see fencingToken.
+	restarts   uint64
+	reported   bool // this leader has processed a report of the current incarnation
 	unreported bool // may run tasks of the previous leader; see Dispatcher.unreported
 
 	allocations map[string]*allocation
@@ -229,12 +233,12 @@
 	silent         bool              // has missed missedRenewalsBeforeSilent renewals
 	clock          time.Duration     // worker's clock in its last report
 	clockAt        structs.Timestamp // when clock was received
-	leaseEnd       structs.Timestamp // all leases granted so far have expired by then
+	leaseEnd       structs.Timestamp // all leases that any request may have granted have expired by then
+	grantedEnd     structs.Timestamp // of these, the leases that this leader has granted to the current incarnation
 	leaseDeadline  time.Duration     // latest end of a granted lease on the worker's clock
 	nextRenewalAt  structs.Timestamp // earliest time of the next renewal
 	// incarnationSince is when the end of the previous incarnation became known.
 	incarnationSince structs.Timestamp
-	lateStarts       map[string]lateStart // unanswered start requests of ended runs, by task
 
 	failures    int // failed runs since the last success
 	failedJobs  map[structs.JobID]bool
@@ -255,7 +259,7 @@
 func New(policy Policy, epoch structs.Epoch, now, claimed structs.Timestamp) *Dispatcher {
 	return &Dispatcher{
 		policy: policy, epoch: epoch, now: now, leadershipConfirmedAt: claimed, startedAt: now,
-		jobs: map[structs.JobID]*job{}, workers: map[structs.WorkerID]*worker{}, removedWorkers: map[structs.WorkerID]bool{}, approvalRates: map[string]float64{}, runTimeModels: map[string]*runTimeModel{}, meanWork: map[string]float64{}, lostRuns: map[string]lostRun{},
+		jobs: map[structs.JobID]*job{}, workers: map[structs.WorkerID]*worker{}, removedWorkers: map[structs.WorkerID]uint64{}, approvalRates: map[string]float64{}, runTimeModels: map[string]*runTimeModel{}, meanWork: map[string]float64{}, lostRuns: map[string]lostRun{},
 	}
 }
 
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -23,6 +23,7 @@
 		w.Worker = entry // requests that concern the earlier runs go to the new incarnation
 		c.incarnationEnded(w, "directory entry of another incarnation")
 	}
+	entry.Restarted = earlier.Restarted || w.Restarted
 	if entry.Draining != earlier.Draining {
 		c.logDecision(Decision{Event: "worker_draining", Worker: w.ID, Value: int64(entry.RemainingTime / time.Millisecond)})
 	}
@@ -52,7 +53,8 @@
 		c.markUnreported(w)
 	}
 	c.workers[entry.ID] = w
-	if c.removedWorkers[entry.ID] {
+	if restarts, removed := c.removedWorkers[entry.ID]; removed {
+		w.restarts, w.Restarted = restarts, true
 		delete(c.removedWorkers, entry.ID)
 		c.replaceApprovedWorker(w)
 	}
@@ -89,13 +91,16 @@
 	}
 	for _, a := range sortedAllocations(w) {
 		if a.mayReachNextIncarnation() {
-			a.carryOver(c.now)
+			a.carryOver()
 			continue
 		}
 		c.runLost(w, a, lossNewIncarnation)
 	}
 	c.resetWorker(w)
-	c.stopLateStarts(w)
+	if !w.Restarted {
+		w.Restarted = true
+		c.workerChanged(w.ID)
+	}
 	if len(w.allocations) > 0 {
 		// A deadline on the clock of the ended incarnation grants the longest lease.
 		w.leaseEnd = c.now.Add(c.longestLease())
@@ -105,10 +110,14 @@
 // resetWorker forgets what an incarnation of a worker has reported, and makes the
 // next renewal due. Answers to renewals that were sent before are ignored.
 func (c *Dispatcher) resetWorker(w *worker) {
+	if w.reported {
+		c.raiseFencingToken(w)
+	}
+	w.reported = false
 	w.known, w.renewing, w.nextRenewalAt, w.incarnationSince = false, false, 0, c.now
 	w.processedEnd, w.acknowledgedEnd, w.sentAcknowledgement, w.pendingAcks = 0, 0, 0, nil
 	w.endsFollow = true // a new incarnation numbers its ends from 1
-	w.clock, w.clockAt, w.leaseDeadline, w.leaseEnd = 0, 0, 0, 0
+	w.clock, w.clockAt, w.leaseDeadline, w.leaseEnd, w.grantedEnd = 0, 0, 0, 0, 0
 	w.failures, w.pausedUntil = 0, 0
 	clear(w.failedJobs)
 }
@@ -150,7 +159,7 @@
 		return
 	}
 	w.renewing = true
-	order := workflow.LeaseOrder{FencingToken: c.epoch}
+	order := workflow.LeaseOrder{FencingToken: c.fencingToken(w)}
 	if w.known && w.missedRenewals == 0 {
 		// A worker that has missed a renewal may have restarted, and its ends
 		// counted anew: it would forget some that no leader has processed.
@@ -184,7 +193,7 @@
 		return
 	}
 	w.hedged = true
-	c.emit(RenewLease{Worker: w.Worker, Order: workflow.LeaseOrder{FencingToken: c.epoch}})
+	c.emit(RenewLease{Worker: w.Worker, Order: workflow.LeaseOrder{FencingToken: c.fencingToken(w)}})
 }
 
 // extendLease grants a lease and returns its end on the worker's clock, or 0 if no
@@ -200,7 +209,8 @@
 		return w.leaseDeadline
 	}
 	w.leaseDeadline = max(w.leaseDeadline, w.clock+c.now.Sub(w.clockAt)+granted)
-	w.leaseEnd = max(w.leaseEnd, c.now.Add(time.Duration(float64(granted)/minClockRate)+leaseMargin))
+	w.grantedEnd = max(w.grantedEnd, c.now.Add(time.Duration(float64(granted)/minClockRate)+leaseMargin))
+	w.leaseEnd = max(w.leaseEnd, w.grantedEnd)
 	return w.leaseDeadline
 }
 
@@ -217,7 +227,7 @@
 	case workflow.OK:
 		c.applyReport(w, e)
 	case workflow.Fenced:
-		c.emit(StepDown{Worker: w.ID})
+		c.requestFenced(w, e.FencingToken)
 		return
 	case workflow.OtherIncarnation:
 		c.addressTaken(w)
@@ -272,7 +282,7 @@
 
 func (c *Dispatcher) removeWorker(w *worker) {
 	delete(c.workers, w.ID)
-	c.removedWorkers[w.ID] = true
+	c.removedWorkers[w.ID] = w.restarts
 	n := slices.Index(c.sortedWorkers, w)
 	c.sortedWorkers = slices.Delete(slices.Clone(c.sortedWorkers), n, n+1)
 	c.workerChanged(w.ID)
@@ -283,7 +293,15 @@
 func (c *Dispatcher) applyReport(w *worker, e LeaseAnswered) {
 	r := &e.Report
 	if w.Incarnation != 0 && r.Incarnation != w.Incarnation {
+		tokenRaised := w.reported
 		c.incarnationEnded(w, "report of another incarnation")
+		w.Incarnation = r.Incarnation
+		if tokenRaised {
+			// Until this incarnation has received the raised token, it carries out
+			// requests that were sent to an earlier one. Its next report counts.
+			c.renew(w)
+			return
+		}
 	}
 	if w.silent {
 		w.silent = false
@@ -303,14 +321,15 @@
 		listed[running.Task] = max(listed[running.Task], running.Run)
 		c.applyRunning(w, running, first)
 	}
-	if w.unreported {
-		c.countPreviousLease(w)
+	if !w.reported {
+		w.reported = true
+		c.countForeignLeases(w)
 	}
 	w.endsFollow = true
 	w.endsTruncated = r.EndsTruncated
 	if !w.endsTruncated {
 		c.endMissingRuns(w, listed, e.SentAt)
-		c.stopCarriedOver(w)
+		c.settleCarriedOver(w)
 		c.markReported(w)
 	}
 	c.stopPartialGangs(w)
@@ -450,10 +469,7 @@
 // requested and that the report, which lists all ends, does not contain.
 func (c *Dispatcher) endMissingRuns(w *worker, listed map[string]uint64, sentAt structs.Timestamp) {
 	missing := w.matchingAllocations(func(a *allocation) bool {
-		if a.carriedOver && a.openStarts > 0 {
-			return false // an earlier request may still be carried out
-		}
-		return listed[a.name] < a.run && a.confirmedAt != 0 && a.confirmedAt.Before(sentAt) && a.state != taskPlaced
+		return !a.carriedOver && listed[a.name] < a.run && a.confirmedAt != 0 && a.confirmedAt.Before(sentAt) && a.state != taskPlaced
 	})
 	for _, a := range missing {
 		c.runLost(w, a, lossMissing)
--- a/leadership/leadership.go
+++ b/leadership/leadership.go
@@ -20,7 +20,7 @@
 
 // Row is the stored leadership row.
 type Row struct {
-	Epoch       structs.Epoch      `cbor:"1,keyasint"` // fencing token, incremented by each claim
+	Epoch       structs.Epoch      `cbor:"1,keyasint"` // lowest fencing token of the leader, raised by each claim
 	Owner       structs.InstanceID `cbor:"2,keyasint"` // empty after a planned release
 	Process     uint64             `cbor:"3,keyasint"` // distinguishes successive processes of an instance
 	Address     string             `cbor:"4,keyasint"` // address for peers
@@ -263,7 +263,7 @@
 		return nil
 	}
 	f.requestPending = true
-	return []structs.Effect{Claim{Epoch: e.Row.Epoch + 1, Version: e.Version, Previous: e.Row, StoreTime: e.StoreTime, Reason: reason}}
+	return []structs.Effect{Claim{Epoch: e.Row.Epoch.Next(), Version: e.Version, Previous: e.Row, StoreTime: e.StoreTime, Reason: reason}}
 }
 
 // preferenceDelay returns how long this instance leaves the claim to instances that
--- a/structs/ids.go
+++ b/structs/ids.go
@@ -43,6 +43,16 @@
 // from 1. It serves as the fencing token.
 type Epoch uint64
 
+// TokensPerEpoch is the distance between the epochs of successive leaderships of a cell.
+// The numbers between two epochs are fencing tokens of the first of them: the leader uses
+// a higher one for a worker whenever a new incarnation of that begins, so that the worker
+// rejects requests that were sent to an earlier incarnation and arrive late.
+const TokensPerEpoch = 1000
+
+// Next returns the epoch of the next leadership of a cell. It is also above the epochs of
+// versions that counted them one by one.
+func (e Epoch) Next() Epoch { return (e/TokensPerEpoch + 1) * TokensPerEpoch }
+
 // TaskIDFor returns the identifier of the task with the given index.
 func TaskIDFor(job JobID, index int) TaskID {
 	return TaskID(string(job) + "/" + strconv.Itoa(index))
--- a/workflow/worker.go
+++ b/workflow/worker.go
@@ -21,6 +21,9 @@
 	Labels        []string          `cbor:"7,keyasint,omitempty"`
 	Draining      bool              `cbor:"8,keyasint,omitempty"`
 	RemainingTime time.Duration     `cbor:"9,keyasint,omitempty"` // minimum time until a draining worker ends
+	// Restarted is set by the leader: an earlier incarnation of the worker is known. It is
+	// stored, and no part of the directory's entry.
+	Restarted bool `cbor:"10,keyasint,omitempty"`
 }
 
 // HasLabel reports whether the worker has a label.
