No task is placed on a worker before its row is stored

Seen: a task can run twice after a change of leader. The row of a worker was written up to eight commits after the worker got its first tasks. If the leader died in between and the directory's list reached the next one late, that completed its recovery without the worker and started the worker's tasks elsewhere.

Change: a worker gets tasks once a commit that lists it has succeeded; recovered workers are stored already. An address that changes later does not matter: the next leader waits for a worker that it knows, at any address, until it reports or all leases of the previous leader are over.

So that the start of a cell is not slowed, the limit of worker rows in a commit counts bytes (48 KB, the size of the four largest rows before) instead of four rows. With 350 workers all are stored by the first commit instead of the eighth; a worker that joins later waits for one.

Tests: TestNextLeaderKnowsWorkersWithTasks failed before ("started on w0, which the next leader does not know"); TestWorkersAreStoredSoon, at most two commits for 350 workers, was 8.

--- a/dispatch/advice_test.go
+++ b/dispatch/advice_test.go
@@ -18,8 +18,8 @@
 	effects    []structs.Effect
 }
 
-// newDispatcherHarness returns a harness with idle workers w0, w1, and so on, and
-// four instances that can call the advisor.
+// newDispatcherHarness returns a harness with idle workers w0, w1, and so on, which are
+// stored, and four instances that can call the advisor.
 func newDispatcherHarness(t *testing.T, workers int, capacity structs.Resources) *dispatcherHarness {
 	s := &dispatcherHarness{t: t, now: structs.Timestamp(time.Minute)}
 	s.dispatcher = New(DefaultPolicy(), 1, s.now, s.now)
@@ -32,6 +32,9 @@
 		s.reduce(WorkerListed{Worker: workflow.Worker{ID: id, Incarnation: 1, Service: "svc", Address: string(id), Capacity: capacity}})
 		s.report(id, 0)
 	}
+	for s.dispatcher.NeedsCommit() {
+		s.commit()
+	}
 	s.effects = nil
 	return s
 }
@@ -195,6 +198,7 @@
 		s.reduce(WorkerListed{Worker: entry})
 		s.report(entry.ID, time.Minute)
 	}
+	s.commit()
 	var starts []StartTask
 	for range 40 {
 		for _, effect := range s.effects {
--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -35,7 +35,7 @@
 			s.approvedWorkers = append(s.approvedWorkers, w)
 		}
 	}
-	for range 2*steps/maxEntries + 1 {
+	for c.NeedsCommit() {
 		commit, err := c.NextCommit(now)
 		if err != nil {
 			tb.Fatal(err)
--- a/dispatch/commit.go
+++ b/dispatch/commit.go
@@ -99,10 +99,11 @@
 	// workerBuckets is the number of buckets for workers. With 3,000 workers a
 	// bucket takes 12 KB.
 	workerBuckets = 32
-	// maxWorkerRows is the largest number of worker buckets in a commit. A new
-	// leader writes all of them when it lists the directory, which would fill a
-	// commit in a cell of 3,000 workers.
-	maxWorkerRows = 4
+	// maxWorkerBytes is the size of the worker buckets in a commit from which no
+	// further one is added. A new leader writes all buckets when it lists the
+	// directory, which would fill a commit in a cell of 3,000 workers. Those of 350
+	// workers fit into one commit; new workers get no tasks before it.
+	maxWorkerBytes = 48 << 10
 	// maxProgressDelay is how long the progress of a job may wait for a commit.
 	// Most urgent jobs end within that time, so a burst of them writes no
 	// progress.
@@ -171,7 +172,7 @@
 	c.now = max(c.now, now)
 	c.sequence++
 	b := &commitBuilder{dispatcher: c, commit: Commit{Sequence: c.sequence}, buckets: map[int]bool{}}
-	c.committing = c.committing[:0]
+	c.committing, c.committingWorkers = c.committing[:0], c.committingWorkers[:0]
 	taken := 0
 	for _, j := range c.dirty {
 		if !b.fits(j) {
@@ -281,19 +282,24 @@
 	}
 }
 
-// writeWorkers adds up to limit changed worker buckets to a commit.
+// writeWorkers adds changed worker buckets to a commit: up to limit rows, and none
+// once they take maxWorkerBytes.
 func (c *Dispatcher) writeWorkers(commit *Commit, limit int) error {
-	count := min(len(c.dirtyWorkers), limit)
-	for _, n := range c.dirtyWorkers[:count] {
+	count, size := 0, 0
+	for count < min(len(c.dirtyWorkers), limit) && size < maxWorkerBytes {
+		n := c.dirtyWorkers[count]
 		list := []workflow.Worker{}
 		for _, w := range c.sortedWorkers {
 			if bucketOf(string(w.ID), workerBuckets) == n {
 				list = append(list, w.Worker)
+				c.committingWorkers = append(c.committingWorkers, w)
 			}
 		}
 		if err := putRow(commit, CellTable, fmt.Sprintf("%s%02x", workersPrefix, n), list); err != nil {
 			return err
 		}
+		size += len(commit.Puts[len(commit.Puts)-1].Value)
+		count++
 	}
 	c.dirtyWorkers = slices.Delete(c.dirtyWorkers, 0, count)
 	return nil
@@ -307,6 +313,9 @@
 	for _, j := range c.committing {
 		c.jobCommitted(j)
 	}
+	for _, w := range c.committingWorkers {
+		w.stored = true
+	}
 	for _, w := range c.sortedWorkers {
 		w.acknowledge()
 	}
--- a/dispatch/commit_builder.go
+++ b/dispatch/commit_builder.go
@@ -212,7 +212,7 @@
 	if err := b.removeOutcomes(); err != nil {
 		return err
 	}
-	if err := c.writeWorkers(&b.commit, min(maxWorkerRows, b.remainingEntries())); err != nil {
+	if err := c.writeWorkers(&b.commit, b.remainingEntries()); err != nil {
 		return err
 	}
 	removed := min(len(c.removals), b.remainingEntries())
--- a/dispatch/incarnations_test.go
+++ b/dispatch/incarnations_test.go
@@ -16,6 +16,7 @@
 	s, starts := submitJob(t, 1, arrayJob(1, false), batchQueue(nil))
 	s.reduce(WorkerListed{Worker: workflow.Worker{ID: "w1", Incarnation: 1, Service: "svc", Address: "w1", Capacity: largeWorker}})
 	s.report("w1", 0)
+	s.commit()
 	order := starts[0].Order
 	s.now = s.now.Add(400 * time.Millisecond)
 	s.reduce(StartAnswered{Worker: "w0", Task: order.Task, Run: order.Run, Outcome: workflow.Unanswered})
--- a/dispatch/orders_test.go
+++ b/dispatch/orders_test.go
@@ -87,6 +87,7 @@
 		}
 		s.reduce(WorkerListed{Worker: workflow.Worker{ID: "w1", Incarnation: 1, Service: "svc", Address: "w1", Capacity: largeWorker}})
 		s.report("w1", 0)
+		s.commit()
 		again, began := time.Duration(-1), s.now
 		for again < 0 && s.now.Sub(began) < limit {
 			s.advance(100 * time.Millisecond)
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -21,9 +21,11 @@
 }
 
 // eligible reports whether a worker may get new tasks of a step, apart from the
-// approval of the advisor.
+// approval of the advisor. A worker has to be stored first: a new leader that does
+// not know it would complete its recovery, and start the worker's tasks again, if the
+// directory lists the worker late.
 func (c *Dispatcher) eligible(s *step, w *worker) bool {
-	return w.known && w.listed && !w.unreported && !w.Draining && w.canStartTasks(c.now) && w.missedRenewals < missedRenewalsBeforeSilent && (w.missedRenewals == 0 || !s.spec.Gang) &&
+	return w.known && w.listed && w.stored && !w.unreported && !w.Draining && w.canStartTasks(c.now) && w.missedRenewals < missedRenewalsBeforeSilent && (w.missedRenewals == 0 || !s.spec.Gang) &&
 		!c.now.Before(w.pausedUntil) && w.Service == s.job.queue.Service &&
 		(s.spec.RequiredLabel == "" || w.HasLabel(s.spec.RequiredLabel)) &&
 		s.spec.RequiredCapacity().Fits(w.Capacity)
--- a/dispatch/recover.go
+++ b/dispatch/recover.go
@@ -206,7 +206,9 @@
 	for _, w := range list {
 		// A worker that answers is waited for even if all leases should have
 		// expired: one that has restarted unnoticed may hold a longer one.
-		c.markUnreported(c.addWorker(w))
+		recovered := c.addWorker(w)
+		recovered.stored = true
+		c.markUnreported(recovered)
 	}
 	return nil
 }
--- a/dispatch/retention_test.go
+++ b/dispatch/retention_test.go
@@ -28,7 +28,8 @@
 }
 
 // nextLeader replaces the leader of a harness by one that has loaded the stored rows
-// and the reports of all workers. The first one lists the given ends.
+// and the reports of all workers, and has stored the workers. The first report lists
+// the given ends.
 func (s *dispatcherHarness) nextLeader(stored map[tablestore.RowID][]byte, ends ...workflow.EndedTask) {
 	s.t.Helper()
 	earlier := s.dispatcher
@@ -48,6 +49,7 @@
 		ends = nil
 	}
 	s.place()
+	s.commitTo(stored)
 }
 
 // TestEndedJobsNeverStartAgain guards against starting ended jobs again after a change
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -36,6 +36,7 @@
 	dirty                 []*job             // jobs for the next commit
 	deferred              []*job             // jobs for a commit within maxProgressDelay
 	committing            []*job             // jobs in the commit in progress
+	committingWorkers     []*worker          // workers in the commit in progress
 	removals              []tablestore.RowID // rows to remove with the next commits
 	buckets               [progressBuckets][]*job
 	bucketRows            [progressBuckets]int // number of stored rows of each progress bucket
@@ -202,6 +203,7 @@
 type worker struct {
 	workflow.Worker
 	listed bool
+	stored bool // a stored row lists it, perhaps with an earlier address: a new leader waits for its report
 	known  bool // the current incarnation has answered a renewal
 	// restarts counts the ended incarnations of the worker to which this leader has sent
 	// requests that may still arrive; see fencingToken.
--- /dev/null
+++ b/dispatch/stored_workers_test.go
@@ -0,0 +1,79 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/mangodrum/mangodrum/structs"
+	"github.com/mangodrum/mangodrum/tablestore"
+	"github.com/mangodrum/mangodrum/workflow"
+)
+
+// recoverNext returns the dispatcher of the next leader, which has recovered from the
+// stored rows and read no directory entry yet.
+func (s *dispatcherHarness) recoverNext(stored map[tablestore.RowID][]byte) *Dispatcher {
+	s.t.Helper()
+	now := s.now.Add(time.Second)
+	next := New(DefaultPolicy(), s.dispatcher.epoch+1, now, now)
+	var rows []tablestore.Row
+	for id, value := range stored {
+		rows = append(rows, tablestore.Row{Table: id.Table, Key: id.Key, Value: value})
+	}
+	if err := next.Recover(rows, s.now); err != nil {
+		s.t.Fatal(err)
+	}
+	return next
+}
+
+// listWorker lists an idle worker of the given name, and delivers its first report.
+func (s *dispatcherHarness) listWorker(id structs.WorkerID) {
+	s.reduce(WorkerListed{Worker: workflow.Worker{ID: id, Incarnation: 1, Service: "svc", Address: string(id), Capacity: largeWorker}})
+	s.report(id, 0)
+}
+
+// TestNextLeaderKnowsWorkersWithTasks guards against a task that runs twice after a
+// change of leader: the first leader started it on a worker whose row was not stored
+// yet, the directory's list reached the next leader late, and the next leader
+// completed its recovery without that worker and started the task elsewhere.
+func TestNextLeaderKnowsWorkersWithTasks(t *testing.T) {
+	s := newDispatcherHarness(t, 0, largeWorker)
+	stored := map[tablestore.RowID][]byte{}
+	s.reduce(SubmitJob{Call: 1, Job: arrayJob(1, false), Queue: batchQueue(nil)})
+	s.commitTo(stored)
+	s.listWorker("w0")
+	s.place()
+	for range 10 { // a leader that dies may have sent requests whose commit is not stored
+		for _, start := range takeEffects[StartTask](s) {
+			if s.recoverNext(stored).workers[start.Worker.ID] == nil {
+				t.Fatalf("%s is started on %s, which the next leader does not know", start.Order.Task, start.Worker.ID)
+			}
+			return
+		}
+		s.commitTo(stored)
+	}
+	t.Error("the task is not started after ten commits")
+}
+
+// TestWorkersAreStoredSoon guards against a cell whose first tasks wait for many
+// commits, because a worker gets no task before its row is stored. A commit takes up
+// to 80 ms, and a cell of 350 workers has room for all their rows in one.
+func TestWorkersAreStoredSoon(t *testing.T) {
+	const workers, wantCommits = 350, 2
+	s := newDispatcherHarness(t, 0, largeWorker)
+	for n := range workers {
+		s.listWorker(structs.WorkerID(taskName("w", n)))
+	}
+	commits := 0
+	for s.dispatcher.NeedsCommit() {
+		s.commit()
+		commits++
+	}
+	for _, w := range s.dispatcher.sortedWorkers {
+		if !w.stored {
+			t.Fatalf("worker %s is not stored after %d commits", w.ID, commits)
+		}
+	}
+	if commits > wantCommits {
+		t.Errorf("%d commits until all of %d workers are stored, want at most %d", commits, workers, wantCommits)
+	}
+}
