A worker that was removed and is listed again gets a higher fencing token

Cause: the leader forgets a worker that is not listed, does not answer and holds no runs. Listed again, perhaps as another incarnation, it got the token from before its removal, so late requests from before it still had an effect. Answers to such requests counted too, and a worker could be removed from the store before the ends that it had listed were stored: the next leader did not ask it. Change: the token rises with each return, answers to requests from before it do not count, and a worker stays until its ends are stored. TestReturnedWorkerGetsHigherToken demanded a token that is not lower and now demands a higher one; it and TestWorkerIsKeptUntilItsEndsAreStored fail without the change.

--- a/dispatch/incarnations_test.go
+++ b/dispatch/incarnations_test.go
@@ -224,9 +224,10 @@
 	}
 }
 
-// TestReturnedWorkerGetsHigherToken guards against requests with a lower token than a
-// worker has received before it was removed and listed again: the leader would take the
-// rejection for its deposition.
+// TestReturnedWorkerGetsHigherToken guards against requests from before a worker was
+// removed that it carries out after it was listed again, perhaps as another incarnation,
+// and against lower tokens than it has received: the leader would take the rejection for
+// its deposition.
 func TestReturnedWorkerGetsHigherToken(t *testing.T) {
 	s := newDispatcherHarness(t, 1, largeWorker)
 	s.now = s.now.Add(time.Second)
@@ -240,8 +241,30 @@
 		t.Fatal("a worker that is not listed and does not answer is kept")
 	}
 	s.reduce(WorkerListed{Worker: entry})
-	if after := s.dispatcher.fencingToken(s.dispatcher.workers["w0"]); after < before {
-		t.Errorf("token of a worker that was listed again: %d, want at least %d", after, before)
+	if after := s.dispatcher.fencingToken(s.dispatcher.workers["w0"]); after <= before {
+		t.Errorf("token of a worker that was listed again: %d, want above %d", after, before)
+	}
+}
+
+// TestWorkerIsKeptUntilItsEndsAreStored guards against removing a worker from the store
+// before the ends that it has listed are stored. A leader that came next did not ask it,
+// started its tasks again, and acknowledged the ends when the worker was back.
+func TestWorkerIsKeptUntilItsEndsAreStored(t *testing.T) {
+	s, starts := submitJob(t, 1, arrayJob(1, false), batchQueue(nil))
+	order := starts[0].Order
+	s.now = s.now.Add(time.Second)
+	s.reduce(WorkerUnlisted{ID: "w0"})
+	s.report("w0", time.Second, workflow.EndedTask{Sequence: 1, Task: order.Task, Run: order.Run, Kind: workflow.EndDone})
+	s.reduce(LeaseAnswered{Worker: "w0", SentAt: s.now, Outcome: workflow.NotSent})
+	s.advance(100 * time.Millisecond)
+	if s.dispatcher.workers["w0"] == nil {
+		t.Fatal("the worker is removed before the end of its run is stored")
+	}
+	s.advance(maxProgressDelay)
+	s.commit()
+	s.advance(100 * time.Millisecond)
+	if s.dispatcher.workers["w0"] != nil {
+		t.Error("a worker without runs that is not listed and does not answer is kept")
 	}
 }
 
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -43,6 +43,7 @@
 func (c *Dispatcher) addWorker(entry workflow.Worker) *worker {
 	w := &worker{
 		Worker: entry, allocations: map[string]*allocation{}, failedJobs: map[structs.JobID]bool{},
+		incarnationSince: c.now, // answers to requests from before its removal do not count
 	}
 	if c.now.Before(c.previousLeasesEnd) {
 		if c.unreported == 0 && c.recoveryLogged {
@@ -54,7 +55,9 @@
 	}
 	c.workers[entry.ID] = w
 	if restarts, removed := c.removedWorkers[entry.ID]; removed {
+		// Requests from before its removal may still be carried out, by another incarnation.
 		w.restarts, w.Restarted = restarts, true
+		c.raiseFencingToken(w)
 		delete(c.removedWorkers, entry.ID)
 		c.replaceApprovedWorker(w)
 	}
@@ -269,7 +272,8 @@
 	if c.haveLeasesEnded(w) {
 		c.silentWorkerEnded(w)
 	}
-	if !w.listed && len(w.allocations) == 0 && w.missedRenewals > 0 && !w.unreported {
+	if !w.listed && len(w.allocations) == 0 && w.missedRenewals > 0 && !w.unreported && len(w.pendingAcks) == 0 {
+		// The next leader will not ask it; ends that are not stored yet would be lost.
 		c.removeWorker(w)
 		return
 	}
--- a/soak/late_test.go
+++ b/soak/late_test.go
@@ -22,7 +22,7 @@
 	c := startCell(t, 1, 1)
 	w := c.platform.Workers[0]
 	c.runJob(1, 4, 100*time.Millisecond)
-	held := w.HoldBackRenewal(4)
+	held := w.HoldBack(platformtest.IsRenewal(4, 0))
 	c.awaitHeld(held)
 	w.LosePower()
 	w.RestorePower()
@@ -32,6 +32,50 @@
 	c.reportViolations()
 }
 
+// Guards against tasks that start elsewhere while they go on. A renewal or a start
+// request sent to the ended incarnation of a worker names the end of the lease on its
+// clock; carried out late, it must not let the next incarnation hold a lease that the
+// leader does not count. A start request does so too if it is rejected as too old.
+func TestLateRequestGrantsNoLongerLease(t *testing.T) {
+	t.Run("renewal", func(t *testing.T) { runLongerLease(t, platformtest.IsRenewal(0, longDeadline), func(*testCell) {}) })
+	t.Run("start", func(t *testing.T) {
+		runLongerLease(t, platformtest.IsStart, func(c *testCell) { c.submitTasks(2, 1, 100*time.Millisecond) })
+	})
+}
+
+// longDeadline is the end of a lease on the clock of the ended incarnation that grants
+// the next one the longest lease for some seconds.
+const longDeadline = 9 * time.Second
+
+// runLongerLease holds back a request to a worker, sent by trigger if not by itself,
+// restarts the worker, and carries the request out once it runs a task. The worker is
+// then cut off, and a second worker has room for the task.
+func runLongerLease(t *testing.T, match func(platformtest.Request) bool, trigger func(*testCell)) {
+	const (
+		longestLease = 6 * time.Second // that a worker grants
+		settleTime   = 2500 * time.Millisecond
+	)
+	t.Parallel()
+	c := startCell(t, 1, 2)
+	w, other := c.platform.Workers[0], c.platform.Workers[1]
+	other.LosePower()
+	c.runJob(1, 4, 100*time.Millisecond)
+	c.await("the deadline on the worker's clock", func() bool { return w.Clock() > longDeadline-4*time.Second })
+	held := w.HoldBack(match)
+	trigger(c)
+	c.awaitHeld(held)
+	w.LosePower()
+	w.RestorePower()
+	job := c.submitTasks(3, 1, 20*time.Second)
+	c.await("the start of job "+job.id, func() bool { return c.platform.IsRunningOn(job.id, w) })
+	other.RestorePower()
+	time.Sleep(settleTime) // the leader may count the longest lease from the restart on
+	held.CarryOut()
+	w.SetCut(true)
+	time.Sleep(longestLease)
+	c.reportViolations()
+}
+
 // submitTasks submits a job of one step and waits until it is accepted.
 func (c *testCell) submitTasks(number, tasks int, duration time.Duration) *soakJob {
 	c.t.Helper()
