The time in the leadership row is never older than what the leader counts from

Seen: the next leader counts the leases of the previous one from the time in the leadership row. A new leader that was paused during its claim counted from its row on a clock that was behind the store's by the pause; one that found its claim by reading the row was ahead of the store's clock by up to the duration of that read, and ended the leases of the previous leader that much early. It also counted as confirmed when its row was older than the age at which other instances claim, so it could deny jobs that another leader had accepted.

Change: the store's clock is bounded from above, from the time at which a request was sent; the closest bound counts, so slow answers do not make rows look young to followers. The leader's own clock counts from the receipt of the claim's answer, so it is never ahead. The claim confirms the leadership as of its row's time less the duration of the call. An answer later than the bound shows that the instance's clock has stood still: the bound is set anew, and commits that were prepared before confirm nothing.

--- a/cell/commits.go
+++ b/cell/commits.go
@@ -19,6 +19,15 @@
 	commit dispatch.Commit
 	tx     tablestore.Tx
 	row    leadership.Row
+	// clockResets is that of the store's clock when the commit was prepared.
+	clockResets int
+}
+
+// storeAnswer is an answer of the store, with the times at which the call was sent and
+// answered on the instance's clock.
+type storeAnswer struct {
+	page               tablestore.Page
+	sentAt, receivedAt structs.Timestamp
 }
 
 // advanceCommit prepares the next commit if one is due, and sends or reads back
@@ -77,7 +86,7 @@
 	}
 	puts := append([]tablestore.Put{{Table: dispatch.CellTable, Key: leadershipKey, Value: value}}, commit.Puts...)
 	l.pending = &pendingCommit{
-		commitTracker: commitTracker{createdAt: now}, commit: commit, row: row,
+		commitTracker: commitTracker{createdAt: now}, commit: commit, row: row, clockResets: l.storeClock.resets,
 		tx: tablestore.Tx{Part: StorePart, Puts: puts, Removes: commit.Removes, Conditions: l.leadershipCondition()},
 	}
 	return true
@@ -91,19 +100,20 @@
 
 // sendCommit sends one copy of a commit and passes the result to the loop.
 func (l *leader) sendCommit(p *pendingCommit, tx tablestore.Tx) {
-	page, err := l.instance.store.Commit(tx, commitTimeout)
-	l.postFunc(func() { l.handleCommitResult(p, page, err) })
+	answer, err := l.instance.timeStoreCall(func() (tablestore.Page, error) { return l.instance.store.Commit(tx, commitTimeout) })
+	l.postFunc(func() { l.handleCommitResult(p, answer, err) })
 }
 
 // readBack reads the leadership row to find out whether the commit took effect.
 func (l *leader) readBack(p *pendingCommit) {
-	page, err := l.instance.store.Scan(leadershipRowRange(), readBackTimeout)
+	answer, err := l.instance.timeStoreCall(func() (tablestore.Page, error) { return l.instance.store.Scan(leadershipRowRange(), readBackTimeout) })
+	page := answer.page
 	l.postFunc(func() {
 		p.recordReadResult(l.now(), err == nil)
 		if err != nil || l.pending != p {
 			return
 		}
-		l.recordStoreClock(page)
+		l.recordStoreClock(answer)
 		if version, ok := findRowVersion(page.Rows, p.row); ok {
 			l.completeCommit(p, version)
 			return
@@ -114,6 +124,13 @@
 	})
 }
 
+// timeStoreCall makes a call to the store and records when it was sent and answered.
+func (i *Instance) timeStoreCall(call func() (tablestore.Page, error)) (storeAnswer, error) {
+	sentAt := i.clock.Now()
+	page, err := call()
+	return storeAnswer{page, sentAt, i.clock.Now()}, err
+}
+
 // postFunc passes a function to the leader's loop.
 func (l *leader) postFunc(f func()) {
 	select {
@@ -125,16 +142,17 @@
 // handleCommitResult handles the result of one copy of a commit. Every commit
 // requires the row version of the one before it. That shows whether an earlier
 // copy took effect, and prevents a late copy from taking effect again.
-func (l *leader) handleCommitResult(p *pendingCommit, page tablestore.Page, err error) {
+func (l *leader) handleCommitResult(p *pendingCommit, answer storeAnswer, err error) {
 	if l.pending != p {
 		return // another copy or a read-back has already shown the outcome
 	}
 	switch {
 	case err == nil:
-		l.recordStoreClock(page)
-		l.completeCommit(p, page.Version)
+		l.recordStoreClock(answer)
+		l.completeCommit(p, answer.page.Version)
 	case errs.Is(err, errs.Conflict):
-		l.handleCommitConflict(p, page)
+		l.recordStoreClock(answer)
+		l.handleCommitConflict(p, answer.page)
 	default:
 		p.recordFailedCopy(l.now(), errs.Is(err, errs.NotRun))
 		l.instance.metrics.count("commit_failures", "kind", string(errs.KindOf(err)))
@@ -174,10 +192,12 @@
 			"refused", p.refusals, "read_back", p.readLatency.String(), "entries", len(p.tx.Puts)+len(p.tx.Removes))
 	}
 	l.row, l.version, l.commitSucceededAt, l.pending = p.row, version, now, nil
-	// The next leader counts leases from the time in the row, which was set
-	// before the first copy was sent.
-	l.dispatcher.ConfirmLeadership(p.createdAt)
-	l.confirmedAt = p.createdAt
+	// The next leader counts leases from the time in the row. That is too early if
+	// the instance's clock stood still before the commit was prepared.
+	if p.clockResets == l.storeClock.resets {
+		l.dispatcher.ConfirmLeadership(p.createdAt)
+		l.confirmedAt = p.createdAt
+	}
 	l.reduce(dispatch.Committed{Sequence: p.commit.Sequence})
 }
 
--- a/cell/instance.go
+++ b/cell/instance.go
@@ -318,8 +318,18 @@
 type claimedRow struct {
 	row       leadership.Row
 	version   uint64
-	storeTime time.Duration     // the store's clock
-	localTime structs.Timestamp // the instance's clock at about the same time
+	storeTime time.Duration // the store's clock in the answer that showed that the row is written
+	// sentAt and receivedAt are on the instance's clock: when the call with that
+	// answer was sent, and when it was answered.
+	sentAt, receivedAt structs.Timestamp
+}
+
+// confirmedAt returns a time on the clock of the new leader, see leader.now, that is not
+// later than the time in the row, from which the next leader counts the leases of this
+// one. The leader's clock may be behind the store's by the duration of the call and the
+// rounding of the store's time.
+func (c *claimedRow) confirmedAt() structs.Timestamp {
+	return c.row.CommittedAt - (c.receivedAt - c.sentAt) - storeTimeUnit
 }
 
 // claim writes the leadership row. If the outcome is unknown, it reads the row
@@ -338,15 +348,15 @@
 		Conditions: []tablestore.Condition{{Table: dispatch.CellTable, Key: leadershipKey, Version: e.Version}},
 		Puts:       []tablestore.Put{{Table: dispatch.CellTable, Key: leadershipKey, Value: value}},
 	}
-	sentAt := i.clock.Now()
-	page, err := i.options.Store.Commit(tx, claimTimeout)
+	answer, err := i.timeStoreCall(func() (tablestore.Page, error) { return i.options.Store.Commit(tx, claimTimeout) })
+	page := answer.page
 	i.log.Info("claim", "epoch", e.Epoch, "reason", e.Reason, "previous", e.Previous.Owner, "version", e.Version, "error", errorText(err))
 	if err == nil {
-		return claimedRow{row, page.Version, page.StoreTime, i.clock.Now()}, true
+		return claimedRow{row, page.Version, page.StoreTime, answer.sentAt, answer.receivedAt}, true
 	}
 	if errs.Is(err, errs.Conflict) {
 		if own, ok := findRowVersion(page.Rows, row); ok {
-			return claimedRow{row, own, page.StoreTime, sentAt}, true
+			return claimedRow{row, own, page.StoreTime, answer.sentAt, answer.receivedAt}, true
 		}
 	}
 	if errs.Is(err, errs.OutcomeUnknown) {
@@ -358,14 +368,13 @@
 // readClaim reads the leadership row to find out whether a claim took effect.
 func (i *Instance) readClaim(want leadership.Row) (claimedRow, bool) {
 	for range maxClaimReads {
-		sentAt := i.clock.Now()
-		page, err := i.options.Store.Scan(leadershipRowRange(), storeTimeout)
+		answer, err := i.timeStoreCall(func() (tablestore.Page, error) { return i.options.Store.Scan(leadershipRowRange(), storeTimeout) })
 		if err != nil {
 			sleep(i.ctx, claimReadDelay)
 			continue
 		}
-		version, own := findRowVersion(page.Rows, want)
-		return claimedRow{want, version, page.StoreTime, sentAt}, own
+		version, own := findRowVersion(answer.page.Rows, want)
+		return claimedRow{want, version, answer.page.StoreTime, answer.sentAt, answer.receivedAt}, own
 	}
 	return claimedRow{}, false
 }
--- a/cell/leader.go
+++ b/cell/leader.go
@@ -19,25 +19,26 @@
 
 // leader runs the dispatcher while this instance leads.
 type leader struct {
-	instance    *Instance
-	log         hclog.Logger
-	epoch       structs.Epoch
-	dispatcher  dispatcher
-	inbox       chan func()
-	ctx         context.Context
-	cancel      context.CancelFunc
-	group       conc.WaitGroup
-	clockOffset structs.Timestamp // the store's clock minus the instance's clock
-
-	storeClock   structs.Timestamp // the store's clock in its last answer
-	storeClockAt structs.Timestamp // the instance's clock at that answer
+	instance   *Instance
+	log        hclog.Logger
+	epoch      structs.Epoch
+	dispatcher dispatcher
+	inbox      chan func()
+	ctx        context.Context
+	cancel     context.CancelFunc
+	group      conc.WaitGroup
+	// clockOffset is the store's clock minus the instance's clock, or less by up to
+	// the time that the claim took. A leader that was ahead of the store would assume
+	// too early that the leases of the previous leader have ended.
+	clockOffset structs.Timestamp
+	storeClock  storeClock
 
 	row               leadership.Row
 	version           uint64 // of the leadership row
 	pending           *pendingCommit
 	commitSentAt      structs.Timestamp // when a copy of a commit was last sent
 	commitSucceededAt structs.Timestamp // when the last commit succeeded
-	confirmedAt       structs.Timestamp // when the last successful commit was sent, or the claim
+	confirmedAt       structs.Timestamp // at or before the time in the leadership row; see storeClock
 	lastPlacementAt   structs.Timestamp
 	replies           map[dispatch.CallID]chan dispatch.Reply
 	ended             chan struct{} // closed once every pending request has a reply
@@ -74,10 +75,11 @@
 	l := &leader{
 		instance: i, log: i.log.With("epoch", uint64(c.row.Epoch)), epoch: c.row.Epoch, inbox: make(chan func(), inboxSize),
 		ctx: ctx, cancel: cancel, row: c.row, version: c.version,
-		clockOffset: structs.Timestamp(c.storeTime) - c.localTime, storeClock: structs.Timestamp(c.storeTime), storeClockAt: c.localTime,
-		replies: map[dispatch.CallID]chan dispatch.Reply{}, ended: make(chan struct{}), peers: map[structs.InstanceID]*member{},
+		clockOffset: structs.Timestamp(c.storeTime) - c.receivedAt,
+		replies:     map[dispatch.CallID]chan dispatch.Reply{}, ended: make(chan struct{}), peers: map[structs.InstanceID]*member{},
 	}
-	l.commitSucceededAt, l.commitSentAt, l.confirmedAt = l.now(), l.now(), l.now()
+	l.storeClock.record(c.storeTime, c.sentAt, c.receivedAt)
+	l.commitSucceededAt, l.commitSentAt, l.confirmedAt = l.now(), l.now(), c.confirmedAt()
 	return l
 }
 
@@ -88,7 +90,7 @@
 	if !i.setLeader(l, i.options.ID, l.epoch) {
 		return
 	}
-	l.dispatcher = dispatch.New(i.options.Policy, l.epoch, l.now(), c.row.CommittedAt)
+	l.dispatcher = dispatch.New(i.options.Policy, l.epoch, l.now(), l.confirmedAt)
 	recovered := false
 	l.protect("recover", func() {
 		if err := l.recover(claim.Previous); err != nil {
@@ -106,18 +108,17 @@
 }
 
 // now returns the cell's time. It follows the store's clock as it was when this
-// instance claimed the leadership.
+// instance claimed the leadership, and is never ahead of it.
 func (l *leader) now() structs.Timestamp { return l.instance.clock.Now() + l.clockOffset }
 
-// storeNow returns the store's time, estimated from its last answer. Followers
-// compare it with the store's clock to find the age of a commit.
-func (l *leader) storeNow() structs.Timestamp {
-	return l.storeClock + l.instance.clock.Now() - l.storeClockAt
-}
+// storeNow returns the latest time that the store's clock may show. Followers compare
+// it with the store's clock to find the age of a commit, and the next leader counts the
+// leases of this one from it.
+func (l *leader) storeNow() structs.Timestamp { return l.storeClock.latest(l.instance.clock.Now()) }
 
-// recordStoreClock records the store's clock from an answer of the store.
-func (l *leader) recordStoreClock(page tablestore.Page) {
-	l.storeClock, l.storeClockAt = structs.Timestamp(page.StoreTime), l.instance.clock.Now()
+// recordStoreClock records the store's clock from the answer to a call.
+func (l *leader) recordStoreClock(a storeAnswer) {
+	l.storeClock.record(a.page.StoreTime, a.sentAt, a.receivedAt)
 }
 
 // end answers the remaining requests with Unknown, tells the other instances
