dispatch: fault schedules draw requests that the next incarnation of a worker carries out late

Cause: the schedules dropped a late request when its worker had restarted, listed all workers at once to a new leader, and had no leader that is cut off from some workers or pauses between its decisions and their requests. Change: seeds over 90000 draw late starts, stops and renewals that whichever incarnation is up carries out, restarts before them and cuts after them, answers lost of requests that are carried out, partial cuts and pauses of the leader, and late lists of workers; a start that is rejected as old extends the lease. Earlier seeds play as before: the draws have a generator of their own. A failed schedule logs what concerns the task and its workers. Rule TWICE is checked as before.

--- a/dispatch/faults_test.go
+++ b/dispatch/faults_test.go
@@ -240,6 +240,9 @@
 	if seed > lastSeedWithoutTimes {
 		s.clockRNG, s.maxClockError = rand.New(rand.NewPCG(seed, 7)), 3*time.Second
 	}
+	if seed > lastSeedWithoutLateRequests {
+		s.scheduleLateRequests(seed, length)
+	}
 	s.elect()
 	for n := range jobs {
 		job := s.randomJob(n)
@@ -258,6 +261,10 @@
 		s.scheduleCuts(seed, length)
 	}
 	s.run(structs.Timestamp(120 * time.Second))
+	if s.late != nil && t.Failed() {
+		s.late.logTrace()
+		return // the schedule was not played to its end
+	}
 	s.checkEnd(seed)
 }
 
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
@@ -48,6 +49,7 @@
 	lossProbability float64                // probability that the answer to a request is lost
 	lateProbability float64                // probability that a request is carried out late
 	onDecision      func(Decision)         // called for each decision, if set
+	late            *lateFaults            // nil for seeds up to lastSeedWithoutLateRequests
 }
 
 // simJob is a job of the simulation.
@@ -127,6 +129,10 @@
 	cutOff     bool          // has no connection to the store
 	committing bool          // a commit is in progress
 	wallOffset time.Duration // error of its time of day
+
+	cutFrom     map[structs.WorkerID]leaderCut // workers that it is cut off from
+	pauseNext   time.Duration                  // length of a pause that begins after its next decisions
+	pausedUntil structs.Timestamp
 }
 
 // elect replaces the leader by one that has recovered from the stored rows.
@@ -146,9 +152,13 @@
 	}
 	s.leader = l
 	s.lastCommitAt = s.now // the claim writes the leadership row
-	for _, w := range s.workers {
-		if w.up && !w.unlisted {
-			l.reduce(WorkerListed{Worker: w.directoryEntry()})
+	if s.late != nil {
+		s.late.listWorkers(l)
+	} else {
+		for _, w := range s.workers {
+			if w.up && !w.unlisted {
+				l.reduce(WorkerListed{Worker: w.directoryEntry()})
+			}
 		}
 	}
 	l.reduce(InstancesConnected{IDs: []structs.InstanceID{"a", "b", "c", "d"}})
@@ -157,10 +167,13 @@
 
 // tick runs the periodic work of the leader and schedules the next tick.
 func (l *fakeLeader) tick() {
-	if !l.alive {
+	if !l.alive || l.afterPause(l.tick) {
 		return
 	}
 	l.reduce(Tick{WallOffset: l.wallOffset})
+	if l.afterPause(l.tick) {
+		return
+	}
 	l.execute(l.dispatcher.PlaceTasks(l.sim.now))
 	l.flush()
 	l.sim.at(25*time.Millisecond, l.tick)
@@ -190,15 +203,31 @@
 		for _, r := range commit.Removes {
 			delete(s.rows, [2]string{r.Table, r.Key})
 		}
-		if !l.alive {
-			return
-		}
-		l.committing = false
-		l.dispatcher.ConfirmLeadership(sentAt)
-		l.reduce(Committed{Sequence: commit.Sequence})
+		l.committed(commit, sentAt)
 	})
 }
 
+// committed handles the answer of the store to a commit.
+func (l *fakeLeader) committed(commit Commit, sentAt structs.Timestamp) {
+	if !l.alive || l.afterPause(func() { l.committed(commit, sentAt) }) {
+		return
+	}
+	l.committing = false
+	l.dispatcher.ConfirmLeadership(sentAt)
+	l.reduce(Committed{Sequence: commit.Sequence})
+}
+
+// afterPause calls do after the pause of the leader, if it is paused. It reports
+// whether it is.
+func (l *fakeLeader) afterPause(do func()) bool {
+	left := l.pausedUntil.Sub(l.sim.now)
+	if left <= 0 {
+		return false
+	}
+	l.sim.at(left, do)
+	return true
+}
+
 // recordStored records the jobs whose specification a commit has stored.
 func (s *simulation) recordStored(p tablestore.Put) {
 	if p.Table != JobTable {
@@ -214,7 +243,7 @@
 }
 
 func (l *fakeLeader) reduce(event structs.Event) {
-	if l.alive {
+	if l.alive && !l.afterPause(func() { l.reduce(event) }) {
 		l.execute(slices.Clone(l.dispatcher.Reduce(l.sim.now, event)))
 	}
 }
@@ -222,15 +251,22 @@
 // execute carries out the effects of the dispatcher.
 func (l *fakeLeader) execute(effects []structs.Effect) {
 	s := l.sim
-	for _, effect := range slices.Clone(effects) {
+	effects = slices.Clone(effects)
+	if l.pauseNext > 0 && len(effects) > 0 {
+		l.pausedUntil, l.pauseNext = s.now.Add(l.pauseNext), 0
+	}
+	if !l.alive || l.afterPause(func() { l.execute(effects) }) {
+		return
+	}
+	for _, effect := range effects {
 		switch e := effect.(type) {
 		case StartTask:
-			s.deliver(e.Worker, func(w *fakeWorker) workflow.Outcome { return w.start(e.Order) },
+			l.deliver(startRequest, e.Worker, func(w *fakeWorker) workflow.Outcome { return w.start(e.Order) },
 				func(o workflow.Outcome) {
 					l.reduce(StartAnswered{Worker: e.Worker.ID, FencingToken: e.Order.FencingToken, Task: e.Order.Task, Run: e.Order.Run, Outcome: o})
 				})
 		case StopTask:
-			s.deliver(e.Worker, func(w *fakeWorker) workflow.Outcome { return w.stop(e.Order) },
+			l.deliver(stopRequest, e.Worker, func(w *fakeWorker) workflow.Outcome { return w.stop(e.Order) },
 				func(o workflow.Outcome) {
 					l.reduce(StopAnswered{Worker: e.Worker.ID, FencingToken: e.Order.FencingToken, Task: e.Order.Task, Run: e.Order.Run, Outcome: o})
 				})
@@ -251,19 +287,33 @@
 }
 
 // deliver sends a request to a worker, subject to the faults of the schedule.
-func (s *simulation) deliver(to workflow.Worker, do func(*fakeWorker) workflow.Outcome, answer func(workflow.Outcome)) {
+func (l *fakeLeader) deliver(kind requestKind, to workflow.Worker, do func(*fakeWorker) workflow.Outcome, answer func(workflow.Outcome)) {
+	s := l.sim
 	w := s.worker(to.ID)
 	const timeout = 400 * time.Millisecond
-	if s.rng.Float64() < s.lateProbability {
+	if s.rng.Float64() < s.lateProbability || s.late.isLate(kind) {
 		// A new incarnation that carries out a request before any leader has
 		// reached it cannot be told what has ended; see
 		// TestLateStartOfEndedRunIsStopped for one that has been reached.
-		incarnation := w.Incarnation
-		s.at(time.Duration(2000+s.rng.IntN(10_000))*time.Millisecond, func() {
-			if w.up && w.Incarnation == incarnation {
-				do(w)
+		incarnation, sentAt := w.Incarnation, s.now
+		delay := time.Duration(2000+s.rng.IntN(10_000)) * time.Millisecond
+		s.at(delay, func() {
+			if !w.up || (w.Incarnation != incarnation && s.late == nil) {
+				return
 			}
+			outcome := do(w)
+			s.late.note("", w, "late %s of leader %d, sent at %.3f to %s incarnation %d, is carried out by %d: %s, lease until %v on its clock %v",
+				kind, l.epoch, float64(sentAt)/1e9, w.ID, incarnation, w.Incarnation, outcome, w.deadline, w.clock())
 		})
+		if s.late != nil {
+			s.late.aroundLateRequest(w, delay)
+		}
+		s.at(timeout, func() { answer(workflow.Unanswered) })
+		return
+	}
+	cut, isCut := l.cutFrom[to.ID]
+	isCut = isCut && s.now.Before(cut.until)
+	if isCut && !cut.answersOnly {
 		s.at(timeout, func() { answer(workflow.Unanswered) })
 		return
 	}
@@ -285,7 +335,7 @@
 			return
 		}
 		outcome := do(w)
-		if s.rng.Float64() < s.lossProbability {
+		if s.rng.Float64() < s.lossProbability || isCut || s.late.isAnswerLost() {
 			s.at(timeout, func() { answer(workflow.Unanswered) })
 			return
 		}
@@ -299,7 +349,7 @@
 	sentAt := l.sim.now
 	wait := min(e.Order.Wait, 300*time.Millisecond)
 	l.sim.at(wait, func() {
-		l.sim.deliver(e.Worker, func(w *fakeWorker) workflow.Outcome {
+		l.deliver(renewalRequest, e.Worker, func(w *fakeWorker) workflow.Outcome {
 			var outcome workflow.Outcome
 			report, outcome = w.renewLease(e.Order)
 			return outcome
@@ -422,6 +472,12 @@
 	if !job.accepted && !s.stored[job.job.ID] {
 		s.t.Errorf("%v: %s starts before its job is durable", s.now, order.Task)
 	}
+	if s.late != nil {
+		s.late.note(order.Task, w, "  %s run %d of leader %d starts on %s incarnation %d", order.Task, order.Run, order.FencingToken, w.ID, w.Incarnation)
+		if s.t.Failed() {
+			s.late.failedTask = cmp.Or(s.late.failedTask, order.Task)
+		}
+	}
 }
 
 // maxStartAfterCancel is the time after the acknowledgement of a job's cancelling in
--- a/dispatch/sim_worker_test.go
+++ b/dispatch/sim_worker_test.go
@@ -71,6 +71,9 @@
 		return workflow.OK
 	}
 	if order.Run <= w.highest[order.Task] || w.running[order.Task] != nil {
+		if w.sim.late != nil {
+			w.extendLease(order.Deadline) // also taken from a start request that is rejected
+		}
 		return workflow.RunTooOld
 	}
 	if order.Deadline <= w.clock() {
@@ -129,6 +132,7 @@
 	w.lastEndNumber++
 	w.ended = append(w.ended, workflow.EndedTask{Sequence: w.lastEndNumber, Task: r.task, Run: r.run, Kind: how})
 	w.sim.recordEnd(r.task, r.run, how)
+	w.sim.late.note(r.task, w, "  %s run %d ends on %s as %s, number %d", r.task, r.run, w.ID, how, w.lastEndNumber)
 	if g := r.gang; g != nil && !g.over {
 		g.over = true
 		for name, member := range g.members {
@@ -168,6 +172,7 @@
 	w.fencingToken = order.FencingToken
 	w.extendLease(order.Deadline)
 	for len(w.ended) > 0 && w.ended[0].Sequence <= order.AcknowledgedThrough {
+		w.sim.late.note(w.ended[0].Task, w, "  end %d of %s run %d on %s is acknowledged through %d", w.ended[0].Sequence, w.ended[0].Task, w.ended[0].Run, w.ID, order.AcknowledgedThrough)
 		w.ended = w.ended[1:]
 	}
 	listed := min(len(w.ended), w.sim.maxListedEnds)
