Only its own report ends the runs on a worker that has reported

Cause: a directory entry with another start time or address ended all listed runs on a worker at once. It may be late: the time of day of the worker's machine may have gone back, and then the entry of the ended incarnation has the greater start time. Change: such an entry makes the leader ask the worker again at once, at the entry's address and with a raised token; the report decides. Cost: one round trip before runs start again; the runs on a worker that does not answer are waited for until its leases end.

--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -207,9 +207,11 @@
 	known  bool // the current incarnation has answered a renewal
 	// restarts counts the ended incarnations of the worker to which this leader has sent
 	// requests that may still arrive; see fencingToken.
-	restarts   uint64
-	reported   bool // this leader has processed a report of the current incarnation
-	unreported bool // may run tasks of the previous leader; see Dispatcher.unreported
+	restarts uint64
+	reported bool // a report has been processed since the fencing token was raised last
+	// listedIncarnation is that of the last directory entry.
+	listedIncarnation workflow.Incarnation
+	unreported        bool // may run tasks of the previous leader; see Dispatcher.unreported
 
 	allocations map[string]*allocation
 	used        structs.Resources
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -19,11 +19,24 @@
 		return // late entry of an earlier incarnation
 	}
 	earlier := w.Worker
-	if entry.Incarnation != earlier.Incarnation || entry.Address != earlier.Address {
-		w.Worker = entry // requests that concern the earlier runs go to the new incarnation
+	entry.Restarted = earlier.Restarted
+	changed := entry.Incarnation != w.listedIncarnation || entry.Address != earlier.Address
+	w.listedIncarnation = entry.Incarnation
+	switch {
+	case w.reportSentAt != 0:
+		// Only its own report shows which incarnation of a worker is up: an entry may
+		// be late, and a start time earlier than that of the incarnation before.
+		mayHaveRestarted := changed && (entry.Incarnation != earlier.Incarnation || entry.Address != earlier.Address)
+		entry.Incarnation = earlier.Incarnation
+		if mayHaveRestarted {
+			w.Worker = entry // requests that concern the earlier runs go to the new address
+			c.verifyIncarnation(w)
+		}
+	case entry.Incarnation != earlier.Incarnation || entry.Address != earlier.Address:
+		w.Worker = entry
 		c.incarnationEnded(w, "directory entry of another incarnation")
+		entry.Restarted = true
 	}
-	entry.Restarted = earlier.Restarted || w.Restarted
 	if entry.Draining != earlier.Draining {
 		c.logDecision(Decision{Event: "worker_draining", Worker: w.ID, Value: int64(entry.RemainingTime / time.Millisecond)})
 	}
@@ -43,7 +56,7 @@
 func (c *Dispatcher) addWorker(entry workflow.Worker) *worker {
 	w := &worker{
 		Worker: entry, allocations: map[string]*allocation{}, failedJobs: map[structs.JobID]bool{},
-		incarnationSince: c.now, // answers to requests from before its removal do not count
+		listedIncarnation: entry.Incarnation, incarnationSince: c.now, // answers to requests from before its removal do not count
 	}
 	if c.now.Before(c.previousLeasesEnd) {
 		if c.unreported == 0 && c.recoveryLogged {
@@ -110,6 +123,14 @@
 	}
 }
 
+// verifyIncarnation asks a worker which of its incarnations is up, with a raised token.
+// Until it answers it gets no new tasks.
+func (c *Dispatcher) verifyIncarnation(w *worker) {
+	c.raiseFencingToken(w)
+	w.reported, w.known = false, false
+	w.renewing, w.nextRenewalAt, w.incarnationSince = false, 0, c.now
+}
+
 // resetWorker forgets what an incarnation of a worker has reported, and makes the
 // next renewal due. Answers to renewals that were sent before are ignored.
 func (c *Dispatcher) resetWorker(w *worker) {
