The next leader counts the longest lease of a restarted worker; an answer may be that of the next incarnation

A restarted worker may hold the longest lease, from a late request to its earlier incarnation. A run counted as over with its incarnation if that had listed it and each start request had an answer, although the last answer may be that of the next incarnation. Change: the end of that lease is stored with the worker (ForeignLeaseEnd, on the cell's clock), and no run on a silent worker is over before it. A run is carried over unless the report that listed it was requested after the last answer.

--- a/dispatch/incarnations.go
+++ b/dispatch/incarnations.go
@@ -40,10 +40,10 @@
 }
 
 // mayReachNextIncarnation reports whether the next incarnation of the worker may run
-// an allocation of this one. It cannot if this incarnation has listed the run and
-// every start request has an answer.
+// an allocation of this one. It cannot if this incarnation has listed the run, and was
+// asked to do so after the last start request had its answer.
 func (a *allocation) mayReachNextIncarnation() bool {
-	return a.run != 0 && (a.openStarts > 0 || a.reportedAt == 0)
+	return a.run != 0 && (a.openStarts > 0 || a.reportedAt == 0 || !a.startAnsweredAt.Before(a.reportSentAt))
 }
 
 // carryOver keeps an allocation until the next incarnation has reported.
--- a/dispatch/leases.go
+++ b/dispatch/leases.go
@@ -18,7 +18,7 @@
 	if w.unreported && c.now.Before(c.previousLeasesEnd) {
 		return false
 	}
-	return c.now.After(w.leaseEnd)
+	return c.now.After(max(w.leaseEnd, w.ForeignLeaseEnd))
 }
 
 // countForeignLeases includes the leases that a worker may hold at its first report and
@@ -31,7 +31,8 @@
 		w.leaseEnd = max(w.leaseEnd, min(longest, c.previousLeasesEnd))
 	}
 	if c.mayHoldForeignLease(w, w.clock) {
-		w.leaseEnd = max(w.leaseEnd, c.now.Add(c.longestLease()))
+		w.ForeignLeaseEnd = c.now.Add(c.longestLease())
+		c.workerChanged(w.ID) // the next leader counts it too
 	}
 }
 
--- a/dispatch/lost.go
+++ b/dispatch/lost.go
@@ -94,13 +94,14 @@
 	}
 }
 
-// leaseLeft returns the time until all leases that this leader has granted to a worker
-// have ended. It is negative if they have, and 0 if it has granted none.
+// leaseLeft returns the time until all leases that this leader counts for a worker have
+// ended. It is negative if they have, and 0 if there are none.
 func (w *worker) leaseLeft(now structs.Timestamp) time.Duration {
-	if w.leaseEnd == 0 {
+	end := max(w.leaseEnd, w.ForeignLeaseEnd)
+	if end == 0 {
 		return 0
 	}
-	return w.leaseEnd.Sub(now)
+	return end.Sub(now)
 }
 
 // allLost ends all runs on a worker.
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -112,6 +112,7 @@
 	}
 	if e.Outcome != workflow.Unanswered {
 		a.openStarts--
+		a.startAnsweredAt = c.now
 	}
 	if a.state != taskStarting {
 		return
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -195,7 +195,9 @@
 	startOrder      workflow.StartOrder
 	sentAt          structs.Timestamp // when the last start request was sent
 	openStarts      int               // start requests without an answer; each may be carried out late
+	startAnsweredAt structs.Timestamp // when the last start request was answered
 	reportedAt      structs.Timestamp // last report of the worker's incarnation that listed the run; 0: none
+	reportSentAt    structs.Timestamp // when that report was requested
 	carriedOver     bool              // sent to an earlier incarnation; see mayReachNextIncarnation
 }
 
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -19,7 +19,7 @@
 		return // late entry of an earlier incarnation
 	}
 	earlier := w.Worker
-	entry.Restarted = earlier.Restarted
+	entry.Restarted, entry.ForeignLeaseEnd = earlier.Restarted, earlier.ForeignLeaseEnd
 	changed := entry.Incarnation != w.listedIncarnation || entry.Address != earlier.Address
 	w.listedIncarnation = entry.Incarnation
 	switch {
@@ -451,7 +451,7 @@
 	if a.state == taskStarting {
 		c.started(w, a)
 	}
-	a.reportedAt, a.carriedOver = c.now, false
+	a.reportedAt, a.reportSentAt, a.carriedOver = c.now, w.reportSentAt, false
 	a.confirmedAt = max(a.confirmedAt, c.now)
 	if a.firstProgressAt == 0 {
 		a.firstPercent, a.firstProgressAt = r.Percent, c.now
--- a/workflow/worker.go
+++ b/workflow/worker.go
@@ -24,6 +24,10 @@
 	// Restarted is set by the leader: an earlier incarnation of the worker is known. It is
 	// stored, and no part of the directory's entry.
 	Restarted bool `cbor:"10,keyasint,omitempty"`
+	// ForeignLeaseEnd is set by the leader: when a lease has ended that a request to an
+	// earlier incarnation may have granted to this one, on the cell's clock; 0: none. It
+	// is stored, too.
+	ForeignLeaseEnd structs.Timestamp `cbor:"11,keyasint,omitempty"`
 }
 
 // HasLabel reports whether the worker has a label.
