dispatch: failing test of a lease of a worker that an earlier leader removed

Seen: a leader removes a worker that is unlisted and silent, and the worker's row with it, although renewals with a deadline may still be carried out for 12 s. The next leader takes the worker, listed again as a new incarnation, for one that has never restarted, and counts 4 s leases, while a late renewal of the first leader may have granted the longest.

--- a/dispatch/stale_news_test.go
+++ b/dispatch/stale_news_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/mangodrum/mangodrum/structs"
+	"github.com/mangodrum/mangodrum/tablestore"
 	"github.com/mangodrum/mangodrum/workflow"
 )
 
@@ -150,3 +151,48 @@
 		}
 	}
 }
+
+// TestWorkerRemovedByEarlierLeaderMayHoldALease guards against starting a task again
+// while it runs: the leader before had removed the worker, so its row does not tell that
+// it has restarted. A late renewal by that leader granted the longest lease to the new
+// incarnation, before this leader reached it. Then the worker is cut off.
+func TestWorkerRemovedByEarlierLeaderMayHoldALease(t *testing.T) {
+	s := newDispatcherHarness(t, 1, largeWorker)
+	stored := map[tablestore.RowID][]byte{}
+	s.advance(100 * time.Millisecond)
+	s.removeUnlisted(500 * time.Millisecond) // its last renewal had a deadline and no answer
+	s.commitTo(stored)
+	s.nextLeader(stored) // it knows the worker from its row, if that is kept
+	s.reduce(entry(2, "w0"))
+	s.reportOf("w0", workflow.Report{Incarnation: 2, Clock: 500 * time.Millisecond})
+	s.reduce(SubmitJob{Call: 1, Job: arrayJob(1, false), Queue: batchQueue(nil)})
+	s.commit()
+	starts := takeEffects[StartTask](s)
+	if len(starts) != 1 {
+		t.Fatalf("%d starts, want 1", len(starts))
+	}
+	order := starts[0].Order
+	s.reduce(StartAnswered{Worker: "w0", FencingToken: order.FencingToken, Task: order.Task, Run: order.Run, Outcome: workflow.OK})
+	s.now = s.now.Add(10 * time.Millisecond)
+	s.reportOf("w0", workflow.Report{Incarnation: 2, Clock: 510 * time.Millisecond, Running: []workflow.RunningTask{{Task: order.Task, Run: order.Run}}})
+	s.reduce(WorkerListed{Worker: workflow.Worker{ID: "w1", Incarnation: 1, Service: "svc", Address: "w1", Capacity: largeWorker}})
+	s.report("w1", 0)
+	s.commit()
+	reportedAt := s.now
+	s.effects = nil
+	for s.now.Sub(reportedAt) < s.dispatcher.policy.MaxLease-time.Second {
+		s.advance(100 * time.Millisecond)
+		for _, effect := range s.effects {
+			if start, ok := effect.(StartTask); ok && start.Worker.ID == "w1" {
+				t.Fatalf("started on another worker %s after the first report", s.now.Sub(reportedAt))
+			}
+		}
+		for _, sent := range takeEffects[RenewLease](s) {
+			if sent.Worker.ID == "w1" {
+				s.report("w1", time.Minute)
+				continue
+			}
+			s.reduce(LeaseAnswered{Worker: "w0", SentAt: s.now, Outcome: workflow.Unanswered})
+		}
+	}
+}
