--- a/dispatch/stale_news_test.go
+++ b/dispatch/stale_news_test.go
@@ -114,6 +114,7 @@
 		t.Fatalf("%d renewals, want 1", len(sent))
 	}
 	sentAt := s.now // its answer is late
+	s.now = s.now.Add(10 * time.Millisecond)
 	s.reduce(entry(2, "w0"))
 	s.removeUnlisted(600 * time.Millisecond)
 	s.reduce(entry(2, "w0"))
