A paused leader sends no start requests and renewals that it decided on before

Seen: a task can run twice if a leader is paused between its decision and the request. Another instance takes over meanwhile, and a worker that has just restarted has received no fencing token yet, so it carries the late request out: a start, or a renewal whose numbers have a meaning for the ended incarnation only.

Change: the time of the decision is compared with the clock right before a start request or a renewal is sent. One that is older than the time-out of a request (400 ms), or of a leader that is none any more, is not sent and counts as unanswered. A renewal counts as sent at the decision. The counter mangodrum_cell_requests_dropped_total tells how many. Requests that wait in the network are not covered.

--- a/cell/effects.go
+++ b/cell/effects.go
@@ -5,6 +5,7 @@
 
 	"github.com/mangodrum/mangodrum/dispatch"
 	"github.com/mangodrum/mangodrum/structs"
+	"github.com/mangodrum/mangodrum/workflow"
 )
 
 const (
@@ -19,13 +20,13 @@
 	adviceTimeout = 1200 * time.Millisecond
 )
 
-// execute performs the effects returned by the dispatcher.
-func (l *leader) execute(effects []structs.Effect) {
+// execute performs the effects that the dispatcher has decided on at the given time.
+func (l *leader) execute(effects []structs.Effect, decidedAt structs.Timestamp) {
 	for _, effect := range effects {
 		switch e := effect.(type) {
 		case dispatch.StartTask:
 			l.spawn("start", func() {
-				outcome := l.instance.options.Workers.Start(&e.Worker, e.Order, workerRequestTimeout)
+				outcome := l.startTask(e, decidedAt)
 				l.post(dispatch.StartAnswered{Worker: e.Worker.ID, FencingToken: e.Order.FencingToken, Task: e.Order.Task, Run: e.Order.Run, Outcome: outcome})
 			})
 		case dispatch.StopTask:
@@ -34,10 +35,9 @@
 				l.post(dispatch.StopAnswered{Worker: e.Worker.ID, FencingToken: e.Order.FencingToken, Task: e.Order.Task, Run: e.Order.Run, Outcome: outcome})
 			})
 		case dispatch.RenewLease:
-			sentAt := l.now()
 			l.spawn("renew", func() {
-				report, outcome := l.instance.options.Workers.Lease(&e.Worker, e.Order, e.Order.Wait+leaseTimeout)
-				l.post(dispatch.LeaseAnswered{Worker: e.Worker.ID, FencingToken: e.Order.FencingToken, SentAt: sentAt, Report: report, Outcome: outcome})
+				report, outcome := l.renewLease(e, decidedAt)
+				l.post(dispatch.LeaseAnswered{Worker: e.Worker.ID, FencingToken: e.Order.FencingToken, SentAt: decidedAt, Report: report, Outcome: outcome})
 			})
 		case dispatch.RequestAdvice:
 			l.requestAdvice(e)
@@ -56,6 +56,38 @@
 	}
 }
 
+// maxRequestDelay is how long after its decision a start request or a renewal may be
+// sent. It is well above the delays of a busy instance.
+const maxRequestDelay = workerRequestTimeout
+
+// maySend reports whether a request that was decided on at the given time may still be
+// sent. The process may have been paused since, and another instance may lead. A worker
+// that has restarted meanwhile has received no fencing token, and would carry out a
+// request of the earlier leader.
+func (l *leader) maySend(decidedAt structs.Timestamp) bool {
+	if l.ctx.Err() == nil && l.now().Sub(decidedAt) <= maxRequestDelay {
+		return true
+	}
+	l.instance.metrics.count("requests_dropped", "reason", "late")
+	return false
+}
+
+// startTask sends a start request that was decided on at the given time.
+func (l *leader) startTask(e dispatch.StartTask, decidedAt structs.Timestamp) workflow.Outcome {
+	if !l.maySend(decidedAt) {
+		return workflow.Unanswered
+	}
+	return l.instance.options.Workers.Start(&e.Worker, e.Order, workerRequestTimeout)
+}
+
+// renewLease sends a renewal that was decided on at the given time.
+func (l *leader) renewLease(e dispatch.RenewLease, decidedAt structs.Timestamp) (workflow.Report, workflow.Outcome) {
+	if !l.maySend(decidedAt) {
+		return workflow.Report{}, workflow.Unanswered
+	}
+	return l.instance.options.Workers.Lease(&e.Worker, e.Order, e.Order.Wait+leaseTimeout)
+}
+
 // decisionValueKeys is the log key of a decision's value, by event.
 var decisionValueKeys = map[string]string{
 	"accept": "since_submit_ms", "refuse": "since_submit_ms",
--- a/cell/leader.go
+++ b/cell/leader.go
@@ -276,11 +276,14 @@
 		return
 	}
 	l.lastPlacementAt = now
-	l.execute(l.dispatcher.PlaceTasks(now))
+	l.execute(l.dispatcher.PlaceTasks(now), now)
 }
 
 // reduce passes an event to the dispatcher and executes its effects.
-func (l *leader) reduce(event structs.Event) { l.execute(l.dispatcher.Reduce(l.now(), event)) }
+func (l *leader) reduce(event structs.Event) {
+	now := l.now()
+	l.execute(l.dispatcher.Reduce(now, event), now)
+}
 
 // post passes an event to the leader's loop.
 func (l *leader) post(event structs.Event) {
