--- a/soak/workers_test.go
+++ b/soak/workers_test.go
@@ -25,9 +25,9 @@
 )
 
 // TestWorkerSoak guards against tasks that run twice while workers restart under their
-// identifier, are cut off and run on, drain and leave, or carry out requests late, and
-// the leader is killed, paused or stopped as planned shortly before, with or after
-// that.
+// identifier, are cut off and run on, drain and leave, or carry out requests late or
+// without a response, and the leader is killed, paused or stopped as planned shortly
+// before, with or after that.
 func TestWorkerSoak(t *testing.T) {
 	for seed := *firstSeed; seed < *firstSeed+uint64(*seeds); seed++ {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { runWorkerSeed(t, seed) })
@@ -57,14 +57,21 @@
 			}
 		})
 	}
-	c.platform.SetLateShare(0.02)
+	c.platform.SetFaults(drawRequestFaults(rand.New(rand.NewPCG(seed, 6))))
 	group.Go(func() { c.injectWorkerFaults(ctx, rng) })
 	group.Wait()
-	c.platform.SetLateShare(0)
+	c.platform.SetFaults(platformtest.Faults{})
 	c.removeFaults()
 	c.check(jobs)
 }
 
+// drawRequestFaults draws the shares of the requests to workers that get no response.
+// Each kind of fault is absent in a third of the seeds.
+func drawRequestFaults(rng *rand.Rand) platformtest.Faults {
+	draw := func() float64 { return []float64{0, 0.02, 0.05}[rng.IntN(3)] }
+	return platformtest.Faults{LateStarts: draw(), LateStops: draw(), LateRenewals: draw(), LostResponses: draw()}
+}
+
 // newWorkerSoakJob returns a job of one or two steps whose tasks take up to 4 s.
 func newWorkerSoakJob(rng *rand.Rand, seed uint64, client, n int) *soakJob {
 	job := newJob(rng, seed, client, n)
@@ -80,10 +87,10 @@
 func (c *testCell) injectWorkerFaults(ctx context.Context, rng *rand.Rand) {
 	var group sync.WaitGroup
 	for ctx.Err() == nil {
-		kind, leader := rng.IntN(4), rng.IntN(6)
+		kind, leader := rng.IntN(7), rng.IntN(7)
 		first, count := rng.IntN(len(c.platform.Workers)), 1+rng.IntN(8)
 		before, length := time.Duration(rng.IntN(1000))*time.Millisecond, time.Duration(1000+rng.IntN(4500))*time.Millisecond
-		group.Go(func() { c.injectLeaderFault(ctx, leader, before, length/4) })
+		group.Go(func() { c.injectLeaderFault(ctx, leader, before, length) })
 		sleepContext(ctx, 500*time.Millisecond)
 		for n := range count {
 			w := c.platform.Workers[(first+n)%len(c.platform.Workers)]
@@ -95,6 +102,7 @@
 }
 
 func (c *testCell) injectWorkerFault(ctx context.Context, kind int, w *platformtest.Worker, length time.Duration) {
+	c.logFault("%s has fault %d for %s", w.ID, kind, length)
 	switch kind {
 	case 0: // back within a second, often before anyone has noticed
 		w.LosePower()
@@ -119,27 +127,44 @@
 		sleepContext(ctx, 500*time.Millisecond)
 		w.LosePower()
 		w.RestorePower()
+	default:
+		w.SetCutKind([]platformtest.Cut{platformtest.CutFromInstances, platformtest.CutFromDirectory, platformtest.CutLosesResponses}[kind-4])
+		sleepContext(ctx, length)
+		w.SetCutKind(platformtest.NotCut)
 	}
 }
 
+// logFault logs a fault with the time, which the logs of the processes have too.
+func (c *testCell) logFault(format string, args ...any) {
+	c.t.Logf("%s "+format, append([]any{time.Now().UTC().Format("15:04:05.000")}, args...)...)
+}
+
 // injectLeaderFault kills, pauses or stops the leader, or makes the store unavailable.
+// A pause takes up to a quarter of length, or all of it, which is longer than a lease.
 func (c *testCell) injectLeaderFault(ctx context.Context, kind int, after, length time.Duration) {
 	sleepContext(ctx, after)
 	p := c.leader()
+	if p != nil {
+		c.logFault("leader %s has fault %d", p.name, kind)
+	}
 	switch {
 	case kind == 0 && p != nil:
-		c.tryExclusive(p, func() { c.restart(p, syscall.SIGKILL, length/4) })
+		c.tryExclusive(p, func() { c.restart(p, syscall.SIGKILL, length/16) })
 	case kind == 1 && p != nil:
 		c.tryExclusive(p, func() { c.restart(p, syscall.SIGTERM, 0) })
-	case kind == 2 && p != nil:
+	case (kind == 2 || kind == 6) && p != nil:
+		pause := length / 4
+		if kind == 6 {
+			pause = length
+		}
 		c.tryExclusive(p, func() {
 			p.signal(syscall.SIGSTOP)
-			sleepContext(ctx, length)
+			sleepContext(ctx, pause)
 			p.signal(syscall.SIGCONT)
 		})
 	case kind == 3:
 		c.platform.SetStoreMode(platformtest.StoreUnavailable)
-		sleepContext(ctx, 3*length)
+		sleepContext(ctx, 3*length/4)
 		c.platform.SetStoreMode(platformtest.StoreOK)
 	}
 }
