soak: workers restart while their requests are still to be carried out; cuts from one leader

A worker may get requests without a response, restart, and carry them out in its next incarnation 2 to 12 s after they were sent. Shares of late requests alone seldom concern a worker that restarts. Another worker is cut off from one leader, still reports to the directory, and answers the next leader. Violations name the fencing token that the worker had seen before a late request to an earlier incarnation.

--- a/soak/workers_test.go
+++ b/soak/workers_test.go
@@ -87,7 +87,7 @@
 func (c *testCell) injectWorkerFaults(ctx context.Context, rng *rand.Rand) {
 	var group sync.WaitGroup
 	for ctx.Err() == nil {
-		kind, leader := rng.IntN(7), rng.IntN(7)
+		kind, leader := rng.IntN(8), rng.IntN(7)
 		first, count := rng.IntN(len(c.platform.Workers)), 1+rng.IntN(8)
 		before, length := time.Duration(rng.IntN(1000))*time.Millisecond, time.Duration(1000+rng.IntN(4500))*time.Millisecond
 		group.Go(func() { c.injectLeaderFault(ctx, leader, before, length) })
@@ -127,13 +127,33 @@
 		sleepContext(ctx, 500*time.Millisecond)
 		w.LosePower()
 		w.RestorePower()
+	case 4: // restarts; the requests shortly before reach the next incarnation
+		w.SetLate(true)
+		sleepContext(ctx, length/6)
+		w.LosePower()
+		w.SetLate(false)
+		sleepContext(ctx, length/20)
+		w.RestorePower()
+	case 5: // is cut off from one leader, reports to the directory and answers the next
+		w.SetCutKind(platformtest.CutFromInstances)
+		c.awaitOtherLeader(ctx, length)
+		w.SetCutKind(platformtest.NotCut)
 	default:
-		w.SetCutKind([]platformtest.Cut{platformtest.CutFromInstances, platformtest.CutFromDirectory, platformtest.CutLosesResponses}[kind-4])
+		w.SetCutKind([]platformtest.Cut{platformtest.CutFromDirectory, platformtest.CutLosesResponses}[kind-6])
 		sleepContext(ctx, length)
 		w.SetCutKind(platformtest.NotCut)
 	}
 }
 
+// awaitOtherLeader waits until another process leads, but no longer than timeout.
+func (c *testCell) awaitOtherLeader(ctx context.Context, timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	for first := c.leader(); c.leader() == first && ctx.Err() == nil; {
+		sleepContext(ctx, 50*time.Millisecond)
+	}
+}
+
 // logFault logs a fault with the time, which the logs of the processes have too.
 func (c *testCell) logFault(format string, args ...any) {
 	c.t.Logf("%s "+format, append([]any{time.Now().UTC().Format("15:04:05.000")}, args...)...)
