soak: a start request carried out on the next incarnation runs a task that has ended

What callers saw: a task starts again after it has ended as done and that end was acknowledged (rule TWICE), by a start request that was late.

Cause: a start request without a response is repeated. The repetition runs and ends as done, the end is acknowledged, the worker restarts, and the first request is carried out before any request has reached the new incarnation, which has seen no fencing token. The rule does not count an end that was never acknowledged.

Change: TestLateStartRunsNoEndedTask plays this with a separate process.

--- a/soak/late_test.go
+++ b/soak/late_test.go
@@ -76,6 +76,27 @@
 	c.reportViolations()
 }
 
+// Guards against tasks that start again after an end as done that was acknowledged. A
+// start request without a response is repeated, and the first one may be carried out
+// after the task has ended and its worker has restarted, before any request has reached
+// the new incarnation.
+func TestLateStartRunsNoEndedTask(t *testing.T) {
+	c := startCell(t, 1, 1)
+	w := c.platform.Workers[0]
+	c.runJob(1, 4, 100*time.Millisecond)
+	held := w.HoldBack(platformtest.IsStart)
+	c.runJob(2, 1, 100*time.Millisecond)
+	c.awaitHeld(held)
+	time.Sleep(1500 * time.Millisecond) // for the acknowledgement of the end
+	w.SetCut(true)
+	w.LosePower()
+	w.RestorePower()
+	held.CarryOut()
+	w.SetCut(false)
+	time.Sleep(time.Second)
+	c.reportViolations()
+}
+
 // submitTasks submits a job of one step and waits until it is accepted.
 func (c *testCell) submitTasks(number, tasks int, duration time.Duration) *soakJob {
 	c.t.Helper()
