A worker is removed only once no earlier request to it can be carried out

Seen: the next leader took a worker that an earlier leader had removed for one that has never restarted. A late renewal of the earlier leader may have granted it the longest lease, so its runs were started elsewhere 4.4 s after its first report while they could go on for 10 s.

Change: a worker keeps its row for 13.5 s after the last request that grants a lease. It gets no tasks meanwhile; it costs renewals that find no one.

--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -67,6 +67,9 @@
 	// lateRequestTime is how long after its timeout the platform may carry out a
 	// request that has no answer.
 	lateRequestTime = 12 * time.Second
+	// requestTimeout is at least as long as a request waits for its answer, apart from
+	// the wait that a renewal asks for.
+	requestTimeout = 500 * time.Millisecond
 	// maxStartSends is how often an unanswered start request is sent before the
 	// run is stopped.
 	maxStartSends = 4
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -235,6 +235,7 @@
 	w.leaseDeadline = max(w.leaseDeadline, w.clock+c.now.Sub(w.clockAt)+granted)
 	w.grantedEnd = max(w.grantedEnd, c.now.Add(time.Duration(float64(granted)/minClockRate)+leaseMargin))
 	w.leaseEnd = max(w.leaseEnd, w.grantedEnd)
+	w.requestsUntil = c.now.Add(c.policy.RenewalWait + requestTimeout + lateRequestTime)
 	return w.leaseDeadline
 }
 
@@ -293,8 +294,9 @@
 	if c.haveLeasesEnded(w) {
 		c.silentWorkerEnded(w)
 	}
-	if !w.listed && len(w.allocations) == 0 && w.missedRenewals > 0 && !w.unreported && len(w.pendingAcks) == 0 {
-		// The next leader will not ask it; ends that are not stored yet would be lost.
+	if !w.listed && len(w.allocations) == 0 && w.missedRenewals > 0 && !w.unreported && len(w.pendingAcks) == 0 && c.now.After(w.requestsUntil) {
+		// The next leader will not ask it; ends that are not stored yet would be lost, and
+		// it would not know that a late request may have granted a lease.
 		c.removeWorker(w)
 		return
 	}
