A restarted worker gets tasks once the lease that it may hold is stored

What callers could see: a task that runs twice after a change of leader. A commit that was under way with the earlier row marked the worker as stored. Change: a worker counts as stored only with its present row. A restarted one waits for one commit.

--- a/dispatch/commit.go
+++ b/dispatch/commit.go
@@ -314,7 +314,9 @@
 		c.jobCommitted(j)
 	}
 	for _, w := range c.committingWorkers {
-		w.stored = true
+		if _, changed := slices.BinarySearch(c.dirtyWorkers, bucketOf(string(w.ID), workerBuckets)); !changed {
+			w.stored = true
+		}
 	}
 	for _, w := range c.sortedWorkers {
 		w.acknowledge()
--- a/dispatch/faults_test.go
+++ b/dispatch/faults_test.go
@@ -28,7 +28,9 @@
 // numbers of an earlier one, a short lease after a longer one of the previous leader,
 // hidden ends, ends of complete occurrences acknowledged too early, longer leases than
 // a new leader knew of, and approved workers that had come back.
-var laterRegressionSeeds = []uint64{62, 439, 498, 1469, 1590, 10081, 11475, 11763, 40317, 40658, 41167, 43379}
+var laterRegressionSeeds = []uint64{62, 439, 498, 1469, 1590, 10081, 11475, 11763, 40317, 40658, 41167, 43379,
+	// late requests at the next incarnation of a worker
+	90131, 90219, 90229, 90231, 90296, 90300, 90979}
 
 // scheduleFaults draws the faults of a schedule.
 func (s *simulation) scheduleFaults(length time.Duration) {
--- a/dispatch/leases.go
+++ b/dispatch/leases.go
@@ -31,8 +31,9 @@
 		w.leaseEnd = max(w.leaseEnd, min(longest, c.previousLeasesEnd))
 	}
 	if c.mayHoldForeignLease(w, w.clock) {
-		w.ForeignLeaseEnd = c.now.Add(c.longestLease())
-		c.workerChanged(w.ID) // the next leader counts it too
+		// The next leader counts it too, so it has to be stored before tasks start here.
+		w.ForeignLeaseEnd, w.stored = c.now.Add(c.longestLease()), false
+		c.workerChanged(w.ID)
 	}
 }
 
--- a/dispatch/stored_workers_test.go
+++ b/dispatch/stored_workers_test.go
@@ -54,6 +54,43 @@
 	t.Error("the task is not started after ten commits")
 }
 
+// TestRestartedWorkerIsStoredBeforeItsTasks guards against a task that runs twice after a
+// change of leader: it was started on a restarted worker before the end of the lease that
+// this may hold from a late request was stored, and the next leader did not count that.
+func TestRestartedWorkerIsStoredBeforeItsTasks(t *testing.T) {
+	s := newDispatcherHarness(t, 1, largeWorker)
+	stored := map[tablestore.RowID][]byte{}
+	s.reduce(SubmitJob{Call: 1, Job: arrayJob(1, false), Queue: batchQueue(nil)})
+	commit, err := s.dispatcher.NextCommit(s.now) // in progress, with the row from before the restart
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.now = s.now.Add(time.Second)
+	s.reportOf("w0", workflow.Report{Incarnation: 2})
+	s.reduce(Committed{Sequence: commit.Sequence})
+	s.place()
+	if starts := takeEffects[StartTask](s); len(starts) != 0 {
+		t.Fatalf("%d starts on a restarted worker before it is stored, want 0", len(starts))
+	}
+	s.commitTo(stored)
+	if starts := takeEffects[StartTask](s); len(starts) != 1 {
+		t.Errorf("%d starts on a restarted worker that is stored, want 1", len(starts))
+	}
+	next := New(DefaultPolicy(), s.dispatcher.epoch.Next(), s.now, s.now)
+	for id, value := range stored {
+		if err := next.Recover([]tablestore.Row{{Table: id.Table, Key: id.Key, Value: value}}, s.now); err != nil {
+			t.Fatal(err)
+		}
+		if w := next.workers["w0"]; w != nil {
+			if left := w.ForeignLeaseEnd.Sub(s.now); left < s.dispatcher.policy.MaxLease {
+				t.Errorf("the next leader counts a lease of %s, want at least %s", left, s.dispatcher.policy.MaxLease)
+			}
+			return
+		}
+	}
+	t.Error("the next leader does not know the worker")
+}
+
 // TestWorkersAreStoredSoon guards against a cell whose first tasks wait for many
 // commits, because a worker gets no task before its row is stored. A commit takes up
 // to 80 ms, and a cell of 350 workers has room for all their rows in one.
