Findings of the review: adopted runs, recovered workers, leases before a row is stored, dropped starts

Renewals that grant and acknowledge nothing are sent whenever they were decided on. TestPausedLeaderSendsNoLateRequests checks renewals with a lease and with an acknowledgement, and the new outcome.

--- a/cell/effects.go
+++ b/cell/effects.go
@@ -75,14 +75,15 @@
 // startTask sends a start request that was decided on at the given time.
 func (l *leader) startTask(e dispatch.StartTask, decidedAt structs.Timestamp) workflow.Outcome {
 	if !l.maySend(decidedAt) {
-		return workflow.Unanswered
+		return workflow.Dropped
 	}
 	return l.instance.options.Workers.Start(&e.Worker, e.Order, workerRequestTimeout)
 }
 
-// renewLease sends a renewal that was decided on at the given time.
+// renewLease sends a renewal that was decided on at the given time. One that grants no
+// lease and acknowledges nothing is harmless at any time.
 func (l *leader) renewLease(e dispatch.RenewLease, decidedAt structs.Timestamp) (workflow.Report, workflow.Outcome) {
-	if !l.maySend(decidedAt) {
+	if (e.Order.Deadline != 0 || e.Order.AcknowledgedThrough != 0) && !l.maySend(decidedAt) {
 		return workflow.Report{}, workflow.Unanswered
 	}
 	return l.instance.options.Workers.Lease(&e.Worker, e.Order, e.Order.Wait+leaseTimeout)
--- a/cell/effects_test.go
+++ b/cell/effects_test.go
@@ -36,25 +36,30 @@
 	defer l.end()
 	workers := &recordingWorkers{}
 	l.instance.options.Workers = workers
-	send := func() (workflow.Outcome, workflow.Outcome) {
+	send := func(order workflow.LeaseOrder) (workflow.Outcome, workflow.Outcome) {
 		decidedAt := l.now()
 		l.instance.clock.suspended.Add(int64(10 * time.Second)) // the process is paused
 		started := l.startTask(dispatch.StartTask{}, decidedAt)
-		_, renewed := l.renewLease(dispatch.RenewLease{}, decidedAt)
+		_, renewed := l.renewLease(dispatch.RenewLease{Order: order}, decidedAt)
 		return started, renewed
 	}
-	if started, renewed := send(); started != workflow.Unanswered || renewed != workflow.Unanswered {
-		t.Errorf("outcomes of requests after a pause: %s and %s, want unanswered", started, renewed)
+	for _, order := range []workflow.LeaseOrder{{Deadline: time.Second}, {AcknowledgedThrough: 1}} {
+		if started, renewed := send(order); started != workflow.Dropped || renewed != workflow.Unanswered {
+			t.Errorf("outcomes of requests after a pause: %s and %s, want dropped and unanswered", started, renewed)
+		}
 	}
 	if workers.starts != 0 || workers.renewals != 0 {
 		t.Errorf("%d starts and %d renewals sent after a pause, want none", workers.starts, workers.renewals)
 	}
+	if _, asked := send(workflow.LeaseOrder{}); asked != workflow.OK || workers.renewals != 1 {
+		t.Error("a renewal that grants nothing and acknowledges nothing is not sent after a pause")
+	}
 	now := l.now()
 	if l.startTask(dispatch.StartTask{}, now) != workflow.OK || workers.starts != 1 {
 		t.Error("a start request is not sent without a pause")
 	}
 	l.cancel()
-	if l.startTask(dispatch.StartTask{}, l.now()) != workflow.Unanswered || workers.starts != 1 {
+	if l.startTask(dispatch.StartTask{}, l.now()) != workflow.Dropped || workers.starts != 1 {
 		t.Error("a start request is sent after the end of the leadership")
 	}
 }
--- a/dispatch/commit.go
+++ b/dispatch/commit.go
@@ -314,6 +314,7 @@
 		c.jobCommitted(j)
 	}
 	for _, w := range c.committingWorkers {
+		w.rowStored = true
 		if _, changed := slices.BinarySearch(c.dirtyWorkers, bucketOf(string(w.ID), workerBuckets)); !changed {
 			w.stored = true
 		}
--- a/dispatch/incarnations.go
+++ b/dispatch/incarnations.go
@@ -17,15 +17,15 @@
 // fencingToken returns the token of requests to a worker. It is above the tokens of
 // requests to its earlier incarnations, and below those of the next leader.
 func (c *Dispatcher) fencingToken(w *worker) structs.Epoch {
-	return c.epoch + structs.Epoch(w.restarts)
+	return c.epoch + structs.Epoch(w.tokenOffset)
 }
 
 // raiseFencingToken keeps requests that were sent to a worker so far from being carried
 // out by its next incarnation.
 func (c *Dispatcher) raiseFencingToken(w *worker) {
-	w.restarts++
-	if w.restarts >= structs.TokensPerEpoch-1 {
-		c.emit(StepDown{Worker: w.ID, Reason: "the fencing tokens for a worker that restarts again and again are used up"})
+	w.tokenOffset++
+	if w.tokenOffset >= structs.TokensPerEpoch-1 {
+		c.emit(StepDown{Worker: w.ID, Reason: "the fencing tokens for a worker are exhausted"})
 	}
 }
 
@@ -58,9 +58,9 @@
 	}
 }
 
-// mayHoldForeignLease reports whether the present incarnation of a worker may hold a
+// mayHoldInheritedLease reports whether the present incarnation of a worker may hold a
 // lease from a request that was sent to an earlier one: it was up for too short a time
 // when it first reported. Its clock begins with the incarnation.
-func (c *Dispatcher) mayHoldForeignLease(w *worker, uptime time.Duration) bool {
+func (c *Dispatcher) mayHoldInheritedLease(w *worker, uptime time.Duration) bool {
 	return w.Restarted && uptime < c.policy.Lease+lateRequestTime+c.longestLease()
 }
--- a/dispatch/leases.go
+++ b/dispatch/leases.go
@@ -18,21 +18,21 @@
 	if w.unreported && c.now.Before(c.previousLeasesEnd) {
 		return false
 	}
-	return c.now.After(max(w.leaseEnd, w.ForeignLeaseEnd))
+	return c.now.After(max(w.leaseEnd, w.InheritedLeaseEnd))
 }
 
-// countForeignLeases includes the leases that a worker may hold at its first report and
+// countInheritedLeases includes the leases that a worker may hold at its first report and
 // that this leader has not granted to this incarnation: one of the previous leader, which
 // may be longer than the first one granted now, for example if the worker drains, and one
 // of a late request to an earlier incarnation.
-func (c *Dispatcher) countForeignLeases(w *worker) {
+func (c *Dispatcher) countInheritedLeases(w *worker) {
 	if w.unreported {
 		longest := c.now.Add(time.Duration(float64(c.policy.Lease)/minClockRate) + leaseMargin)
 		w.leaseEnd = max(w.leaseEnd, min(longest, c.previousLeasesEnd))
 	}
-	if c.mayHoldForeignLease(w, w.clock) {
+	if c.mayHoldInheritedLease(w, w.clock) {
 		// The next leader counts it too, so it has to be stored before tasks start here.
-		w.ForeignLeaseEnd, w.stored = c.now.Add(c.longestLease()), false
+		w.InheritedLeaseEnd, w.stored = c.now.Add(c.longestLease()), false
 		c.workerChanged(w.ID)
 	}
 }
--- a/dispatch/lost.go
+++ b/dispatch/lost.go
@@ -87,7 +87,7 @@
 // checkEndNumbers logs that a worker has forgotten ends which this leader has not
 // processed: it numbers its ends without gaps, and forgets only acknowledged ones.
 func (c *Dispatcher) checkEndNumbers(w *worker, end workflow.EndedTask) {
-	if w.endsFollow && end.Sequence > w.processedEnd+1 {
+	if w.endNumbersContinuous && end.Sequence > w.processedEnd+1 {
 		c.logDecision(Decision{
 			Event: "ends_forgotten", Worker: w.ID, Incarnation: w.Incarnation, Value: int64(end.Sequence - w.processedEnd - 1),
 		})
@@ -97,7 +97,7 @@
 // leaseLeft returns the time until all leases that this leader counts for a worker have
 // ended. It is negative if they have, and 0 if there are none.
 func (w *worker) leaseLeft(now structs.Timestamp) time.Duration {
-	end := max(w.leaseEnd, w.ForeignLeaseEnd)
+	end := max(w.leaseEnd, w.InheritedLeaseEnd)
 	if end == 0 {
 		return 0
 	}
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -134,7 +134,7 @@
 			return
 		}
 		c.startRejected(w, a, e.Outcome)
-	case workflow.Unanswered:
+	case workflow.Unanswered, workflow.Dropped:
 		// resent by resend
 	default:
 		if a.sends > 1 {
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -24,7 +24,7 @@
 	ready          []*step // steps whose dependencies are done
 	workers        map[structs.WorkerID]*worker
 	sortedWorkers  []*worker                   // workers by identifier
-	removedWorkers map[structs.WorkerID]uint64 // workers that were removed and may come back, with their restarts
+	removedWorkers map[structs.WorkerID]uint64 // workers that were removed and may come back, with their tokenOffset
 
 	// unreported is the number of workers that may still run tasks of the
 	// previous leader: they have not reported, and its leases have not expired.
@@ -206,11 +206,14 @@
 	workflow.Worker
 	listed bool
 	stored bool // a stored row lists it, perhaps with an earlier address: a new leader waits for its report
-	known  bool // the current incarnation has answered a renewal
-	// restarts counts the ended incarnations of the worker to which this leader has sent
-	// requests that may still arrive; see fencingToken.
-	restarts uint64
-	reported bool // a report has been processed since the fencing token was raised last
+	// rowStored is true once any row that lists the worker is stored, also an earlier one.
+	rowStored bool
+	known     bool // the current incarnation has answered a renewal
+	// tokenOffset is added to the epoch in requests to the worker. It rises whenever
+	// earlier requests must not be carried out any more: with each incarnation that ends,
+	// with an entry that may be of another one, and when the worker is listed again.
+	tokenOffset        uint64
+	reportedSinceRaise bool // a report has been processed since then
 	// listedIncarnation is that of the last directory entry.
 	listedIncarnation workflow.Incarnation
 	unreported        bool // may run tasks of the previous leader; see Dispatcher.unreported
@@ -225,9 +228,9 @@
 	processedEnd    uint64 // highest number of a processed end
 	acknowledgedEnd uint64 // the effects of ends up to this number are stored
 	pendingAcks     []pendingAck
-	// endsFollow is true once the next end to be listed has the number after
+	// endNumbersContinuous is true once the next end to be listed has the number after
 	// processedEnd. Before the first report, a previous leader may have acknowledged some.
-	endsFollow bool
+	endNumbersContinuous bool
 	// sentAcknowledgement is the acknowledged end in the last renewal.
 	sentAcknowledgement uint64
 
--- a/dispatch/stored_workers_test.go
+++ b/dispatch/stored_workers_test.go
@@ -82,7 +82,7 @@
 			t.Fatal(err)
 		}
 		if w := next.workers["w0"]; w != nil {
-			if left := w.ForeignLeaseEnd.Sub(s.now); left < s.dispatcher.policy.MaxLease {
+			if left := w.InheritedLeaseEnd.Sub(s.now); left < s.dispatcher.policy.MaxLease {
 				t.Errorf("the next leader counts a lease of %s, want at least %s", left, s.dispatcher.policy.MaxLease)
 			}
 			return
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -19,7 +19,7 @@
 		return // late entry of an earlier incarnation
 	}
 	earlier := w.Worker
-	entry.Restarted, entry.ForeignLeaseEnd = earlier.Restarted, earlier.ForeignLeaseEnd
+	entry.Restarted, entry.InheritedLeaseEnd = earlier.Restarted, earlier.InheritedLeaseEnd
 	changed := entry.Incarnation != w.listedIncarnation || entry.Address != earlier.Address
 	w.listedIncarnation = entry.Incarnation
 	switch {
@@ -67,9 +67,9 @@
 		c.markUnreported(w)
 	}
 	c.workers[entry.ID] = w
-	if restarts, removed := c.removedWorkers[entry.ID]; removed {
+	if offset, removed := c.removedWorkers[entry.ID]; removed {
 		// Requests from before its removal may still be carried out, by another incarnation.
-		w.restarts, w.Restarted = restarts, true
+		w.tokenOffset, w.Restarted = offset, true
 		c.raiseFencingToken(w)
 		delete(c.removedWorkers, entry.ID)
 		c.replaceApprovedWorker(w)
@@ -127,20 +127,21 @@
 // Until it answers it gets no new tasks.
 func (c *Dispatcher) verifyIncarnation(w *worker) {
 	c.raiseFencingToken(w)
-	w.reported, w.known = false, false
+	w.reportedSinceRaise, w.known = false, false
 	w.renewing, w.nextRenewalAt, w.incarnationSince = false, 0, c.now
 }
 
 // resetWorker forgets what an incarnation of a worker has reported, and makes the
-// next renewal due. Answers to renewals that were sent before are ignored.
+// next renewal due. Answers to renewals that were sent before are ignored. The fencing
+// token rises unless that has been done since the last report.
 func (c *Dispatcher) resetWorker(w *worker) {
-	if w.reported {
+	if w.reportedSinceRaise {
 		c.raiseFencingToken(w)
 	}
-	w.reported = false
+	w.reportedSinceRaise = false
 	w.known, w.renewing, w.nextRenewalAt, w.incarnationSince = false, false, 0, c.now
 	w.processedEnd, w.acknowledgedEnd, w.sentAcknowledgement, w.pendingAcks = 0, 0, 0, nil
-	w.endsFollow = true // a new incarnation numbers its ends from 1
+	w.endNumbersContinuous = true // a new incarnation numbers its ends from 1
 	w.clock, w.clockAt, w.leaseDeadline, w.leaseEnd, w.grantedEnd = 0, 0, 0, 0, 0
 	w.failures, w.pausedUntil = 0, 0
 	clear(w.failedJobs)
@@ -154,6 +155,7 @@
 	}
 	c.allLost(w, lossNewIncarnation)
 	c.resetWorker(w)
+	w.InheritedLeaseEnd = 0
 	w.missedRenewals = max(w.missedRenewals, missedRenewalsBeforeSilent) // it does not answer
 	w.nextRenewalAt = c.now.Add(renewalRetryDelay)
 }
@@ -187,13 +189,14 @@
 	if w.known && w.missedRenewals == 0 {
 		// A worker that has missed a renewal may have restarted, and its ends
 		// counted anew: it would forget some that no leader has processed.
-		order.AcknowledgedThrough = w.acknowledgedEnd
-		order.Deadline = c.extendLease(w)
+		if order.Deadline = c.extendLease(w); order.Deadline != 0 {
+			order.AcknowledgedThrough = w.acknowledgedEnd
+		}
 		order.Wait = min(c.policy.RenewalWait, c.leaseLength(w)/4)
 		if w.endsTruncated && w.acknowledgedEnd > w.sentAcknowledgement {
 			order.Wait = 0 // the next ends are listed at once
 		}
-		w.sentAcknowledgement = w.acknowledgedEnd
+		w.sentAcknowledgement = order.AcknowledgedThrough
 	}
 	w.renewalSentAt = c.now
 	c.emit(RenewLease{Worker: w.Worker, Order: order})
@@ -224,8 +227,8 @@
 // lease may be granted.
 func (c *Dispatcher) extendLease(w *worker) time.Duration {
 	granted := min(c.leaseLength(w), c.leadershipConfirmedAt.Add(c.policy.Horizon).Sub(c.now))
-	if granted <= 0 || !w.known {
-		return 0
+	if granted <= 0 || !w.known || !w.rowStored {
+		return 0 // the next leader would not count the lease of a worker that is not stored
 	}
 	if w.missedRenewals > 0 {
 		// An unanswered renewal may have been carried out. Extending the lease
@@ -309,7 +312,7 @@
 
 func (c *Dispatcher) removeWorker(w *worker) {
 	delete(c.workers, w.ID)
-	c.removedWorkers[w.ID] = w.restarts
+	c.removedWorkers[w.ID] = w.tokenOffset
 	n := slices.Index(c.sortedWorkers, w)
 	c.sortedWorkers = slices.Delete(slices.Clone(c.sortedWorkers), n, n+1)
 	c.workerChanged(w.ID)
@@ -320,7 +323,7 @@
 func (c *Dispatcher) applyReport(w *worker, e LeaseAnswered) {
 	r := &e.Report
 	if w.Incarnation != 0 && r.Incarnation != w.Incarnation {
-		tokenRaised := w.reported
+		tokenRaised := w.reportedSinceRaise // by resetWorker
 		c.incarnationEnded(w, "report of another incarnation")
 		w.Incarnation = r.Incarnation
 		if tokenRaised {
@@ -348,11 +351,11 @@
 		listed[running.Task] = max(listed[running.Task], running.Run)
 		c.applyRunning(w, running, first)
 	}
-	if !w.reported {
-		w.reported = true
-		c.countForeignLeases(w)
+	if !w.reportedSinceRaise {
+		w.reportedSinceRaise = true
+		c.countInheritedLeases(w)
 	}
-	w.endsFollow = true
+	w.endNumbersContinuous = true
 	w.endsTruncated = r.EndsTruncated
 	if !w.endsTruncated {
 		c.endMissingRuns(w, listed, e.SentAt)
@@ -472,6 +475,7 @@
 func (c *Dispatcher) adoptRun(w *worker, r workflow.RunningTask) *allocation {
 	t := c.findReportedTask(r.Task)
 	a := &allocation{name: r.Task, run: r.Run, state: taskRunning, confirmedAt: c.now, startedAt: c.now, progressedAt: c.now}
+	a.openStarts = 1         // start requests of the leader that started it may have no answer
 	a.resources = w.Capacity // the size is no longer stored once a job has ended
 	if t != nil {
 		a.resources = t.step.spec.RequiredCapacity()
--- a/workflow/worker.go
+++ b/workflow/worker.go
@@ -24,10 +24,10 @@
 	// Restarted is set by the leader: an earlier incarnation of the worker is known. It is
 	// stored, and no part of the directory's entry.
 	Restarted bool `cbor:"10,keyasint,omitempty"`
-	// ForeignLeaseEnd is set by the leader: when a lease has ended that a request to an
+	// InheritedLeaseEnd is set by the leader: when a lease has ended that a request to an
 	// earlier incarnation may have granted to this one, on the cell's clock; 0: none. It
 	// is stored, too.
-	ForeignLeaseEnd structs.Timestamp `cbor:"11,keyasint,omitempty"`
+	InheritedLeaseEnd structs.Timestamp `cbor:"11,keyasint,omitempty"`
 }
 
 // HasLabel reports whether the worker has a label.
@@ -65,6 +65,7 @@
 	Malformed            Outcome = "malformed"   // the worker could not decode the request, or its report is invalid
 	Unhealthy            Outcome = "unhealthy"   // the worker rejected the request for now; it had no effect
 	OtherIncarnation     Outcome = "other-life"  // another incarnation answered; the request had no effect
+	Dropped              Outcome = "dropped"     // not sent, because it was decided on too long ago
 	NotSent              Outcome = "not-sent"    // no connection; the request had no effect
 	Unanswered           Outcome = "unanswered"  // no answer; the request may have had or may still have an effect
 )
