--- a/dispatch/reduce.go
+++ b/dispatch/reduce.go
@@ -50,7 +50,7 @@
 func (c *Dispatcher) PlaceTasks(now structs.Timestamp) []structs.Effect {
 	c.now = max(c.now, now)
 	c.effects = c.effects[:0]
-	if c.placementNeeded {
+	if c.placementNeeded && c.pausedAt == 0 {
 		c.placementNeeded = false
 		c.placeSteps()
 	}
@@ -61,9 +61,28 @@
 // that this instance still led at that time.
 func (c *Dispatcher) ConfirmLeadership(sentAt structs.Timestamp) {
 	c.leadershipConfirmedAt = max(c.leadershipConfirmedAt, sentAt)
+	if !sentAt.Before(c.pausedAt) {
+		c.pausedAt = 0
+	}
+}
+
+// maxTickGap is the time between two ticks above which this leader may have been paused
+// and replaced. Other instances claim the leadership of one that is silent for so long.
+const maxTickGap = time.Second
+
+// detectPause notices that this leader has been paused. Until a commit that is sent after
+// the pause proves that it still leads, it grants no leases and starts nothing: a worker
+// that has restarted meanwhile has received no token of a later leader.
+func (c *Dispatcher) detectPause() {
+	if c.lastTickAt != 0 && c.now.Sub(c.lastTickAt) > maxTickGap {
+		c.pausedAt = c.now
+		c.logDecision(Decision{Event: "pause_noticed", Value: int64(c.now.Sub(c.lastTickAt) / time.Millisecond)})
+	}
+	c.lastTickAt = c.now
 }
 
 func (c *Dispatcher) tick() {
+	c.detectPause()
 	c.startOccurrences()
 	c.queueDeferred()
 	for _, w := range c.sortedWorkers {
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -32,7 +32,9 @@
 	recoveryLogged        bool              // unreported was 0 after a report
 	startedAt             structs.Timestamp // start of this leader
 	previousLeasesEnd     structs.Timestamp
-	leadershipConfirmedAt structs.Timestamp  // send time of the last successful commit
+	leadershipConfirmedAt structs.Timestamp // send time of the last successful commit
+	lastTickAt            structs.Timestamp
+	pausedAt              structs.Timestamp  // when a pause of this leader was noticed; 0 once a later commit is confirmed
 	dirty                 []*job             // jobs for the next commit
 	deferred              []*job             // jobs for a commit within maxProgressDelay
 	committing            []*job             // jobs in the commit in progress
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -227,7 +227,7 @@
 // lease may be granted.
 func (c *Dispatcher) extendLease(w *worker) time.Duration {
 	granted := min(c.leaseLength(w), c.leadershipConfirmedAt.Add(c.policy.Horizon).Sub(c.now))
-	if granted <= 0 || !w.known || !w.rowStored {
+	if granted <= 0 || !w.known || !w.rowStored || c.pausedAt != 0 {
 		return 0 // the next leader would not count the lease of a worker that is not stored
 	}
 	if w.missedRenewals > 0 {
