--- a/dispatch/incarnations_test.go
+++ b/dispatch/incarnations_test.go
@@ -266,9 +266,12 @@
 	s.reduce(WorkerUnlisted{ID: "w0"})
 	s.report("w0", time.Second, workflow.EndedTask{Sequence: 1, Task: order.Task, Run: order.Run, Kind: workflow.EndDone})
 	s.reduce(LeaseAnswered{Worker: "w0", SentAt: s.now, Outcome: workflow.NotSent})
-	s.advance(100 * time.Millisecond)
-	if s.dispatcher.workers["w0"] == nil {
-		t.Fatal("the worker is removed before the end of its run is stored")
+	for range 2 { // the second time, no earlier request is carried out any more
+		s.advance(100 * time.Millisecond)
+		if s.dispatcher.workers["w0"] == nil {
+			t.Fatal("the worker is removed before the end of its run is stored")
+		}
+		s.now = s.now.Add(s.dispatcher.policy.RenewalWait + requestTimeout + lateRequestTime)
 	}
 	s.advance(maxProgressDelay)
 	s.commit()
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -474,8 +474,8 @@
 // the run if the task is waiting, and stops it otherwise.
 func (c *Dispatcher) adoptRun(w *worker, r workflow.RunningTask) *allocation {
 	t := c.findReportedTask(r.Task)
-	a := &allocation{name: r.Task, run: r.Run, state: taskRunning, confirmedAt: c.now, startedAt: c.now, progressedAt: c.now}
-	a.openStarts = 1         // start requests of the leader that started it may have no answer
+	// Start requests of the leader that started it may have no answer.
+	a := &allocation{name: r.Task, run: r.Run, state: taskRunning, openStarts: 1, confirmedAt: c.now, startedAt: c.now, progressedAt: c.now}
 	a.resources = w.Capacity // the size is no longer stored once a job has ended
 	if t != nil {
 		a.resources = t.step.spec.RequiredCapacity()
