--- a/dispatch/reduce.go
+++ b/dispatch/reduce.go
@@ -104,7 +104,7 @@
 	c.unreported--
 	c.placementNeeded = true
 	if c.unreported == 0 {
-		c.recoveryLogged = true
+		c.recoveryCompleted = true
 		c.logDecision(Decision{Event: "recovery_complete", Value: int64(len(c.jobs))})
 	}
 }
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -29,7 +29,7 @@
 	// unreported is the number of workers that may still run tasks of the
 	// previous leader: they have not reported, and its leases have not expired.
 	unreported            int
-	recoveryLogged        bool              // unreported was 0 after a report
+	recoveryCompleted     bool              // unreported was 0 after a report
 	startedAt             structs.Timestamp // start of this leader
 	previousLeasesEnd     structs.Timestamp
 	leadershipConfirmedAt structs.Timestamp // send time of the last successful commit
