A leader that is short of processor time sends what it decided up to a second ago

Cause: drops starts and renewals that were decided on more than 400 ms before, for the sake of a leader that was paused and replaced. A leader that is short of processor time is late by as much without being paused (the review had this by reading). Change: the bound is 1 s, as for a pause between two ticks.

--- a/cell/effects.go
+++ b/cell/effects.go
@@ -57,8 +57,9 @@
 }
 
 // maxRequestDelay is how long after its decision a start request or a renewal may be
-// sent. It is well above the delays of a busy instance.
-const maxRequestDelay = workerRequestTimeout
+// sent. A leader that is short of processor time is late by several hundred milliseconds;
+// one that was paused for longer may have been replaced.
+const maxRequestDelay = time.Second
 
 // maySend reports whether a request that was decided on at the given time may still be
 // sent. The process may have been paused since, and another instance may lead. A worker
