Log what a run was counted as lost by, and delays of answers to renewals

The users' record of double runs can't tell a worker that ends runs late from a leader that has been replaced or a start request that was carried out late: the line run_lost has the rule only. It and lost_run_listed now have the age of the last proof of the leadership, the start requests without an answer, and by how much the worker's clock is past the end of its last lease. Answers to renewals that take 0.15 s or more beyond their wait are in a histogram.

--- a/cell/effects.go
+++ b/cell/effects.go
@@ -37,7 +37,7 @@
 		case dispatch.RenewLease:
 			l.spawn("renew", func() {
 				report, outcome := l.renewLease(e, decidedAt)
-				l.post(dispatch.LeaseAnswered{Worker: e.Worker.ID, FencingToken: e.Order.FencingToken, SentAt: decidedAt, Report: report, Outcome: outcome})
+				l.post(dispatch.LeaseAnswered{Worker: e.Worker.ID, FencingToken: e.Order.FencingToken, SentAt: decidedAt, Wait: e.Order.Wait, Report: report, Outcome: outcome})
 			})
 		case dispatch.RequestAdvice:
 			l.requestAdvice(e)
@@ -110,7 +110,7 @@
 	case "lost_run_listed":
 		l.instance.metrics.count("lost_runs_listed", "reason", d.Reason)
 	}
-	args := make([]any, 0, 24)
+	args := make([]any, 0, 30)
 	if d.Job != "" {
 		args = append(args, "job", string(d.Job))
 	}
@@ -139,6 +139,10 @@
 		args = append(args, "earlier_worker", string(e.Worker), "earlier_incarnation", int64(e.Incarnation), "earlier_run", e.Run,
 			"earlier_lease_left_ms", int64(e.LeaseLeft/time.Millisecond))
 	}
+	if e := d.Evidence; e != nil {
+		args = append(args, "proof_age_ms", int64(e.ProofAge/time.Millisecond), "open_starts", e.OpenStarts,
+			"past_deadline_ms", int64(e.PastDeadline/time.Millisecond))
+	}
 	l.log.Info(d.Event, args...)
 }
 
--- a/dispatch/events.go
+++ b/dispatch/events.go
@@ -37,6 +37,7 @@
 	Worker       structs.WorkerID
 	FencingToken structs.Epoch // of the request
 	SentAt       structs.Timestamp
+	Wait         time.Duration // for which the request let the worker wait for an end
 	Report       workflow.Report
 	Outcome      workflow.Outcome
 }
@@ -202,6 +203,9 @@
 	State string
 	// Earlier is the run that a start replaces, for the event run_replaced.
 	Earlier *EarlierRun
+	// Evidence is what a run was counted as lost by, for the events run_lost and
+	// lost_run_listed.
+	Evidence *LossEvidence
 }
 
 // Observation is a measured latency of a job, for histograms.
--- a/dispatch/lost.go
+++ b/dispatch/lost.go
@@ -30,6 +30,25 @@
 	LeaseLeft   time.Duration // until all leases of the run's worker had ended; negative if they had
 }
 
+// LossEvidence tells a lost run whose worker was late from one whose leader had been
+// replaced and from one whose start request was carried out late.
+type LossEvidence struct {
+	ProofAge   time.Duration // since the send time of the last commit that proved the leadership
+	OpenStarts int           // start requests of the run without an answer
+	// PastDeadline is by how much the worker's clock is past the latest end of a lease
+	// that was granted to it: in its report for lost_run_listed, else as estimated.
+	PastDeadline time.Duration
+}
+
+// lossEvidence returns the evidence on a run of a worker.
+func (c *Dispatcher) lossEvidence(w *worker, openStarts int) *LossEvidence {
+	evidence := &LossEvidence{ProofAge: c.now.Sub(c.leadershipConfirmedAt), OpenStarts: openStarts}
+	if w.leaseDeadline != 0 {
+		evidence.PastDeadline = w.clock + c.now.Sub(w.clockAt) - w.leaseDeadline
+	}
+	return evidence
+}
+
 // endLost is the end of a run that the worker can no longer report.
 var endLost = workflow.EndedTask{Kind: workflow.EndLost}
 
@@ -43,9 +62,9 @@
 	if reason != lossRejected && a.run != 0 {
 		c.logDecision(Decision{
 			Event: "run_lost", Task: a.name, Worker: w.ID, Incarnation: w.Incarnation, Run: a.run, Reason: string(reason),
-			Value: int64(w.leaseLeft(c.now) / time.Millisecond),
+			Value: int64(w.leaseLeft(c.now) / time.Millisecond), Evidence: c.lossEvidence(w, a.openStarts),
 		})
-		c.rememberLostRun(a.name, run)
+		c.rememberLostRun(a.name, run, a.openStarts)
 	}
 	c.runEnded(w, a, endLost)
 }
@@ -57,17 +76,18 @@
 // lostRun is a run that counted as lost at the given time.
 type lostRun struct {
 	EarlierRun
-	at structs.Timestamp
+	at         structs.Timestamp
+	openStarts int // start requests without an answer at that time
 }
 
 // rememberLostRun keeps a lost run, so that a worker that lists it later shows that the
 // rule by which it was lost was wrong.
-func (c *Dispatcher) rememberLostRun(task string, run EarlierRun) {
+func (c *Dispatcher) rememberLostRun(task string, run EarlierRun, openStarts int) {
 	if c.now.Sub(c.lostRunsPrunedAt) > lostRunMemory {
 		c.lostRunsPrunedAt = c.now
 		maps.DeleteFunc(c.lostRuns, func(_ string, lost lostRun) bool { return c.now.Sub(lost.at) > lostRunMemory })
 	}
-	c.lostRuns[task] = lostRun{run, c.now}
+	c.lostRuns[task] = lostRun{run, c.now, openStarts}
 }
 
 // checkLostRun logs a run that counted as lost and that its worker lists all the same,
@@ -80,7 +100,7 @@
 	delete(c.lostRuns, task)
 	c.logDecision(Decision{
 		Event: "lost_run_listed", Task: task, Worker: w.ID, Incarnation: w.Incarnation, Run: run, Reason: lost.Reason, State: state,
-		Value: int64(c.now.Sub(lost.at) / time.Millisecond), Earlier: &lost.EarlierRun,
+		Value: int64(c.now.Sub(lost.at) / time.Millisecond), Earlier: &lost.EarlierRun, Evidence: c.lossEvidence(w, lost.openStarts),
 	})
 }
 
--- a/dispatch/lost_test.go
+++ b/dispatch/lost_test.go
@@ -83,3 +83,39 @@
 		t.Errorf("forgotten ends by the number listed next: %v, want 2 before 5 and 3 before 4", forgotten)
 	}
 }
+
+// TestLostRunHasEvidence guards against a run that counts as lost without a log line that
+// tells a late worker, a replaced leader and a late start request apart.
+func TestLostRunHasEvidence(t *testing.T) {
+	s, starts := submitJob(t, 1, arrayJob(1, false), batchQueue(nil))
+	order := starts[0].Order
+	for s.dispatcher.workers["w0"].allocations[order.Task] != nil {
+		s.now = s.now.Add(25 * time.Millisecond)
+		s.reduce(LeaseAnswered{Worker: "w0", SentAt: s.now, Outcome: workflow.Unanswered})
+		s.advance(0)
+		if s.now.Sub(s.dispatcher.startedAt) > time.Minute {
+			t.Fatal("the run never counts as lost")
+		}
+	}
+	lost := evidenceOf(s, "run_lost")
+	if lost == nil || lost.OpenStarts != 1 || lost.ProofAge > 25*time.Millisecond || lost.PastDeadline <= 0 {
+		t.Errorf("evidence on the lost run: %+v", lost)
+	}
+	deadline := s.dispatcher.workers["w0"].leaseDeadline
+	s.now = s.now.Add(time.Second)
+	s.reportOf("w0", workflow.Report{Incarnation: 1, Clock: deadline + 300*time.Millisecond, Running: []workflow.RunningTask{{Task: order.Task, Run: order.Run}}})
+	listed := evidenceOf(s, "lost_run_listed")
+	if listed == nil || listed.PastDeadline != 300*time.Millisecond || listed.ProofAge < time.Second || listed.OpenStarts != 1 {
+		t.Errorf("evidence on the lost run that is listed: %+v", listed)
+	}
+}
+
+// evidenceOf returns the evidence of the only decision with an event.
+func evidenceOf(s *dispatcherHarness, event string) *LossEvidence {
+	for _, d := range takeEffects[Decision](s) {
+		if d.Event == event {
+			return d.Evidence
+		}
+	}
+	return nil
+}
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -253,6 +253,7 @@
 	w.renewing = false
 	switch e.Outcome {
 	case workflow.OK:
+		c.observeAnswer(w, e)
 		c.applyReport(w, e)
 	case workflow.Fenced:
 		c.requestFenced(w, e.FencingToken)
@@ -267,6 +268,19 @@
 	w.nextRenewalAt = c.now.Add(minRenewalInterval)
 }
 
+// reportedAnswerDelay is the delay of an answer from which it is observed. Most answers
+// take less, and each observation costs processor time.
+const reportedAnswerDelay = 150 * time.Millisecond
+
+// observeAnswer reports how much longer the answer to a renewal took than the renewal
+// let the worker wait: the way there and back, and how late the worker or this leader
+// was.
+func (c *Dispatcher) observeAnswer(w *worker, e LeaseAnswered) {
+	if delay := c.now.Sub(e.SentAt) - e.Wait; delay >= reportedAnswerDelay {
+		c.emit(Observation{Name: "renewal_delay", Queue: w.Service, Value: delay})
+	}
+}
+
 // minRenewalInterval lets ends that occur close together share one renewal,
 // because each renewal is billed.
 const minRenewalInterval = 60 * time.Millisecond
