A silent worker's leases count as over only once a later commit proves the leadership

Callers saw tasks run on two workers. A leader whose commits get no answer goes on for 7.5 s, but counted the runs of a worker that does not answer it as over after 4.2 s and started them elsewhere, although another instance may have claimed the leadership and renewed that worker's lease. Found in virtual time; not proved to be what the users saw.

The end of a lease now counts once a commit that was sent after it has succeeded: no other leader can have renewed the lease before that commit, and one that claims later finds a lapsed lease. The same condition holds for the leases of the leader before and for runs that a next incarnation may hold.

TestSilentWorkerEndsRecoveryWithItsLeases and TestTakenAddressEndsRecovery never confirmed a commit, as no running leader does; they do now, with the bounds as they were.

--- a/dispatch/leases.go
+++ b/dispatch/leases.go
@@ -15,10 +15,18 @@
 	if w.missedRenewals == 0 {
 		return false
 	}
-	if w.unreported && c.now.Before(c.previousLeasesEnd) {
-		return false
+	end := max(w.leaseEnd, w.InheritedLeaseEnd)
+	if w.unreported {
+		end = max(end, c.previousLeasesEnd)
 	}
-	return c.now.After(max(w.leaseEnd, w.InheritedLeaseEnd))
+	return c.hasExpired(end)
+}
+
+// hasExpired reports whether leases that end at the given time by the count of this
+// leader have expired. A later leader may have renewed them unless a commit that was sent
+// after that time has succeeded.
+func (c *Dispatcher) hasExpired(end structs.Timestamp) bool {
+	return !c.leadershipConfirmedAt.Before(end)
 }
 
 // countInheritedLeases includes the leases that a worker may hold at its first report and
@@ -49,7 +57,7 @@
 // worker may have restarted before it received a start request, whose deadline on the
 // clock of the earlier incarnation then grants the longest lease.
 func (c *Dispatcher) isLeaseOver(a *allocation) bool {
-	return !a.mayReachNextIncarnation() || c.now.After(a.sentAt.Add(c.longestLease()))
+	return !a.mayReachNextIncarnation() || c.hasExpired(a.sentAt.Add(c.longestLease()))
 }
 
 // longestLease returns the longest time for which a worker may hold a lease, on this
--- a/dispatch/orders_test.go
+++ b/dispatch/orders_test.go
@@ -243,6 +243,7 @@
 	c.addWorker(workflow.Worker{ID: "gone", Incarnation: 1, Service: "svc", Address: "gone", Capacity: largeWorker})
 	for passed := time.Duration(0); passed < leases+time.Second; passed += 100 * time.Millisecond {
 		now := structs.Timestamp(time.Minute).Add(passed)
+		c.ConfirmLeadership(now) // commits succeed
 		for _, effect := range slices.Clone(c.Reduce(now, Tick{})) {
 			if _, ok := effect.(RenewLease); ok {
 				c.Reduce(now, LeaseAnswered{Worker: "gone", SentAt: now, Outcome: workflow.NotSent})
@@ -264,6 +265,7 @@
 	c.markUnreported(c.addWorker(workflow.Worker{ID: "left", Incarnation: 1, Service: "svc", Address: "w0", Capacity: largeWorker}))
 	for passed := time.Duration(0); passed < leases+time.Second; passed += 100 * time.Millisecond {
 		now := structs.Timestamp(time.Minute).Add(passed)
+		c.ConfirmLeadership(now) // commits succeed
 		for _, effect := range slices.Clone(c.Reduce(now, Tick{})) {
 			if _, ok := effect.(RenewLease); ok {
 				c.Reduce(now, LeaseAnswered{Worker: "left", SentAt: now, Outcome: workflow.OtherIncarnation})
