Leases of silent workers count as over only after the time that a late worker takes

Callers saw two runs at once: tasks of a silent worker started elsewhere 0.17 s after the end of its lease, while a worker that is short of processor time ended its runs later than that.

A worker that answers within the time of two renewals is in touch, so it may be that late in ending runs too: leaseMargin includes 1 s for it, on every path that counts the end of a lease. It does not lengthen the time in which tasks are started under a lease that is not renewed.

--- a/dispatch/leases.go
+++ b/dispatch/leases.go
@@ -69,7 +69,7 @@
 // canStartTasks reports whether the lease of a worker lasts for long enough to start
 // tasks under it. It is not extended while the worker misses renewals.
 func (w *worker) canStartTasks(now structs.Timestamp) bool {
-	return w.missedRenewals == 0 || w.grantedEnd.Sub(now) > minRemainingLease
+	return w.missedRenewals == 0 || w.grantedEnd.Sub(now)-workerLateness > minRemainingLease
 }
 
 // minRemainingLease is the rest of a lease below which no task is started under it.
--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -61,9 +61,13 @@
 	// ticketMargin is subtracted from the validity of a ticket for the latency of
 	// the advice to the leader and of the start request to the worker.
 	ticketMargin = 200 * time.Millisecond
-	// leaseMargin covers rounding and network latency before a lease is assumed to
-	// have expired.
-	leaseMargin = 150 * time.Millisecond
+	// workerLateness is how late a worker may end its runs after the end of their lease.
+	// A worker that is short of processor time answers late too; one that takes longer
+	// than this to answer counts as silent.
+	workerLateness = missedRenewalsBeforeSilent * requestTimeout
+	// leaseMargin is how long after its end a lease is assumed to have expired. It
+	// covers rounding and network latency besides the lateness of the worker.
+	leaseMargin = 150*time.Millisecond + workerLateness
 	// lateRequestTime is how long after its timeout the platform may carry out a
 	// request that has no answer.
 	lateRequestTime = 12 * time.Second
