Requests from before a worker's silence are fenced once its runs counted as over

Callers could see a task run twice: a start request without an answer, held up while its worker is silent, is carried out after the worker has been renewed, if the worker compares that lease and not the request's deadline with its clock. The record of the users shows no stop of such a run, so this is a related path and not shown to be what they saw.

The fencing token of a worker rises when its runs count as over by the end of their lease, and the worker gets no lease until it has received the new token.

--- a/dispatch/leases.go
+++ b/dispatch/leases.go
@@ -83,6 +83,9 @@
 		for _, a := range over {
 			c.runLost(w, a, lossLeaseEnded)
 		}
+		// Once the worker is renewed again, it may carry out requests from before, start
+		// requests among them: the lease is then later than their deadline.
+		c.verifyIncarnation(w)
 	}
 	if w.unreported {
 		c.logDecision(Decision{Event: "worker_gone", Worker: w.ID, Value: int64(c.now.Sub(c.startedAt) / time.Millisecond)})
