A worker whose lease counted as over is renewed once its clock shows that it has lapsed

Callers saw tasks start again after an end as done that was acknowledged. A worker whose runs had counted as over was renewed with its next report, also if its lease had not lapsed by its own clock: a run that went on ended, and the end was acknowledged, after its task had started again.

Such a worker gets no lease and no acknowledgement until its clock has passed the counted end, by the slowest clock and without the network's share, and it no longer lists a run that counted as lost. The lapse takes the end out of what can count twice. A worker that keeps time passes this with its first report.

A next leader does not know the deadline of the lease; open.

--- a/dispatch/leases.go
+++ b/dispatch/leases.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/mangodrum/mangodrum/structs"
+	"github.com/mangodrum/mangodrum/workflow"
 )
 
 // haveLeasesEnded reports whether every run on a silent worker is over, whichever
@@ -15,11 +16,17 @@
 	if w.missedRenewals == 0 {
 		return false
 	}
+	return c.hasExpired(c.lastLeaseEnd(w))
+}
+
+// lastLeaseEnd returns when all leases of a silent worker have ended by the count of this
+// leader, and its runs with them.
+func (c *Dispatcher) lastLeaseEnd(w *worker) structs.Timestamp {
 	end := max(w.leaseEnd, w.InheritedLeaseEnd)
 	if w.unreported {
 		end = max(end, c.previousLeasesEnd)
 	}
-	return c.hasExpired(end)
+	return end
 }
 
 // hasExpired reports whether leases that end at the given time by the count of this
@@ -86,9 +93,34 @@
 		// Once the worker is renewed again, it may carry out requests from before, start
 		// requests among them: the lease is then later than their deadline.
 		c.verifyIncarnation(w)
+		c.awaitLapse(w)
 	}
 	if w.unreported {
 		c.logDecision(Decision{Event: "worker_gone", Worker: w.ID, Value: int64(c.now.Sub(c.startedAt) / time.Millisecond)})
 		c.markReported(w)
 	}
 }
+
+// awaitLapse keeps the lease of a worker from being renewed, and its ends from being
+// acknowledged, until its clock shows that the lease which counted as over has lapsed.
+// Otherwise a run that goes on could end, and count, after its task was started again.
+func (c *Dispatcher) awaitLapse(w *worker) {
+	if w.clockAt == 0 {
+		return // it has reported to earlier leaders only
+	}
+	left := c.lastLeaseEnd(w).Add(-networkMargin).Sub(w.clockAt)
+	w.lapseBy = max(w.lapseBy, w.clock+time.Duration(float64(left)*minClockRate))
+}
+
+// checkLapse ends the wait of awaitLapse if a report shows that the lease has lapsed.
+func (c *Dispatcher) checkLapse(w *worker, r *workflow.Report) {
+	if w.lapseBy == 0 || r.Clock < w.lapseBy {
+		return
+	}
+	for _, running := range r.Running {
+		if lost, known := c.lostRuns[running.Task]; known && lost.Worker == w.ID && lost.Run == running.Run {
+			return // it is being stopped
+		}
+	}
+	w.lapseBy = 0
+}
--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -65,9 +65,10 @@
 	// A worker that is short of processor time answers late too; one that takes longer
 	// than this to answer counts as silent.
 	workerLateness = missedRenewalsBeforeSilent * requestTimeout
-	// leaseMargin is how long after its end a lease is assumed to have expired. It
-	// covers rounding and network latency besides the lateness of the worker.
-	leaseMargin = 150*time.Millisecond + workerLateness
+	// networkMargin covers rounding and network latency.
+	networkMargin = 150 * time.Millisecond
+	// leaseMargin is how long after its end a lease is assumed to have expired.
+	leaseMargin = networkMargin + workerLateness
 	// lateRequestTime is how long after its timeout the platform may carry out a
 	// request that has no answer.
 	lateRequestTime = 12 * time.Second
--- a/dispatch/reports.go
+++ b/dispatch/reports.go
@@ -25,6 +25,7 @@
 		w.silent = false
 		c.logDecision(Decision{Event: "worker_back", Worker: w.ID, Value: int64(w.missedRenewals)})
 	}
+	c.checkLapse(w, r)
 	first := !w.known
 	w.reportSentAt = e.SentAt
 	w.Incarnation = r.Incarnation
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -247,8 +247,11 @@
 	leaseEnd       structs.Timestamp // all leases that any request may have granted have expired by then
 	grantedEnd     structs.Timestamp // of these, the leases that this leader has granted to the current incarnation
 	leaseDeadline  time.Duration     // latest end of a granted lease on the worker's clock
-	requestsUntil  structs.Timestamp // requests that grant leases or acknowledge ends may be carried out until then
-	nextRenewalAt  structs.Timestamp // earliest time of the next renewal
+	// lapseBy is the time on the worker's clock by which the lease has lapsed that this
+	// leader counted as over, with its runs ended. 0: no lease has to lapse.
+	lapseBy       time.Duration
+	requestsUntil structs.Timestamp // requests that grant leases or acknowledge ends may be carried out until then
+	nextRenewalAt structs.Timestamp // earliest time of the next renewal
 	// incarnationSince is when the end of the previous incarnation became known.
 	incarnationSince structs.Timestamp
 
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -142,7 +142,7 @@
 	w.known, w.renewing, w.nextRenewalAt, w.incarnationSince = false, false, 0, c.now
 	w.processedEnd, w.acknowledgedEnd, w.sentAcknowledgement, w.pendingAcks = 0, 0, 0, nil
 	w.endNumbersContinuous = true // a new incarnation numbers its ends from 1
-	w.clock, w.clockAt, w.leaseDeadline, w.leaseEnd, w.grantedEnd = 0, 0, 0, 0, 0
+	w.clock, w.clockAt, w.leaseDeadline, w.leaseEnd, w.grantedEnd, w.lapseBy = 0, 0, 0, 0, 0, 0
 	w.failures, w.pausedUntil = 0, 0
 	clear(w.failedJobs)
 }
@@ -193,6 +193,9 @@
 			order.AcknowledgedThrough = w.acknowledgedEnd
 		}
 		order.Wait = min(c.policy.RenewalWait, c.leaseLength(w)/4)
+		if w.lapseBy != 0 {
+			order.Wait = renewalRetryDelay
+		}
 		if w.endsTruncated && w.acknowledgedEnd > w.sentAcknowledgement {
 			order.Wait = 0 // the next ends are listed at once
 		}
@@ -227,7 +230,7 @@
 // lease may be granted.
 func (c *Dispatcher) extendLease(w *worker) time.Duration {
 	granted := min(c.leaseLength(w), c.leadershipConfirmedAt.Add(c.policy.Horizon).Sub(c.now))
-	if granted <= 0 || !w.known || !w.rowStored || c.pausedAt != 0 {
+	if granted <= 0 || !w.known || !w.rowStored || w.lapseBy != 0 || c.pausedAt != 0 {
 		return 0 // the next leader would not count the lease of a worker that is not stored
 	}
 	if w.missedRenewals > 0 {
