A leader notices a pause with the first event after it, not with the first tick

A leader that was paused and replaced could start tasks before its first tick noticed the pause, as events that had waited came first. Callers would have seen a task run twice if the worker had restarted meanwhile and had no token of the next leader. The gap since the last tick is looked at with every event and placement.

--- a/dispatch/reduce.go
+++ b/dispatch/reduce.go
@@ -13,6 +13,7 @@
 func (c *Dispatcher) Reduce(now structs.Timestamp, event structs.Event) []structs.Effect {
 	c.now = max(c.now, now)
 	c.effects = c.effects[:0]
+	c.detectPause()
 	switch e := event.(type) {
 	case SubmitJob:
 		c.submit(e)
@@ -50,6 +51,7 @@
 func (c *Dispatcher) PlaceTasks(now structs.Timestamp) []structs.Effect {
 	c.now = max(c.now, now)
 	c.effects = c.effects[:0]
+	c.detectPause()
 	if c.placementNeeded && c.pausedAt == 0 {
 		c.placementNeeded = false
 		c.placeSteps()
@@ -70,19 +72,20 @@
 // and replaced. Other instances claim the leadership of one that is silent for so long.
 const maxTickGap = time.Second
 
-// detectPause notices that this leader has been paused. Until a commit that is sent after
+// detectPause notices that this leader has been paused, with whatever it does first
+// afterwards. Until a commit that is sent after
 // the pause proves that it still leads, it grants no leases and starts nothing: a worker
 // that has restarted meanwhile has received no token of a later leader.
 func (c *Dispatcher) detectPause() {
 	if c.lastTickAt != 0 && c.now.Sub(c.lastTickAt) > maxTickGap {
 		c.pausedAt = c.now
 		c.logDecision(Decision{Event: "pause_noticed", Value: int64(c.now.Sub(c.lastTickAt) / time.Millisecond)})
+		c.lastTickAt = c.now
 	}
-	c.lastTickAt = c.now
 }
 
 func (c *Dispatcher) tick() {
-	c.detectPause()
+	c.lastTickAt = c.now
 	c.startOccurrences()
 	c.queueDeferred()
 	for _, w := range c.sortedWorkers {
