An ended job is kept for its time from when callers can see its end

A job whose end was stored 7 s late, in an outage of the store, was denied with 410 after 114 s of the 120 s for which callers may ask: the time counted from the decision. It counts from the commit, and for recovered rows from the last commit of the leader before, by which they were stored. An outcome that is not stored yet is not dropped.

--- a/dispatch/commit.go
+++ b/dispatch/commit.go
@@ -122,9 +122,12 @@
 // last of its jobs has ended, and after the specifications of these jobs: a stored
 // specification without an outcome is that of an active job.
 type outcomeRow struct {
-	key         string
-	jobs        []*job
-	lastEndedAt structs.Timestamp // latest end of these jobs
+	key  string
+	jobs []*job
+	// storedAt is when callers may have seen the last of these ends for the first time:
+	// at the commit, or for a recovered row at the last commit of the previous leader. 0:
+	// not stored yet.
+	storedAt structs.Timestamp
 }
 
 // markDirty adds a changed job to the next commit.
@@ -313,6 +316,9 @@
 	for _, j := range c.committing {
 		c.jobCommitted(j)
 	}
+	for n := len(c.outcomeRows) - 1; n >= 0 && c.outcomeRows[n].storedAt == 0; n-- {
+		c.outcomeRows[n].storedAt = c.now
+	}
 	for _, w := range c.committingWorkers {
 		w.rowStored = true
 		if _, changed := slices.BinarySearch(c.dirtyWorkers, bucketOf(string(w.ID), workerBuckets)); !changed {
--- a/dispatch/commit_builder.go
+++ b/dispatch/commit_builder.go
@@ -247,7 +247,6 @@
 		n++
 		for _, row := range rows {
 			newRow.jobs = append(newRow.jobs, b.dispatcher.jobs[row.ID])
-			newRow.lastEndedAt = max(newRow.lastEndedAt, row.EndedAt)
 		}
 		b.dispatcher.outcomeRows = append(b.dispatcher.outcomeRows, newRow)
 		b.commit.Puts = append(b.commit.Puts, tablestore.Put{Table: EndedJobTable, Key: newRow.key, Value: data})
--- a/dispatch/recover.go
+++ b/dispatch/recover.go
@@ -32,7 +32,7 @@
 	// Outcomes are read first because specifications and progress of ended
 	// jobs may still be stored.
 	for _, row := range byTable[EndedJobTable] {
-		if err := c.recoverOutcomes(row); err != nil {
+		if err := c.recoverOutcomes(row, lastCommit); err != nil {
 			return err
 		}
 	}
@@ -72,13 +72,14 @@
 	return nil
 }
 
-// recoverOutcomes restores the ended jobs of a row of EndedJobTable.
-func (c *Dispatcher) recoverOutcomes(row tablestore.Row) error {
+// recoverOutcomes restores the ended jobs of a row of EndedJobTable, which was stored by
+// the given time.
+func (c *Dispatcher) recoverOutcomes(row tablestore.Row, lastCommit structs.Timestamp) error {
 	var ended []storedOutcome
 	if err := decodeRow(row, &ended); err != nil {
 		return err
 	}
-	outcomes := &outcomeRow{key: row.Key}
+	outcomes := &outcomeRow{key: row.Key, storedAt: lastCommit}
 	for _, e := range ended {
 		j := &job{
 			spec: workflow.Job{ID: e.ID}, state: e.State, endedAt: e.EndedAt, durable: true, recovered: true, outcomeStored: true,
@@ -86,7 +87,7 @@
 		j.visibleState = workflowState(j)
 		c.jobs[e.ID] = j
 		outcomes.jobs = append(outcomes.jobs, j)
-		outcomes.lastEndedAt = max(outcomes.lastEndedAt, e.EndedAt)
+		outcomes.storedAt = max(outcomes.storedAt, e.EndedAt)
 	}
 	c.outcomeRows = append(c.outcomeRows, outcomes)
 	return nil
--- a/dispatch/reduce.go
+++ b/dispatch/reduce.go
@@ -126,7 +126,7 @@
 		j.occurrences = nil
 		j.spec = workflow.Job{ID: j.spec.ID}
 	}
-	for len(c.outcomeRows) > 0 && c.now.Sub(c.outcomeRows[0].lastEndedAt) > c.policy.Retention {
+	for len(c.outcomeRows) > 0 && c.outcomeRows[0].storedAt != 0 && c.now.Sub(c.outcomeRows[0].storedAt) > c.policy.Retention {
 		batch := c.outcomeRows[0]
 		c.outcomeRows[0] = nil
 		c.outcomeRows = c.outcomeRows[1:]
