The stored end of an inherited lease is on the latest time of the store's clock

A leader that follows another one counted the lease that a restarted worker may hold too short, and could start its tasks while they ran: the end was stored on the clock of the leader that saw the worker, which is behind the store's by the way of its claim's answer. The leader adds by how much the store's clock may be ahead of its own, which it knows from the store's answers.

--- a/cell/commits.go
+++ b/cell/commits.go
@@ -70,6 +70,7 @@
 }
 
 func (l *leader) prepareCommit(now structs.Timestamp) bool {
+	l.dispatcher.SetStoreClockAhead(l.storeNow().Sub(now))
 	commit, err := l.dispatcher.NextCommit(now)
 	if err != nil {
 		l.log.Error("failed to encode a commit", "error", err)
--- a/cell/contain_test.go
+++ b/cell/contain_test.go
@@ -39,6 +39,7 @@
 func (d *panickingDispatcher) Recover([]tablestore.Row, structs.Timestamp) error { return nil }
 func (d *panickingDispatcher) NeedsCommit() bool                                 { return false }
 func (d *panickingDispatcher) ConfirmLeadership(structs.Timestamp)               {}
+func (d *panickingDispatcher) SetStoreClockAhead(time.Duration)                  {}
 func (d *panickingDispatcher) State(structs.JobID) (workflow.State, bool)        { return "", false }
 func (d *panickingDispatcher) IsPending(structs.JobID) bool                      { return false }
 func (d *panickingDispatcher) WaitingJobs(string) int                            { return 0 }
--- a/cell/interfaces.go
+++ b/cell/interfaces.go
@@ -18,6 +18,7 @@
 	NeedsCommit() bool
 	NextCommit(now structs.Timestamp) (dispatch.Commit, error)
 	ConfirmLeadership(sentAt structs.Timestamp)
+	SetStoreClockAhead(d time.Duration)
 	State(id structs.JobID) (workflow.State, bool)
 	IsPending(id structs.JobID) bool
 	WaitingJobs(queue string) int
--- a/dispatch/commit.go
+++ b/dispatch/commit.go
@@ -285,6 +285,10 @@
 	}
 }
 
+// SetStoreClockAhead sets by how much the store's clock may be ahead of the times that
+// are passed to the dispatcher. The next leader counts stored times on the store's clock.
+func (c *Dispatcher) SetStoreClockAhead(d time.Duration) { c.storeClockAhead = max(d, 0) }
+
 // writeWorkers adds changed worker buckets to a commit: up to limit rows, and none
 // once they take maxWorkerBytes.
 func (c *Dispatcher) writeWorkers(commit *Commit, limit int) error {
@@ -294,7 +298,11 @@
 		list := []workflow.Worker{}
 		for _, w := range c.sortedWorkers {
 			if bucketOf(string(w.ID), workerBuckets) == n {
-				list = append(list, w.Worker)
+				stored := w.Worker
+				if stored.InheritedLeaseEnd != 0 {
+					stored.InheritedLeaseEnd = stored.InheritedLeaseEnd.Add(c.storeClockAhead)
+				}
+				list = append(list, stored)
 				c.committingWorkers = append(c.committingWorkers, w)
 			}
 		}
--- a/dispatch/inherited_requests_test.go
+++ b/dispatch/inherited_requests_test.go
@@ -113,8 +113,9 @@
 	s.reportOf("w0", workflow.Report{Incarnation: 2, Clock: 500 * time.Millisecond})
 	granted := s.now
 	stored := map[tablestore.RowID][]byte{}
-	s.commitTo(stored)
 	const behind = time.Second // the first leader's clock is behind the store's by the return path of its claim
+	s.dispatcher.SetStoreClockAhead(behind)
+	s.commitTo(stored)
 	s.dispatcher = s.recoverNext(stored)
 	left := s.dispatcher.workers["w0"].InheritedLeaseEnd.Sub(granted.Add(behind))
 	if lasts := time.Duration(float64(s.dispatcher.policy.MaxLease)/minClockRate) + workerLateness; left < lasts {
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -33,6 +33,7 @@
 	startedAt             structs.Timestamp // start of this leader
 	previousLeasesEnd     structs.Timestamp
 	leadershipConfirmedAt structs.Timestamp // send time of the last successful commit
+	storeClockAhead       time.Duration     // see SetStoreClockAhead
 	lastTickAt            structs.Timestamp
 	pausedAt              structs.Timestamp  // when a pause of this leader was noticed; 0 once a later commit is confirmed
 	dirty                 []*job             // jobs for the next commit
