A leader looks for a suspension of its machine before it sends a request

After a suspension, and before the next tick, the leader's clock does not include that time, so a start or a renewal from before it was sent as if it were on time while another instance may lead. The suspension is looked for with each request that starts something, grants a lease or acknowledges.

--- a/cell/effects.go
+++ b/cell/effects.go
@@ -66,6 +66,7 @@
 // that has restarted meanwhile has received no fencing token, and would carry out a
 // request of the earlier leader.
 func (l *leader) maySend(decidedAt structs.Timestamp) bool {
+	l.instance.logSuspension(l.instance.clock.Adjust()) // the machine may have been suspended since the last tick
 	if l.ctx.Err() == nil && l.now().Sub(decidedAt) <= maxRequestDelay {
 		return true
 	}
