dispatch: fault schedules with leaders that reach only some workers, and tests that fail

Seeds above 120000 draw leaders that are replaced and live on, cut off from the store and some workers, pauses whose waiting answers come before the first tick, workers that end runs up to 1.5 s after their lease, late starts under a live lease, addresses taken for a while, and further kinds of jobs. proof_test.go has one test per rule by which a leader concludes from its own clock that a run is over.

--- a/dispatch/faults_test.go
+++ b/dispatch/faults_test.go
@@ -245,12 +245,27 @@
 	if seed > lastSeedWithoutLateRequests {
 		s.scheduleLateRequests(seed, length)
 	}
+	pairs := seed > lastSeedWithoutPairFaults
+	if pairs && !*lateRequests {
+		s.leaveOutLateRequests()
+	}
+	if pairs {
+		s.schedulePairFaults(seed, length)
+	}
 	s.elect()
 	for n := range jobs {
 		job := s.randomJob(n)
 		s.at(time.Duration(s.rng.Int64N(int64(length))), func() { s.submit(job) })
 	}
+	if pairs && !*randomFaults {
+		s.run(structs.Timestamp(120 * time.Second))
+		s.late.logTraceIfFailed()
+		return
+	}
 	s.scheduleFaults(length)
+	if pairs && !*lateRequests {
+		s.lateProbability = 0
+	}
 	if seed > lastSeedWithoutTimes {
 		s.scheduleTimedJobs(seed, length)
 	}
--- /dev/null
+++ b/dispatch/proof_test.go
@@ -0,0 +1,225 @@
+package dispatch
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/mangodrum/mangodrum/structs"
+	"github.com/mangodrum/mangodrum/workflow"
+)
+
+// runOnSilentWorker returns a harness in which a task runs on w0, which has listed it,
+// and a second worker w1. w0 answers no renewals from then on.
+func runOnSilentWorker(t *testing.T) (*dispatcherHarness, workflow.StartOrder) {
+	t.Helper()
+	s, starts := submitJob(t, 1, arrayJob(1, false), batchQueue(nil))
+	order := starts[0].Order
+	s.reduce(WorkerListed{Worker: workflow.Worker{ID: "w1", Incarnation: 1, Service: "svc", Address: "w1", Capacity: largeWorker}})
+	s.report("w1", 0)
+	s.commit()
+	s.reduce(StartAnswered{Worker: "w0", FencingToken: order.FencingToken, Task: order.Task, Run: order.Run, Outcome: workflow.OK})
+	s.now = s.now.Add(10 * time.Millisecond)
+	s.reportOf("w0", workflow.Report{Incarnation: 1, Clock: time.Minute, Running: []workflow.RunningTask{{Task: order.Task, Run: order.Run}}})
+	s.dispatcher.ConfirmLeadership(s.now)
+	s.effects = nil
+	return s, order
+}
+
+// answerAll answers the renewals of w1 with an empty report and those of w0 with an
+// outcome, and returns the start requests and the renewals of w0 among the effects.
+func (s *dispatcherHarness) answerAll(w0 workflow.Outcome) (starts []StartTask, renewals []RenewLease) {
+	effects := s.effects
+	s.effects = nil
+	for _, effect := range effects {
+		switch e := effect.(type) {
+		case StartTask:
+			starts = append(starts, e)
+		case RenewLease:
+			if e.Worker.ID == "w1" {
+				s.report("w1", time.Minute)
+				continue
+			}
+			renewals = append(renewals, e)
+			s.reduce(LeaseAnswered{Worker: e.Worker.ID, FencingToken: e.Order.FencingToken, SentAt: s.now, Outcome: w0})
+		}
+	}
+	return starts, renewals
+}
+
+// advanceUnconfirmed moves the time forward without any commit, with a tick and a
+// placement pass.
+func (s *dispatcherHarness) advanceUnconfirmed(d time.Duration) {
+	s.now = s.now.Add(d)
+	s.reduce(Tick{})
+	s.place()
+}
+
+// TestRunsAreNotLostWithoutProofOfLeadership guards against a replaced leader that is cut
+// off from the store and from the worker of a run. The next leader has renewed the lease
+// of that worker; the replaced one counted it as over by its own clock and started the
+// task on a worker that the next one had not reached.
+func TestRunsAreNotLostWithoutProofOfLeadership(t *testing.T) {
+	s, order := runOnSilentWorker(t)
+	confirmedAt := s.now
+	for s.now.Sub(confirmedAt) < s.dispatcher.policy.Horizon {
+		s.advanceUnconfirmed(25 * time.Millisecond)
+		starts, _ := s.answerAll(workflow.Unanswered)
+		for _, start := range starts {
+			t.Fatalf("%s is started on %s %v after the last commit, while the next leader may have renewed the lease of w0",
+				order.Task, start.Worker.ID, s.now.Sub(confirmedAt))
+		}
+	}
+}
+
+// TestRestartedWorkersRunsAreNotLostWithoutProofOfLeadership guards against a replaced
+// leader that is cut off from the store and reaches a worker which has restarted since
+// the next leader reached it, and so has forgotten that one's token: both leaders started
+// the tasks of the ended incarnation again.
+func TestRestartedWorkersRunsAreNotLostWithoutProofOfLeadership(t *testing.T) {
+	s, order := runOnSilentWorker(t)
+	confirmedAt := s.now
+	for s.now.Sub(confirmedAt) < 3*time.Second { // the next leader claims the leadership meanwhile
+		s.advanceUnconfirmed(25 * time.Millisecond)
+		s.answerAll(workflow.Unanswered)
+	}
+	s.reportOf("w0", workflow.Report{Incarnation: 2, Clock: time.Second})
+	for s.now.Sub(confirmedAt) < s.dispatcher.policy.Horizon {
+		s.advanceUnconfirmed(25 * time.Millisecond)
+		starts, _ := s.answerAll(workflow.Unanswered)
+		for _, start := range starts {
+			t.Fatalf("%s is started on %s %v after the last commit, while the next leader may have started it elsewhere",
+				order.Task, start.Worker.ID, s.now.Sub(confirmedAt))
+		}
+	}
+}
+
+// TestWokenLeaderStartsNothingBeforeItsFirstTick guards against a leader that was paused
+// and replaced, and that processes the answers which waited in its sockets before the
+// tick by which it notices the pause: it started tasks that the next leader had started.
+func TestWokenLeaderStartsNothingBeforeItsFirstTick(t *testing.T) {
+	s, order := runOnSilentWorker(t)
+	sentAt := s.now.Add(time.Millisecond)
+	s.now = s.now.Add(4 * time.Second) // paused; the tick is due, but the answers come first
+	s.reduce(LeaseAnswered{Worker: "w0", SentAt: sentAt, Outcome: workflow.OK, Report: workflow.Report{
+		Incarnation: 1, Clock: time.Minute + time.Second, Ended: []workflow.EndedTask{{Sequence: 1, Task: order.Task, Run: order.Run, Kind: workflow.EndFailed}},
+	}})
+	s.reduce(LeaseAnswered{Worker: "w1", SentAt: sentAt, Outcome: workflow.OK, Report: workflow.Report{Incarnation: 1, Clock: time.Minute}})
+	s.place()
+	for _, start := range takeEffects[StartTask](s) {
+		t.Errorf("%s run %d is started on %s before a commit proves the leadership", start.Order.Task, start.Order.Run, start.Worker.ID)
+	}
+}
+
+// TestLateEndOfLeaseIsAllowedFor guards against starting a task elsewhere while a worker
+// that is short of processor time has not ended its run yet: it ended runs up to 1.5 s
+// after their lease.
+func TestLateEndOfLeaseIsAllowedFor(t *testing.T) {
+	const latestEnd = 1500 * time.Millisecond
+	s, order := runOnSilentWorker(t)
+	s.advance(100 * time.Millisecond) // grants a lease
+	granted := s.now
+	over := granted.Add(time.Duration(float64(s.dispatcher.policy.Lease)/minClockRate) + latestEnd)
+	s.answerAll(workflow.Unanswered)
+	for s.now.Before(over) {
+		s.advance(25 * time.Millisecond)
+		starts, _ := s.answerAll(workflow.Unanswered)
+		for _, start := range starts {
+			t.Fatalf("%s is started on %s %v after a lease was granted to w0, which may run it for %v", order.Task, start.Worker.ID, s.now.Sub(granted), over.Sub(granted))
+		}
+	}
+}
+
+// TestLateStartAfterLeaseEndIsFenced guards against a start request that had no answer
+// and that its worker, which was cut off, carries out once the task runs elsewhere: the
+// request's own deadline has passed, but the present lease of the worker is alive. The
+// worker has to receive a higher token, or a stop of the run, before a lease.
+func TestLateStartAfterLeaseEndIsFenced(t *testing.T) {
+	s, starts := submitJob(t, 1, arrayJob(1, false), batchQueue(nil))
+	order := starts[0].Order
+	s.reduce(WorkerListed{Worker: workflow.Worker{ID: "w1", Incarnation: 1, Service: "svc", Address: "w1", Capacity: largeWorker}})
+	s.report("w1", 0)
+	s.commit()
+	s.effects = nil
+	s.reduce(StartAnswered{Worker: "w0", FencingToken: order.FencingToken, Task: order.Task, Run: order.Run, Outcome: workflow.Unanswered})
+	moved := func() bool {
+		s.advance(25 * time.Millisecond)
+		again, _ := s.answerAll(workflow.Unanswered)
+		return slices.ContainsFunc(again, func(e StartTask) bool { return e.Worker.ID == "w1" })
+	}
+	for begun := s.now; !moved(); {
+		if s.now.Sub(begun) > time.Minute {
+			t.Fatal("the task is never started elsewhere")
+		}
+	}
+	s.effects = nil
+	s.now = s.now.Add(300 * time.Millisecond)
+	s.reportOf("w0", workflow.Report{Incarnation: 1, Clock: 2 * time.Minute}) // back, lists nothing
+	stopped := false
+	for range 20 {
+		s.advance(25 * time.Millisecond)
+		for _, effect := range s.effects {
+			switch e := effect.(type) {
+			case StopTask:
+				stopped = stopped || e.Worker.ID == structs.WorkerID("w0") && e.Order.Task == order.Task && e.Order.Run >= order.Run
+			case RenewLease:
+				if e.Worker.ID == "w0" && e.Order.Deadline != 0 && e.Order.FencingToken <= order.FencingToken && !stopped {
+					t.Fatalf("lease granted with token %d, while a start request of a run that counted as over, with token %d, may still be carried out", e.Order.FencingToken, order.FencingToken)
+				}
+			}
+		}
+		s.effects = nil
+	}
+}
+
+// TestNoLeaseIsRenewedBeforeLostRunsAreOver guards against keeping alive a run that has
+// counted as over: its worker, which is late, answers before it has ended the run, and a
+// renewal revived the lease.
+func TestNoLeaseIsRenewedBeforeLostRunsAreOver(t *testing.T) {
+	s, order := runOnSilentWorker(t)
+	s.advance(100 * time.Millisecond)
+	granted, clock := s.now, time.Minute+100*time.Millisecond
+	s.answerAll(workflow.Unanswered)
+	deadline := s.dispatcher.workers["w0"].leaseDeadline
+	for len(s.dispatcher.workers["w0"].allocations) > 0 {
+		s.advance(25 * time.Millisecond)
+		s.answerAll(workflow.Unanswered)
+		if s.now.Sub(granted) > time.Minute {
+			t.Fatal("the run never counts as over")
+		}
+	}
+	// By its clock, which is 2% slow and was read when the answer was sent, its lease
+	// is alive.
+	clock = min(deadline-time.Millisecond, clock+time.Duration(0.98*float64(s.now.Sub(granted))))
+	s.effects = nil
+	s.reportOf("w0", workflow.Report{Incarnation: 1, Clock: clock, Running: []workflow.RunningTask{{Task: order.Task, Run: order.Run}}})
+	s.advance(100 * time.Millisecond)
+	for _, sent := range takeEffects[RenewLease](s) {
+		if sent.Worker.ID == "w0" && sent.Order.Deadline > deadline {
+			t.Errorf("lease extended to %v from %v, before the worker's clock shows that it has ended", sent.Order.Deadline, deadline)
+		}
+	}
+}
+
+// TestLateStartAtReturnedAddressIsWaitedFor guards against a start request without an
+// answer that a worker carries out which is back at its address, after another one has
+// answered there for a while: its task had been started elsewhere.
+func TestLateStartAtReturnedAddressIsWaitedFor(t *testing.T) {
+	s, starts := submitJob(t, 1, arrayJob(1, false), batchQueue(nil))
+	order := starts[0].Order
+	s.reduce(WorkerListed{Worker: workflow.Worker{ID: "w1", Incarnation: 1, Service: "svc", Address: "w1", Capacity: largeWorker}})
+	s.report("w1", 0)
+	s.commit()
+	s.effects = nil
+	s.reduce(StartAnswered{Worker: "w0", FencingToken: order.FencingToken, Task: order.Task, Run: order.Run, Outcome: workflow.Unanswered})
+	sentAt := s.now
+	s.now = s.now.Add(100 * time.Millisecond)
+	s.reduce(LeaseAnswered{Worker: "w0", SentAt: s.now, Outcome: workflow.OtherIncarnation})
+	for s.now.Sub(sentAt) < 5*time.Second {
+		s.advance(25 * time.Millisecond)
+		again, _ := s.answerAll(workflow.OtherIncarnation)
+		for _, start := range again {
+			t.Fatalf("%s is started on %s %v after a start request to w0 that may be carried out for %v once w0 is back", order.Task, start.Worker.ID, s.now.Sub(sentAt), lateRequestTime)
+		}
+	}
+}
--- /dev/null
+++ b/dispatch/sim_pairs_test.go
@@ -0,0 +1,265 @@
+package dispatch
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/mangodrum/mangodrum/structs"
+	"github.com/mangodrum/mangodrum/workflow"
+)
+
+// lastSeedWithoutPairFaults is the last seed whose schedule has none of the faults of
+// pairFaults.
+const lastSeedWithoutPairFaults = 120_000
+
+// The faults of pairFaults that schedules draw. A violation is traced to its cause by
+// leaving out one kind after another.
+var (
+	pairReplacements = flag.Int("pair-replacements", 4, "most leaders that are replaced and live on, per schedule")
+	pairPauses       = flag.Int("pair-pauses", 3, "most pauses of a leader, per schedule")
+	pairAddresses    = flag.Int("pair-addresses", 3, "most workers whose address another one takes for a while, per schedule")
+	pairRestarts     = flag.Int("pair-restarts", 3, "most restarts of workers, per schedule")
+	latestLeaseEnd   = flag.Duration("latest-lease-end", 1500*time.Millisecond, "how late a worker may end its runs after the end of their lease")
+	lateDeadlines    = flag.Bool("late-deadlines", true, "workers whose lease is alive carry out start requests whose own deadline has passed")
+	lateRequests     = flag.Bool("late-requests", true, "schedules with pair faults carry requests out late")
+	randomFaults     = flag.Bool("random-faults", true, "schedules with pair faults have the other faults too")
+	lateCommits      = flag.Float64("late-commits", 0.05, "probability that the answer to a commit is late")
+)
+
+// pairFaults are faults between one leader and one worker: a leader that was replaced
+// lives on, is cut off from the store and some workers and reaches others, while the
+// next one reaches only some. They include pauses of a leader after which the answers
+// that waited for it are processed before its first tick, workers that end runs by the
+// end of their lease late, and jobs of kinds that the other schedules lack.
+type pairFaults struct {
+	sim        *simulation
+	rng        *rand.Rand
+	earlier    []*fakeLeader       // replaced leaders that may be alive
+	directory  bool                // replaced leaders still read the directory
+	acked      map[string]bool     // tasks whose end as done is acknowledged
+	unsettled  map[string][]string // starts of tasks that have ended as done, until the end is acknowledged or forgotten
+	lateCommit float64             // probability that the answer to a commit is late
+}
+
+// schedulePairFaults draws the faults of pairFaults.
+func (s *simulation) schedulePairFaults(seed uint64, length time.Duration) {
+	rng := rand.New(rand.NewPCG(seed, 10))
+	f := &pairFaults{sim: s, rng: rng, acked: map[string]bool{}, unsettled: map[string][]string{}}
+	s.pairs = f
+	f.directory = rng.IntN(2) == 0
+	f.lateCommit = *lateCommits * rng.Float64()
+	for range rng.IntN(*pairReplacements + 1) {
+		s.at(time.Duration(rng.Int64N(int64(length))), f.replaceLeader)
+	}
+	for range rng.IntN(*pairPauses + 1) {
+		s.at(time.Duration(rng.Int64N(int64(length))), f.pauseLeader)
+	}
+	for range rng.IntN(*pairAddresses + 1) {
+		w := s.workers[rng.IntN(len(s.workers))]
+		s.at(time.Duration(rng.Int64N(int64(length))), func() { f.takeAddress(w) })
+	}
+	for range rng.IntN(*pairRestarts + 1) {
+		w := s.workers[rng.IntN(len(s.workers))]
+		s.at(time.Duration(rng.Int64N(int64(length))), func() { f.restart(w) })
+	}
+	f.scheduleJobs(length)
+}
+
+func (f *pairFaults) between(fromMS, toMS int) time.Duration {
+	return time.Duration(fromMS+f.rng.IntN(toMS-fromMS)) * time.Millisecond
+}
+
+// cut cuts a leader off from a share of the workers, which heal at different times.
+func (f *pairFaults) cut(l *fakeLeader, share float64, fromMS, toMS int) {
+	if l.cutFrom == nil {
+		l.cutFrom = map[structs.WorkerID]leaderCut{}
+	}
+	for _, w := range f.sim.workers {
+		if f.rng.Float64() < share {
+			until := f.sim.now.Add(f.between(fromMS, toMS))
+			l.cutFrom[w.ID] = leaderCut{until, f.rng.IntN(4) == 0}
+			f.sim.late.note("", w, "leader %d is cut off from %s until %.3f, answers only: %t", l.epoch, w.ID, float64(until)/1e9, l.cutFrom[w.ID].answersOnly)
+		}
+	}
+}
+
+// replaceLeader cuts the leader off from the store and some workers, and elects the next
+// one, which reaches only some workers at first.
+func (f *pairFaults) replaceLeader() {
+	s := f.sim
+	old := s.leader
+	if old.cutOff {
+		return
+	}
+	old.cutOff = true
+	s.late.note("", nil, "leader %d is cut off from the store", old.epoch)
+	f.earlier = append(f.earlier, old)
+	f.cut(old, f.rng.Float64(), 1000, 9000)
+	share := 0.7 * f.rng.Float64()
+	s.at(f.between(1500, 4000), func() {
+		if s.leader == old {
+			s.elect()
+			f.cut(s.leader, share, 200, 9000)
+		}
+	})
+}
+
+// pauseLeader stops the leader for a time. Another one is often elected meanwhile.
+func (f *pairFaults) pauseLeader() {
+	s, l, pause := f.sim, f.sim.leader, f.between(300, 9000)
+	l.pausedUntil = max(l.pausedUntil, s.now.Add(pause))
+	s.late.note("", nil, "leader %d pauses for %v", l.epoch, pause)
+	if f.rng.IntN(4) == 0 || l.cutOff {
+		return
+	}
+	f.earlier = append(f.earlier, l)
+	share := 0.7 * f.rng.Float64()
+	f.cut(l, 0.7*f.rng.Float64(), 1000, 12_000)
+	s.at(f.between(1500, 2500), func() {
+		if s.leader == l && s.now.Before(l.pausedUntil) {
+			l.cutOff = true
+			s.elect()
+			f.cut(s.leader, share, 200, 9000)
+		}
+	})
+}
+
+// takeAddress lets a worker crash. Another worker answers at its address until it is back.
+func (f *pairFaults) takeAddress(w *fakeWorker) {
+	s := f.sim
+	if !w.up || w.replaced {
+		return
+	}
+	w.crash()
+	w.replaced = true
+	s.late.note("", w, "the address of %s is taken", w.ID)
+	taken := f.between(200, 9000)
+	if taken > 4500*time.Millisecond {
+		s.at(4500*time.Millisecond, func() { w.unlisted = true; s.leader.reduce(WorkerUnlisted{ID: w.ID}) })
+	}
+	s.at(taken, func() {
+		w.replaced, w.unlisted = false, false
+		w.restart()
+		s.late.note("", w, "%s is back as incarnation %d", w.ID, w.Incarnation)
+		entry := w.directoryEntry()
+		s.at(f.between(0, 900), func() { s.leader.reduce(WorkerListed{Worker: entry}) })
+	})
+}
+
+// restart lets a worker lose its power for a short time.
+func (f *pairFaults) restart(w *fakeWorker) {
+	s := f.sim
+	if !w.up {
+		return
+	}
+	w.crash()
+	w.lostPower = true
+	s.at(f.between(0, 700), func() {
+		w.restart()
+		w.lostPower = false
+		s.late.note("", w, "%s has restarted as incarnation %d", w.ID, w.Incarnation)
+		entry := w.directoryEntry()
+		s.at(f.between(0, 900), func() { s.leader.reduce(WorkerListed{Worker: entry}) })
+	})
+}
+
+// tellEarlier passes changes of the directory to the replaced leaders, if they still
+// read it.
+func (f *pairFaults) tellEarlier(l *fakeLeader, event structs.Event) {
+	if f == nil || !f.directory || l != f.sim.leader {
+		return
+	}
+	switch event.(type) {
+	case WorkerListed, WorkerUnlisted:
+		for _, earlier := range f.earlier {
+			if earlier != l {
+				earlier.reduce(event)
+			}
+		}
+	}
+}
+
+// leaseEndDelay draws how late a worker ends its runs after the end of their lease.
+func (f *pairFaults) leaseEndDelay() time.Duration {
+	if f == nil || *latestLeaseEnd == 0 {
+		return 0
+	}
+	return time.Duration(f.rng.Int64N(int64(*latestLeaseEnd)))
+}
+
+// acceptsLate reports whether a worker carries out a start request whose deadline has
+// passed, because its present lease is alive.
+func (f *pairFaults) acceptsLate(w *fakeWorker) bool {
+	return f != nil && *lateDeadlines && w.deadline > w.clock()
+}
+
+// isCommitAnswerLate draws whether a commit is carried out and its answer late.
+func (f *pairFaults) isCommitAnswerLate() bool { return f != nil && f.rng.Float64() < f.lateCommit }
+
+// maxFakeRequestDelay is how long after its decision a leader sends a request.
+const maxFakeRequestDelay = time.Second
+
+// maySend reports whether a leader sends a request that was decided on at a time.
+func (f *pairFaults) maySend(decidedAt structs.Timestamp) bool {
+	return f == nil || f.sim.now.Sub(decidedAt) <= maxFakeRequestDelay
+}
+
+// startAfterEnd handles a start of a task that has ended as done. It breaks the rule if
+// the end is acknowledged, then or later.
+func (f *pairFaults) startAfterEnd(w *fakeWorker, order workflow.StartOrder, run uint64) {
+	text := fmt.Sprintf("%v: %s run %d starts on %s after its run %d was done", f.sim.now, order.Task, order.Run, w.ID, run)
+	if f.acked[order.Task] {
+		f.violation(order.Task, "%s and acknowledged", text)
+		return
+	}
+	f.unsettled[order.Task] = append(f.unsettled[order.Task], text)
+}
+
+// endAcknowledged handles the acknowledgement of an end that was not forgotten.
+func (f *pairFaults) endAcknowledged(end workflow.EndedTask) {
+	if f == nil || end.Kind != workflow.EndDone {
+		return
+	}
+	_, st, _ := f.sim.lookup(end.Task)
+	if st.Speculative {
+		return
+	}
+	for _, name := range f.sim.tasksOf(end.Task) {
+		f.acked[name] = true
+		for _, text := range f.unsettled[name] {
+			f.violation(name, "%s, which is acknowledged at %v", text, f.sim.now)
+		}
+		delete(f.unsettled, name)
+	}
+}
+
+// endForgotten clears the starts after an end that no rule counts.
+func (f *pairFaults) endForgotten(task string) {
+	if f != nil && !f.acked[task] {
+		delete(f.unsettled, task)
+	}
+}
+
+// violation reports a broken rule.
+func (f *pairFaults) violation(task, format string, args ...any) {
+	f.sim.t.Errorf(format, args...)
+	if f.sim.late != nil && f.sim.late.failedTask == "" {
+		f.sim.late.failedTask = task
+	}
+}
+
+// leaveOutLateRequests leaves out the faults of lateFaults.
+func (s *simulation) leaveOutLateRequests() {
+	f := s.late
+	clear(f.lateness)
+	f.lostAnswers, f.remaining, f.listDelay = 0, 0, 0
+}
+
+// logTraceIfFailed logs what concerns the first violation.
+func (f *lateFaults) logTraceIfFailed() {
+	if f.sim.t.Failed() {
+		f.logTrace()
+	}
+}
