--- a/dispatch/faults_test.go
+++ b/dispatch/faults_test.go
@@ -278,6 +278,9 @@
 		s.scheduleCuts(seed, length)
 	}
 	s.run(structs.Timestamp(120 * time.Second))
+	if pairs {
+		s.run(structs.Timestamp(180 * time.Second)) // its jobs take longer
+	}
 	if s.late != nil && t.Failed() {
 		s.late.logTrace()
 		return // the schedule was not played to its end
