--- a/dispatch/proof_test.go
+++ b/dispatch/proof_test.go
@@ -16,9 +16,7 @@
 	t.Helper()
 	s, starts := submitJob(t, 1, arrayJob(1, false), batchQueue(nil))
 	order := starts[0].Order
-	s.reduce(WorkerListed{Worker: workflow.Worker{ID: "w1", Incarnation: 1, Service: "svc", Address: "w1", Capacity: largeWorker}})
-	s.report("w1", 0)
-	s.commit()
+	s.addWorkerW1()
 	s.reduce(StartAnswered{Worker: "w0", FencingToken: order.FencingToken, Task: order.Task, Run: order.Run, Outcome: workflow.OK})
 	s.now = s.now.Add(10 * time.Millisecond)
 	s.reportOf("w0", workflow.Report{Incarnation: 1, Clock: time.Minute, Running: []workflow.RunningTask{{Task: order.Task, Run: order.Run}}})
@@ -73,13 +71,15 @@
 	}
 }
 
-// TestRestartedWorkersRunsAreNotLostWithoutProofOfLeadership guards against a replaced
-// leader that is cut off from the store and learns that a worker has restarted since the
-// next leader reached it: the worker has forgotten that one's token, and both leaders
-// started the tasks of the ended incarnation again, or the next one had recorded their
-// ends.
-func TestRestartedWorkersRunsAreNotLostWithoutProofOfLeadership(t *testing.T) {
+// TestAnswersLoseNoRunsWithoutProofOfLeadership guards against a replaced leader that is
+// cut off from the store and takes an answer for the end of a run. The worker may have
+// restarted since the next leader reached it, and so has forgotten that one's token. Or it
+// checked the token of a renewal before the next leader reached it, and listed its runs
+// after that one had acknowledged the end. The next leader has started the task again or
+// recorded its end.
+func TestAnswersLoseNoRunsWithoutProofOfLeadership(t *testing.T) {
 	tests := map[string]LeaseAnswered{
+		"report without the run":        {Outcome: workflow.OK, Report: workflow.Report{Incarnation: 1, Clock: time.Minute + 3*time.Second}},
 		"report of another incarnation": {Outcome: workflow.OK, Report: workflow.Report{Incarnation: 2, Clock: time.Second}},
 		"another worker answers":        {Outcome: workflow.OtherIncarnation},
 	}
@@ -157,18 +157,55 @@
 // and replaced, and that processes the answers which waited in its sockets before the
 // tick by which it notices the pause: it started tasks that the next leader had started.
 func TestWokenLeaderStartsNothingBeforeItsFirstTick(t *testing.T) {
-	s, order := runOnSilentWorker(t)
+	for name, ticked := range map[string]bool{"paused between ticks": true, "paused before its first tick": false} {
+		t.Run(name, func(t *testing.T) {
+			s, order := runOnSilentWorker(t)
+			if ticked {
+				s.advance(25 * time.Millisecond)
+			}
+			s.effects = nil
+			sentAt := s.now.Add(time.Millisecond)
+			s.now = s.now.Add(4 * time.Second) // the tick is due, but the answers come first
+			s.reduce(LeaseAnswered{Worker: "w0", SentAt: sentAt, Outcome: workflow.OK, Report: workflow.Report{
+				Incarnation: 1, Clock: time.Minute + time.Second, Ended: []workflow.EndedTask{{Sequence: 1, Task: order.Task, Run: order.Run, Kind: workflow.EndFailed}},
+			}})
+			s.reduce(LeaseAnswered{Worker: "w1", SentAt: sentAt, Outcome: workflow.OK, Report: workflow.Report{Incarnation: 1, Clock: time.Minute}})
+			s.place()
+			for _, start := range takeEffects[StartTask](s) {
+				t.Errorf("%s run %d is started on %s before a commit proves the leadership", start.Order.Task, start.Order.Run, start.Worker.ID)
+			}
+		})
+	}
+}
+
+// TestNothingStartsOnRestartedWorkerWithoutProofOfLeadership guards against a replaced
+// leader that is cut off from the store and starts a waiting task on a worker that has
+// restarted: the worker has forgotten the token of the next leader, which has taken it for
+// idle and has started the task elsewhere.
+func TestNothingStartsOnRestartedWorkerWithoutProofOfLeadership(t *testing.T) {
+	s := newDispatcherHarness(t, 1, largeWorker)
 	s.advance(25 * time.Millisecond)
+	s.now = s.now.Add(10 * time.Millisecond)
+	s.reportOf("w0", workflow.Report{Incarnation: 1, Clock: time.Minute})
+	s.reduce(SubmitJob{Call: 1, Job: arrayJob(1, false), Queue: batchQueue(nil)})
+	commit, err := s.dispatcher.NextCommit(s.now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.dispatcher.ConfirmLeadership(s.now) // the commit is carried out; its answer is late
+	confirmedAt := s.now
 	s.effects = nil
-	sentAt := s.now.Add(time.Millisecond)
-	s.now = s.now.Add(4 * time.Second) // paused; the tick is due, but the answers come first
-	s.reduce(LeaseAnswered{Worker: "w0", SentAt: sentAt, Outcome: workflow.OK, Report: workflow.Report{
-		Incarnation: 1, Clock: time.Minute + time.Second, Ended: []workflow.EndedTask{{Sequence: 1, Task: order.Task, Run: order.Run, Kind: workflow.EndFailed}},
-	}})
-	s.reduce(LeaseAnswered{Worker: "w1", SentAt: sentAt, Outcome: workflow.OK, Report: workflow.Report{Incarnation: 1, Clock: time.Minute}})
+	for s.now.Sub(confirmedAt) < 3*time.Second { // the next leader claims the leadership meanwhile
+		s.advanceUnconfirmed(25 * time.Millisecond)
+	}
+	s.reportOf("w0", workflow.Report{Incarnation: 2, Clock: 20 * time.Second})
+	s.reduce(Committed{Sequence: commit.Sequence})
 	s.place()
-	for _, start := range takeEffects[StartTask](s) {
-		t.Errorf("%s run %d is started on %s before a commit proves the leadership", start.Order.Task, start.Order.Run, start.Worker.ID)
+	for s.now.Sub(confirmedAt) < s.dispatcher.policy.Horizon {
+		for _, start := range takeEffects[StartTask](s) {
+			t.Fatalf("%s is started on a worker that has restarted %v after the last commit", start.Order.Task, s.now.Sub(confirmedAt))
+		}
+		s.advanceUnconfirmed(25 * time.Millisecond)
 	}
 }
 
@@ -198,10 +235,7 @@
 func TestLateStartAfterLeaseEndIsFenced(t *testing.T) {
 	s, starts := submitJob(t, 1, arrayJob(1, false), batchQueue(nil))
 	order := starts[0].Order
-	s.reduce(WorkerListed{Worker: workflow.Worker{ID: "w1", Incarnation: 1, Service: "svc", Address: "w1", Capacity: largeWorker}})
-	s.report("w1", 0)
-	s.commit()
-	s.effects = nil
+	s.addWorkerW1()
 	s.reduce(StartAnswered{Worker: "w0", FencingToken: order.FencingToken, Task: order.Task, Run: order.Run, Outcome: workflow.Unanswered})
 	moved := func() bool {
 		s.advance(25 * time.Millisecond)
@@ -268,10 +302,7 @@
 func TestLateStartAtReturnedAddressIsWaitedFor(t *testing.T) {
 	s, starts := submitJob(t, 1, arrayJob(1, false), batchQueue(nil))
 	order := starts[0].Order
-	s.reduce(WorkerListed{Worker: workflow.Worker{ID: "w1", Incarnation: 1, Service: "svc", Address: "w1", Capacity: largeWorker}})
-	s.report("w1", 0)
-	s.commit()
-	s.effects = nil
+	s.addWorkerW1()
 	s.reduce(StartAnswered{Worker: "w0", FencingToken: order.FencingToken, Task: order.Task, Run: order.Run, Outcome: workflow.Unanswered})
 	sentAt := s.now
 	s.now = s.now.Add(100 * time.Millisecond)
@@ -284,3 +315,94 @@
 		}
 	}
 }
+
+// TestLateAnswerOfAnotherWorkerEndsNoLaterRun guards against taking for over a run that
+// was started after the renewal was sent which another worker has answered: the worker is
+// back at its address since.
+func TestLateAnswerOfAnotherWorkerEndsNoLaterRun(t *testing.T) {
+	s := newDispatcherHarness(t, 1, largeWorker)
+	s.advance(25 * time.Millisecond)
+	s.addWorkerW1()
+	s.now = s.now.Add(100 * time.Millisecond)
+	s.reportOf("w0", workflow.Report{Incarnation: 1, Clock: time.Minute})
+	s.effects = nil
+	s.advance(100 * time.Millisecond)
+	sentAt := s.now // of a renewal
+	s.now = s.now.Add(10 * time.Millisecond)
+	s.dispatcher.ConfirmLeadership(s.now)
+	s.reduce(SubmitJob{Call: 1, Job: arrayJob(1, false), Queue: batchQueue(nil)})
+	s.commit()
+	starts := takeEffects[StartTask](s)
+	if len(starts) != 1 {
+		t.Fatalf("%d starts, want 1", len(starts))
+	}
+	order, on := starts[0].Order, starts[0].Worker.ID
+	s.now = s.now.Add(10 * time.Millisecond)
+	s.reduce(StartAnswered{Worker: on, FencingToken: order.FencingToken, Task: order.Task, Run: order.Run, Outcome: workflow.OK})
+	s.now = s.now.Add(200 * time.Millisecond)
+	s.reduce(LeaseAnswered{Worker: on, SentAt: sentAt, Outcome: workflow.OtherIncarnation})
+	s.advance(25 * time.Millisecond)
+	for _, start := range takeEffects[StartTask](s) {
+		t.Errorf("%s run %d is started on %s while run %d, started after the renewal was sent, is on %s", order.Task, start.Order.Run, start.Worker.ID, order.Run, on)
+	}
+}
+
+// addWorkerW1 adds an idle worker that is stored.
+func (s *dispatcherHarness) addWorkerW1() {
+	s.reduce(WorkerListed{Worker: workflow.Worker{ID: "w1", Incarnation: 1, Service: "svc", Address: "w1", Capacity: largeWorker}})
+	s.report("w1", 0)
+	s.commit()
+	s.effects = nil
+}
+
+// TestRestartedWorkerMayOutliveLeasesOfItsLeader guards against counting the leases of the
+// previous leader from its last commit only. That one's start request, with a deadline on
+// the clock of an ended incarnation, was carried out by the next incarnation, which holds
+// the longest lease, longer than Policy.Horizon. The worker is cut off from the next
+// leader, which started the task elsewhere once the horizon had passed.
+func TestRestartedWorkerMayOutliveLeasesOfItsLeader(t *testing.T) {
+	s := newDispatcherHarness(t, 2, largeWorker)
+	stored := map[tablestore.RowID][]byte{}
+	s.dispatcher.workerChanged("w0")
+	s.dispatcher.workerChanged("w1")
+	s.now = s.now.Add(time.Second)
+	for _, id := range []structs.WorkerID{"w0", "w1"} {
+		s.reportOf(id, workflow.Report{Incarnation: 1, Clock: time.Hour})
+	}
+	s.reduce(SubmitJob{Call: 1, Job: arrayJob(1, false), Queue: batchQueue(nil)})
+	s.dispatcher.ConfirmLeadership(s.now)
+	s.commitTo(stored)
+	starts := takeEffects[StartTask](s)
+	if len(starts) != 1 {
+		t.Fatalf("%d starts, want 1", len(starts))
+	}
+	// Carried out at once by the next incarnation, whose clock begins at 0.
+	held := s.now.Add(s.dispatcher.policy.MaxLease)
+	runsOn, idle := starts[0].Worker.ID, structs.WorkerID("w1")
+	if runsOn == "w1" {
+		idle = "w0"
+	}
+	s.dispatcher = s.recoverNext(stored)
+	s.now = s.now.Add(time.Second)
+	s.effects = nil
+	for _, id := range []structs.WorkerID{"w0", "w1"} {
+		s.reduce(WorkerListed{Worker: workflow.Worker{ID: id, Incarnation: 1, Service: "svc", Address: string(id), Capacity: largeWorker}})
+	}
+	for s.now.Before(held) {
+		s.advance(25 * time.Millisecond)
+		effects := s.effects
+		s.effects = nil
+		for _, effect := range effects {
+			switch e := effect.(type) {
+			case StartTask:
+				t.Fatalf("%s is started on %s, while the run on %s may last for %v more", e.Order.Task, e.Worker.ID, runsOn, held.Sub(s.now))
+			case RenewLease:
+				if e.Worker.ID == idle {
+					s.report(idle, time.Hour)
+					continue
+				}
+				s.reduce(LeaseAnswered{Worker: runsOn, FencingToken: e.Order.FencingToken, SentAt: s.now, Outcome: workflow.Unanswered})
+			}
+		}
+	}
+}
