--- a/soak/cell_test.go
+++ b/soak/cell_test.go
@@ -38,6 +38,12 @@
 }
 
 func startCell(t *testing.T, instances, workers int) *testCell {
+	t.Helper()
+	return startCellWith(t, instances, workers, platformtest.Options{})
+}
+
+// startCellWith is startCell for a platform with the given options.
+func startCellWith(t *testing.T, instances, workers int, options platformtest.Options) *testCell {
 	t.Helper()
 	c := &testCell{t: t, proxies: map[string]*proxy{}}
 	var err error
@@ -45,6 +51,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(c.close)
+	c.platform.SetOptions(options)
 	dir := os.Getenv("SOAK_LOGS") // keeps the logs there, to examine a seed that fails
 	if dir == "" {
 		dir = t.TempDir()
--- a/soak/workers_test.go
+++ b/soak/workers_test.go
@@ -36,7 +36,15 @@
 
 func runWorkerSeed(t *testing.T, seed uint64) {
 	rng := rand.New(rand.NewPCG(seed, 5))
-	c := startCell(t, workerSoakInstances, workerSoakWorkers)
+	var options platformtest.Options
+	newSeedJob, submitPause := newWorkerSoakJob, 20
+	if seed >= firstOptionSeed {
+		var names string
+		options, names = drawOptions(seed)
+		newSeedJob, submitPause = newLongJob, 60
+		t.Logf("options of the platform: %s", names)
+	}
+	c := startCellWith(t, workerSoakInstances, workerSoakWorkers, options)
 	c.platform.WriteOddEntries()
 	ctx, stop := context.WithTimeout(context.Background(), 2**faultDuration)
 	defer stop()
@@ -48,18 +56,18 @@
 		group.Go(func() {
 			http := &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 4}}
 			for n := 0; ctx.Err() == nil; n++ {
-				job := newWorkerSoakJob(clientRNG, seed, client, n)
+				job := newSeedJob(clientRNG, seed, client, n)
 				mu.Lock()
 				jobs = append(jobs, job)
 				mu.Unlock()
 				c.submit(http, clientRNG, job)
-				time.Sleep(time.Duration(20+clientRNG.IntN(80)) * time.Millisecond)
+				time.Sleep(time.Duration(submitPause+clientRNG.IntN(80)) * time.Millisecond)
 			}
 		})
 	}
 	c.platform.SetUnreachedStarts(*unreachedStarts)
 	c.platform.SetFaults(drawRequestFaults(rand.New(rand.NewPCG(seed, 6))))
-	group.Go(func() { c.injectWorkerFaults(ctx, rng) })
+	group.Go(func() { c.injectWorkerFaults(ctx, rng, seed >= firstOptionSeed) })
 	group.Wait()
 	c.platform.SetFaults(platformtest.Faults{})
 	c.removeFaults()
@@ -83,14 +91,18 @@
 	return job
 }
 
-// injectWorkerFaults injects faults until ctx ends. Each concerns up to four workers at
-// once, and often the leader within a second of it.
-func (c *testCell) injectWorkerFaults(ctx context.Context, rng *rand.Rand) {
+// injectWorkerFaults injects faults until ctx ends. Each concerns up to eight workers at
+// once, and often the leader within a second of it. If long, half of the faults are longer
+// than a lease, and the leader has fewer.
+func (c *testCell) injectWorkerFaults(ctx context.Context, rng *rand.Rand, long bool) {
 	var group sync.WaitGroup
 	for ctx.Err() == nil {
 		kind, leader := rng.IntN(8), rng.IntN(7)
 		first, count := rng.IntN(len(c.platform.Workers)), 1+rng.IntN(8)
 		before, length := time.Duration(rng.IntN(1000))*time.Millisecond, time.Duration(1000+rng.IntN(4500))*time.Millisecond
+		if long {
+			length, leader = drawLength(rng), leader*(1+rng.IntN(2))
+		}
 		group.Go(func() { c.injectLeaderFault(ctx, leader, before, length) })
 		sleepContext(ctx, 500*time.Millisecond)
 		for n := range count {
