--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -57,6 +57,9 @@
 	body           wire.Submission
 	accepted       bool
 	outcomeUnknown bool // at least one request had no conclusive response
+	lasts          bool // its tasks run until it is cancelled
+	cancelAfter    time.Duration
+	cancelled      bool
 }
 
 // TestSoak guards against jobs that are lost, run twice or run although they were
@@ -263,6 +266,9 @@
 			continue
 		}
 		accepted++
+		if job.lasts || job.cancelled {
+			continue
+		}
 		for !c.platform.IsDone(job.id) && time.Now().Before(deadline) {
 			time.Sleep(50 * time.Millisecond)
 		}
