--- a/soak/cell_test.go
+++ b/soak/cell_test.go
@@ -47,11 +47,10 @@
 	t.Helper()
 	c := &testCell{t: t, proxies: map[string]*proxy{}}
 	var err error
-	if c.platform, err = platformtest.Start(workers, c.proxyAddress); err != nil {
+	if c.platform, err = platformtest.StartWith(workers, c.proxyAddress, options); err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(c.close)
-	c.platform.SetOptions(options)
 	dir := os.Getenv("SOAK_LOGS") // keeps the logs there, to examine a seed that fails
 	if dir == "" {
 		dir = t.TempDir()
--- a/soak/late_test.go
+++ b/soak/late_test.go
@@ -119,9 +119,14 @@
 
 func (c *testCell) await(what string, condition func() bool) {
 	c.t.Helper()
-	for deadline := time.Now().Add(lateTestTimeout); !condition(); time.Sleep(5 * time.Millisecond) {
+	c.awaitWithin(what, lateTestTimeout, condition)
+}
+
+func (c *testCell) awaitWithin(what string, timeout time.Duration, condition func() bool) {
+	c.t.Helper()
+	for deadline := time.Now().Add(timeout); !condition(); time.Sleep(5 * time.Millisecond) {
 		if time.Now().After(deadline) {
-			c.t.Fatalf("%s did not happen within %s", what, lateTestTimeout)
+			c.t.Fatalf("%s did not happen within %s", what, timeout)
 		}
 	}
 }
--- a/soak/options_test.go
+++ b/soak/options_test.go
@@ -33,6 +33,8 @@
 
 var platformOptions = []platformOption{
 	{"lapse-delay", func(o *platformtest.Options, _ *rand.Rand) { o.LapseDelay = upTo(time.Second) }},
+	{"lapse-needs-runs", func(o *platformtest.Options, _ *rand.Rand) { o.LapseNeedsRuns = true }},
+	{"clock-origin", func(o *platformtest.Options, _ *rand.Rand) { o.ClockOrigin = upTo(8 * time.Minute) }},
 	{"starts-under-lease", func(o *platformtest.Options, _ *rand.Rand) { o.StartsUnderLease = true }},
 	{"stop-time", func(o *platformtest.Options, _ *rand.Rand) { o.StopTime = upTo(900 * time.Millisecond) }},
 	{"lasting-acks", func(o *platformtest.Options, _ *rand.Rand) { o.LastingAcks = true }},
