--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -114,7 +114,7 @@
 // submit sends a job to a random instance and repeats the request until the job is
 // accepted or the attempts are used up.
 func (c *testCell) submit(client *http.Client, rng *rand.Rand, job *soakJob) {
-	c.platform.AddJob(job.id, job.body)
+	c.platform.AddQueuedJob(job.id, job.queue, job.body)
 	body, err := json.Marshal(job.body)
 	if err != nil {
 		c.t.Error(err)
@@ -269,10 +269,10 @@
 		if job.lasts || job.cancelled {
 			continue
 		}
-		for !c.platform.IsDone(job.id) && time.Now().Before(deadline) {
+		for !c.platform.IsDone(job.id) && !c.platform.HasFailed(job.id) && time.Now().Before(deadline) {
 			time.Sleep(50 * time.Millisecond)
 		}
-		if !c.platform.IsDone(job.id) {
+		if !c.platform.IsDone(job.id) && !c.platform.HasFailed(job.id) {
 			c.t.Errorf("accepted job %s of queue %s is not done in time", job.id, job.queue)
 		}
 		if status := c.call(client, http.MethodGet, rng, job, nil); status == http.StatusGone {
--- a/soak/standin_test.go
+++ b/soak/standin_test.go
@@ -1,10 +1,13 @@
 package soak
 
 import (
+	"math/rand/v2"
+	"net/http"
 	"testing"
 	"time"
 
 	"github.com/mangodrum/mangodrum/platform/platformtest"
+	"github.com/mangodrum/mangodrum/platform/wire"
 )
 
 // longestTestLease is the longest lease that a worker of the tests grants.
@@ -132,3 +135,22 @@
 	time.Sleep(2500 * time.Millisecond)
 	return w
 }
+
+// Guards against ends that are not processed, and tasks that start again. A worker that
+// was cut off lists the first 500 of its ends only, and the others once these are
+// acknowledged.
+func TestMoreEndsThanOneList(t *testing.T) {
+	t.Parallel()
+	const tasks = 700
+	c := startCellWith(t, 1, 1, platformtest.Options{})
+	w := c.platform.Workers[0]
+	job := &soakJob{id: "0000000000000001", queue: "urgent"}
+	job.body = wire.Submission{Spec: "spec", Steps: []wire.Step{{Count: tasks, CPU: 20, MemMB: 1, EstimateMs: 3000}}}
+	c.submit(&http.Client{Timeout: 4 * time.Second}, rand.New(rand.NewPCG(1, 1)), job)
+	c.await("the start of all tasks", func() bool { return w.Runs() >= tasks })
+	w.SetCutKind(platformtest.CutFromInstances)
+	c.await("the end of job "+job.id, func() bool { return c.platform.IsDone(job.id) })
+	w.SetCutKind(platformtest.NotCut)
+	c.await("the acknowledgment of all ends", func() bool { return w.ListedEnds() == 0 })
+	c.reportViolations()
+}
