soak: instances of test processes side by side use different ports; repeated submissions and a slow store

Cause: while an instance was down, its ephemeral port went to an instance of another test process on the machine, and callers reached that one.

Change: a test process takes the ports of its instances from a range of its own below the ephemeral ports.

--- a/soak/cell_test.go
+++ b/soak/cell_test.go
@@ -7,6 +7,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -91,17 +92,25 @@
 	return list
 }
 
-// freePorts returns the first of n consecutive ports that were free.
+const (
+	// Instances listen below the ports that the system assigns by itself: while one is down,
+	// its ports must not go to another listener or connection.
+	firstInstancePort   = 10_000
+	portsPerTestProcess = 80
+	testProcessSlots    = 250
+)
+
+var nextInstancePort atomic.Int64
+
+// freePorts returns the first of n consecutive ports that were free. Test processes that
+// run side by side use different ports, so that no caller reaches an instance of another.
 func freePorts(t *testing.T, n int) int {
 	t.Helper()
-	for range 100 {
-		first, err := net.Listen("tcp4", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		port := first.Addr().(*net.TCPAddr).Port
-		opened := []net.Listener{first}
-		for k := 1; k < n; k++ {
+	slot := firstInstancePort + os.Getpid()%testProcessSlots*portsPerTestProcess
+	for range portsPerTestProcess / n {
+		port := slot + int(nextInstancePort.Add(int64(n))-int64(n))%(portsPerTestProcess/n*n)
+		var opened []net.Listener
+		for k := range n {
 			if l, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", port+k)); err == nil {
 				opened = append(opened, l)
 			}
--- a/soak/options_test.go
+++ b/soak/options_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"flag"
 	"math/rand/v2"
 	"net/http"
@@ -58,6 +59,7 @@
 var storeFaults = []storeFault{
 	{"late-commits", storeModeFault(platformtest.StoreDelaysCommits)},
 	{"lost-history", storeModeFault(platformtest.StoreForgetsHistory)},
+	{"slow-store", storeModeFault(platformtest.StoreSlow)},
 	{"lost-commit-responses", storeModeFault(platformtest.StoreLosesResponses)},
 	// The store does not serve the leader, which still reaches the workers and the others.
 	{"refused-leader", func(c *testCell, rng *rand.Rand, fault bool) {
@@ -175,12 +177,28 @@
 		job.body.Steps = []wire.Step{{Count: 4, CPU: 1500, MemMB: 512, EstimateMs: 1000, LongRunning: true}}
 		return job
 	}
+	if rng.IntN(8) == 0 {
+		job.repeatAfter = time.Duration(500+rng.IntN(6000)) * time.Millisecond
+	}
 	if rng.IntN(10) == 0 {
 		job.cancelAfter = time.Duration(200+rng.IntN(4000)) * time.Millisecond
 	}
 	return job
 }
 
+// repeat hands an accepted job in again after its time, as a request that was held up. It
+// remains one job.
+func (c *testCell) repeat(ctx context.Context, client *http.Client, rng *rand.Rand, job *soakJob) {
+	body, err := json.Marshal(job.body)
+	if err != nil {
+		c.t.Error(err)
+		return
+	}
+	if sleepContext(ctx, job.repeatAfter); ctx.Err() == nil && job.accepted {
+		c.call(client, http.MethodPost, rng, job, body)
+	}
+}
+
 // cancel cancels a job after its time, and repeats the request until it is acknowledged or
 // ctx ends.
 func (c *testCell) cancel(ctx context.Context, client *http.Client, rng *rand.Rand, job *soakJob) {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -59,6 +59,7 @@
 	outcomeUnknown bool // at least one request had no conclusive response
 	lasts          bool // its tasks run until it is cancelled
 	cancelAfter    time.Duration
+	repeatAfter    time.Duration
 	cancelled      bool
 }
 
--- a/soak/workers_test.go
+++ b/soak/workers_test.go
@@ -62,6 +62,10 @@
 				jobs = append(jobs, job)
 				mu.Unlock()
 				c.submit(http, clientRNG, job)
+				if job.repeatAfter > 0 {
+					repeatRNG := rand.New(rand.NewPCG(seed, clientRNG.Uint64()))
+					group.Go(func() { c.repeat(ctx, http, repeatRNG, job) })
+				}
 				if job.cancelAfter > 0 {
 					cancelRNG := rand.New(rand.NewPCG(seed, clientRNG.Uint64()))
 					group.Go(func() { c.cancel(ctx, http, cancelRNG, job) })
