--- a/soak/options_test.go
+++ b/soak/options_test.go
@@ -39,6 +39,7 @@
 	{"starts-under-lease", func(o *platformtest.Options, _ *rand.Rand) { o.StartsUnderLease = true }},
 	{"stop-time", func(o *platformtest.Options, _ *rand.Rand) { o.StopTime = upTo(900 * time.Millisecond) }},
 	{"lasting-acks", func(o *platformtest.Options, _ *rand.Rand) { o.LastingAcks = true }},
+	{"forgets-runs", func(o *platformtest.Options, _ *rand.Rand) { o.ForgetsRuns = true }},
 	{"early-timestamps", func(o *platformtest.Options, _ *rand.Rand) { o.EarlyTimestamps = true }},
 	{"delayed-requests", func(o *platformtest.Options, rng *rand.Rand) {
 		o.DelayedShare, o.RequestDelay = 0.1, upTo([]time.Duration{300 * time.Millisecond, 2 * time.Second, 8 * time.Second}[rng.IntN(3)])
--- a/soak/standin_test.go
+++ b/soak/standin_test.go
@@ -83,6 +83,21 @@
 	c.reportViolations()
 }
 
+// Guards against tasks that start again after an end as done that was acknowledged. The
+// repetition of an unanswered start request has run and ended, and the worker has
+// forgotten the run with its end; the first request is carried out after that.
+func TestLateStartOfForgottenRun(t *testing.T) {
+	t.Parallel()
+	c := startCellWith(t, 1, 1, platformtest.Options{ForgetsRuns: true})
+	w := c.platform.Workers[0]
+	c.runJob(1, 4, 100*time.Millisecond)
+	held := w.HoldBack(platformtest.IsStart)
+	c.runJob(2, 1, 100*time.Millisecond)
+	c.await("the acknowledgment of the end", func() bool { return w.ListedEnds() == 0 })
+	held.CarryOut()
+	c.reportViolations()
+}
+
 // Guards against tasks that start elsewhere while they go on. The clock of an incarnation
 // does not begin at 0, so it does not show for how long the incarnation is up: a lease
 // that a late request to the earlier incarnation has granted has to count all the same.
