A task whose run was lost starts again once a later commit proves the leadership

A leader that has been replaced and reaches a worker could take its answer for the end of a run: a worker that has restarted since the next leader reached it has forgotten that one's token, and one that checked the token of a waiting renewal before the next leader reached it lists its runs afterwards, when that one has acknowledged the end. The task then ran twice. Now whatever rule counted the run as lost, its task waits for a commit that was sent afterwards.

--- a/dispatch/acknowledged_ends_test.go
+++ b/dispatch/acknowledged_ends_test.go
@@ -23,6 +23,8 @@
 		s.reduce(StartAnswered{Worker: "w0", Task: starts[0].Order.Task, Run: starts[0].Order.Run, Outcome: workflow.OK})
 		s.now = s.now.Add(100 * time.Millisecond)
 		s.reportOf("w0", workflow.Report{Incarnation: 1})
+		s.dispatcher.ConfirmLeadership(s.now)
+		s.place()
 		if again := takeEffects[StartTask](s); len(again) != 1 {
 			s.t.Fatalf("%d starts of a task whose run is missing, want 1", len(again))
 		}
--- a/dispatch/lost.go
+++ b/dispatch/lost.go
@@ -58,6 +58,9 @@
 	run := EarlierRun{Worker: w.ID, Incarnation: w.Incarnation, Run: a.run, Reason: string(reason), LeaseLeft: w.leaseLeft(c.now)}
 	if a.task != nil && a.run != 0 {
 		a.task.lostRun = &run
+		if reason != lossRejected {
+			a.task.lostAt = c.now
+		}
 	}
 	if reason != lossRejected && a.run != 0 {
 		c.logDecision(Decision{
--- a/dispatch/lost_test.go
+++ b/dispatch/lost_test.go
@@ -15,6 +15,7 @@
 	s.reduce(StartAnswered{Worker: "w0", Task: order.Task, Run: order.Run, Outcome: workflow.OK})
 	s.now = s.now.Add(time.Second)
 	s.report("w0", time.Second) // lists neither the run nor its end
+	s.dispatcher.ConfirmLeadership(s.now)
 	s.place()
 	reasons := map[string]string{}
 	for _, d := range takeEffects[Decision](s) {
--- a/dispatch/reduce.go
+++ b/dispatch/reduce.go
@@ -63,6 +63,7 @@
 // that this instance still led at that time.
 func (c *Dispatcher) ConfirmLeadership(sentAt structs.Timestamp) {
 	c.leadershipConfirmedAt = max(c.leadershipConfirmedAt, sentAt)
+	c.placementNeeded = true // lost tasks wait for this
 	if !sentAt.Before(c.pausedAt) {
 		c.pausedAt = 0
 	}
