An answer for another worker ends no run

A worker whose requests are answered with 421, by another worker at its address, lost all its runs at once, and their tasks started elsewhere; the worker itself may be alive, and answer at its address again. The worker counts as silent now, and its leases decide, like those of any silent worker.

--- a/dispatch/lost.go
+++ b/dispatch/lost.go
@@ -126,10 +126,3 @@
 	}
 	return end.Sub(now)
 }
-
-// allLost ends all runs on a worker.
-func (c *Dispatcher) allLost(w *worker, reason lossReason) {
-	for _, a := range sortedAllocations(w) {
-		c.runLost(w, a, reason)
-	}
-}
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -147,16 +147,16 @@
 	clear(w.failedJobs)
 }
 
-// addressTaken handles a renewal that was answered for another worker: the one that
-// was asked has ended, and requests to its address start nothing.
+// addressTaken handles a renewal that was answered for another worker. Its runs are over
+// with their leases only: the worker that was asked may be elsewhere, or back at its
+// address later. Until then it is silent.
 func (c *Dispatcher) addressTaken(w *worker) {
-	if w.known || len(w.allocations) > 0 {
-		c.logDecision(Decision{Event: "worker_restarted", Worker: w.ID, Reason: "another worker answered", Value: int64(len(w.allocations))})
+	if w.known {
+		c.logDecision(Decision{Event: "address_taken", Worker: w.ID, Value: int64(len(w.allocations))})
 	}
-	c.allLost(w, lossNewIncarnation)
-	c.resetWorker(w)
-	w.InheritedLeaseEnd = 0
-	w.missedRenewals = max(w.missedRenewals, missedRenewalsBeforeSilent) // it does not answer
+	w.known = false
+	c.renewalMissed(w, workflow.OtherIncarnation)
+	w.missedRenewals = max(w.missedRenewals, missedRenewalsBeforeSilent)
 	w.nextRenewalAt = c.now.Add(renewalRetryDelay)
 }
 
