Late workers have 1.5 s to end their runs

The bound of 1 s was two request timeouts. The schedules draw workers that end runs up to 1.5 s late, and a task started 1.2 s after the end of the lease while such a worker ran it (TestLateEndOfLeaseIsAllowedFor). Callers of tasks on lost workers wait 0.5 s longer.

--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -62,9 +62,9 @@
 	// the advice to the leader and of the start request to the worker.
 	ticketMargin = 200 * time.Millisecond
 	// workerLateness is how late a worker may end its runs after the end of their lease.
-	// A worker that is short of processor time answers late too; one that takes longer
-	// than this to answer counts as silent.
-	workerLateness = missedRenewalsBeforeSilent * requestTimeout
+	// No page bounds that. A worker that is short of processor time answers late too, and
+	// one that is later than this by its answers has counted as silent for a while.
+	workerLateness = (missedRenewalsBeforeSilent + 1) * requestTimeout
 	// networkMargin covers rounding and network latency.
 	networkMargin = 150 * time.Millisecond
 	// leaseMargin is how long after its end a lease is assumed to have expired.
