The uptime of a restarted worker is bounded by its start time, not by its clock alone

A restarted worker may hold a longer lease from a late request to its earlier incarnation. Whether it was up for too long for that was taken from its clock; one that does not begin at 0 made every worker look old, and a task started 3.5 s before such a lease ended. The uptime is the smaller one of the clock and the time since its start now.

--- a/dispatch/incarnations.go
+++ b/dispatch/incarnations.go
@@ -60,7 +60,18 @@
 
 // mayHoldInheritedLease reports whether the present incarnation of a worker may hold a
 // lease from a request that was sent to an earlier one: it was up for too short a time
-// when it first reported. Its clock begins with the incarnation.
+// when it first reported.
 func (c *Dispatcher) mayHoldInheritedLease(w *worker, uptime time.Duration) bool {
 	return w.Restarted && uptime < c.policy.Lease+lateRequestTime+c.longestLease()
 }
+
+// uptime returns how long the present incarnation of a worker has certainly been up. Its
+// clock begins with the incarnation, but perhaps not at 0, and its start time is by its
+// own time of day.
+func (c *Dispatcher) uptime(w *worker) time.Duration {
+	if c.wallOffset == 0 {
+		return w.clock // the time of day is not known before the first tick
+	}
+	started := structs.Timestamp(w.Incarnation) * structs.Timestamp(time.Millisecond)
+	return min(w.clock, c.wallTime().Sub(started))
+}
--- a/dispatch/leases.go
+++ b/dispatch/leases.go
@@ -62,7 +62,7 @@
 		longest := c.now.Add(time.Duration(float64(c.policy.Lease)/minClockRate) + leaseMargin)
 		w.leaseEnd = max(w.leaseEnd, min(longest, c.previousLeasesEnd))
 	}
-	if c.mayHoldInheritedLease(w, w.clock) {
+	if c.mayHoldInheritedLease(w, c.uptime(w)) {
 		// The next leader counts it too, so it has to be stored before tasks start here.
 		w.InheritedLeaseEnd, w.stored = c.now.Add(c.longestLease()), false
 		c.workerChanged(w.ID)
