A leader notices a pause before its first tick

A leader that was paused between its recovery and its first tick started tasks with the answers that had waited, while another instance may have led. The gap is counted from the creation of the dispatcher; one that needed more than 1 s to load the cell waits for its first commit.

TestLastingTaskRestartsHoweverItEnds let 5 s pass without a tick and says now that this is no pause.

--- a/dispatch/lasting_test.go
+++ b/dispatch/lasting_test.go
@@ -25,6 +25,7 @@
 		order, at := starts[0].Order, starts[0].Worker.ID
 		s.reduce(StartAnswered{Worker: at, Task: order.Task, Run: order.Run, Outcome: workflow.OK})
 		s.now = s.now.Add(5 * time.Second)
+		s.dispatcher.lastTickAt = s.now // the leader has not been paused
 		s.report(at, time.Minute, workflow.EndedTask{Sequence: 1, Task: order.Task, Run: order.Run, Kind: kind})
 		s.commit()
 		if again := takeEffects[StartTask](s); len(again) != 1 || again[0].Order.Run <= order.Run {
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -275,7 +275,7 @@
 // commit, the next leader computes the end of its leases from that time.
 func New(policy Policy, epoch structs.Epoch, now, claimed structs.Timestamp) *Dispatcher {
 	return &Dispatcher{
-		policy: policy, epoch: epoch, now: now, leadershipConfirmedAt: claimed, startedAt: now,
+		policy: policy, epoch: epoch, now: now, leadershipConfirmedAt: claimed, startedAt: now, lastTickAt: now,
 		jobs: map[structs.JobID]*job{}, workers: map[structs.WorkerID]*worker{}, removedWorkers: map[structs.WorkerID]uint64{}, approvalRates: map[string]float64{}, runTimeModels: map[string]*runTimeModel{}, meanWork: map[string]float64{}, lostRuns: map[string]lostRun{},
 	}
 }
