--- a/soak/site_peers_test.go
+++ b/soak/site_peers_test.go
@@ -1,6 +1,9 @@
 package soak
 
 import (
+	"bufio"
+	"bytes"
+	"io"
 	"net"
 	"sync"
 
@@ -71,19 +74,70 @@
 	p.mu.Unlock()
 }
 
+// copy forwards one direction of a WebSocket connection, frame by frame.
 func (p *peerProxy) copy(to, from net.Conn, reader *platformtest.SiteInstance, isResponse bool) {
 	defer func() { _ = to.Close() }()
-	buffer := make([]byte, 256<<10)
-	for {
-		n, err := from.Read(buffer)
-		if n > 0 {
-			p.link.Await(isResponse, p.closed)
-			if _, err := to.Write(p.site.ViewOf(reader, buffer[:n])); err != nil {
-				return
-			}
+	in := bufio.NewReaderSize(from, 64<<10)
+	for inHeader := true; ; {
+		var data []byte
+		var err error
+		if inHeader { // of the HTTP request or response that opens the connection
+			data, err = in.ReadBytes('\n')
+			inHeader = len(bytes.TrimSpace(data)) > 0
+		} else {
+			data, err = readFrame(in, func(payload []byte) []byte { return p.site.ViewOf(reader, payload) })
 		}
 		if err != nil {
 			return
 		}
+		if !inHeader {
+			p.link.Await(isResponse, p.closed)
+		}
+		if _, err := to.Write(data); err != nil {
+			return
+		}
+	}
+}
+
+// readFrame reads a WebSocket frame (RFC 6455) and replaces its payload by one of the
+// same length.
+func readFrame(in *bufio.Reader, replace func([]byte) []byte) ([]byte, error) {
+	frame := make([]byte, 2, 14)
+	if _, err := io.ReadFull(in, frame); err != nil {
+		return nil, err
+	}
+	length, masked := uint64(frame[1]&0x7f), frame[1]&0x80 != 0
+	extended := map[uint64]int{126: 2, 127: 8}[length]
+	maskSize := 0
+	if masked {
+		maskSize = 4
+	}
+	frame = frame[:2+extended+maskSize]
+	if _, err := io.ReadFull(in, frame[2:]); err != nil {
+		return nil, err
+	}
+	if extended > 0 {
+		length = 0
+		for _, b := range frame[2 : 2+extended] {
+			length = length<<8 | uint64(b)
+		}
+	}
+	mask := frame[2+extended:]
+	payload := make([]byte, length)
+	if _, err := io.ReadFull(in, payload); err != nil {
+		return nil, err
+	}
+	applyMask(payload, mask)
+	payload = replace(payload)
+	applyMask(payload, mask)
+	return append(frame, payload...), nil
+}
+
+func applyMask(payload, mask []byte) {
+	if len(mask) == 0 {
+		return
+	}
+	for n := range payload {
+		payload[n] ^= mask[n%len(mask)]
 	}
 }
--- a/soak/site_test.go
+++ b/soak/site_test.go
@@ -29,6 +29,7 @@
 	siteProfileName = flag.String("site", "", "profile of TestSiteSoak; empty for both small ones")
 	siteLoad        = flag.Float64("site-load", 1, "traffic of TestSiteSoak in relation to its profile")
 	siteLateLapse   = flag.Duration("site-late-lapse", 0, "workers of TestSiteSoak end runs up to this long after the end of their lease")
+	siteLasting     = flag.Int("site-lasting", 0, "jobs of TestSiteSoak that run until its end; 0 for as many as its profile has")
 	siteFaults      = flag.String("site-faults", "", "faults of TestSiteSoak, separated by commas; empty for all")
 	siteSettle      = flag.Duration("site-settle", 25*time.Second, "how long accepted jobs may take after the last fault of TestSiteSoak")
 )
@@ -168,11 +169,15 @@
 func runSiteSeed(t *testing.T, profile siteProfile, seed uint64) {
 	rng := rand.New(rand.NewPCG(seed, 7))
 	c := startSite(t, profile)
+	c.site.SetUnreachedStarts(*unreachedStarts)
 	c.awaitLeader()
 	ctx, stop := context.WithTimeout(context.Background(), *faultDuration)
 	defer stop()
 	traffic := &siteTraffic{cell: c, client: &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 8, MaxConnsPerHost: 64}}}
 	var group sync.WaitGroup
+	if *siteLasting > 0 {
+		profile.lasting = *siteLasting
+	}
 	for n := range profile.lasting {
 		job := lastingJob(rng, seed, n)
 		group.Go(func() { traffic.submit(ctx, job, rand.New(rand.NewPCG(seed, uint64(n)))) })
