--- a/soak/site_faults_test.go
+++ b/soak/site_faults_test.go
@@ -24,7 +24,7 @@
 const (
 	workerFault faultClass = iota
 	instanceFault
-	storeFault
+	storeFaultClass
 	requestFault
 	faultClasses // number of classes
 )
@@ -43,11 +43,11 @@
 	{"instances-killed", instanceFault, (*siteCell).killInstances},
 	{"all-killed", instanceFault, (*siteCell).killAll},
 	{"rolling-restart", instanceFault, (*siteCell).restartInTurn},
-	{"store-down", storeFault, (*siteCell).storeDown},
-	{"store-refuses-some", storeFault, (*siteCell).storeRefusesSome},
-	{"store-slow", storeFault, (*siteCell).storeSlow},
-	{"store-loses-answers", storeFault, (*siteCell).storeLosesAnswers},
-	{"store-forgets", storeFault, (*siteCell).storeForgets},
+	{"store-down", storeFaultClass, (*siteCell).storeDown},
+	{"store-refuses-some", storeFaultClass, (*siteCell).storeRefusesSome},
+	{"store-slow", storeFaultClass, (*siteCell).storeSlow},
+	{"store-loses-answers", storeFaultClass, (*siteCell).storeLosesAnswers},
+	{"store-forgets", storeFaultClass, (*siteCell).storeForgets},
 	{"workers-crash", workerFault, (*siteCell).crashWorkers},
 	{"workers-late", workerFault, (*siteCell).lateWorkers},
 	{"workers-return", workerFault, (*siteCell).returnWorkers},
@@ -147,8 +147,8 @@
 	}
 }
 
-// drawLength draws a time around typical.
-func drawLength(rng *rand.Rand, typical time.Duration) time.Duration {
+// drawAround draws a time around typical.
+func drawAround(rng *rand.Rand, typical time.Duration) time.Duration {
 	return time.Duration((0.6 + 0.6*rng.Float64()) * float64(typical))
 }
 
@@ -171,7 +171,7 @@
 const cutLength = 5500 * time.Millisecond
 
 func (c *siteCell) cutWorkers(ctx context.Context, rng *rand.Rand) {
-	c.cutWorkersFor(ctx, rng, c.someWorkers(rng, 0.17), drawLength(rng, cutLength))
+	c.cutWorkersFor(ctx, rng, c.someWorkers(rng, 0.17), drawAround(rng, cutLength))
 }
 
 func (c *siteCell) cutZone(ctx context.Context, rng *rand.Rand) {
@@ -188,7 +188,7 @@
 			cut = append(cut, p)
 		}
 	}
-	length := drawLength(rng, cutLength)
+	length := drawAround(rng, cutLength)
 	if rng.IntN(2) == 0 { // the workers alone
 		c.cutWorkersFor(ctx, rng, workers, length)
 		return
@@ -234,12 +234,12 @@
 	if leader := c.leader(); leader != nil && rng.IntN(2) == 0 {
 		group = append(group, leader)
 	}
-	c.isolate(ctx, group, c.someWorkers(rng, 0.3*rng.Float64()), rng.IntN(2) == 0, drawLength(rng, cutLength))
+	c.isolate(ctx, group, c.someWorkers(rng, 0.3*rng.Float64()), rng.IntN(2) == 0, drawAround(rng, cutLength))
 }
 
 func (c *siteCell) cutLeader(ctx context.Context, rng *rand.Rand) {
 	if leader := c.leader(); leader != nil {
-		c.isolate(ctx, []*siteProcess{leader}, nil, false, drawLength(rng, cutLength))
+		c.isolate(ctx, []*siteProcess{leader}, nil, false, drawAround(rng, cutLength))
 	}
 }
 
@@ -250,7 +250,7 @@
 	if leader == nil {
 		return
 	}
-	length := drawLength(rng, cutLength)
+	length := drawAround(rng, cutLength)
 	share, exclusive := 0.1+0.6*rng.Float64(), rng.IntN(2) == 0
 	links := []*platformtest.Link{leader.instance.StoreLink}
 	for n := range c.processes {
@@ -276,7 +276,7 @@
 func (c *siteCell) cutLeaderFromStore(ctx context.Context, rng *rand.Rand) {
 	if leader := c.leader(); leader != nil {
 		direction := []platformtest.Direction{platformtest.BothWays, platformtest.BothWays, platformtest.ResponsesOnly}[rng.IntN(3)]
-		cutLinks(ctx, []*platformtest.Link{leader.instance.StoreLink}, direction, drawLength(rng, 4500*time.Millisecond))
+		cutLinks(ctx, []*platformtest.Link{leader.instance.StoreLink}, direction, drawAround(rng, 4500*time.Millisecond))
 	}
 }
 
@@ -297,7 +297,7 @@
 	}
 	leader.tryExclusive(func() {
 		leader.signal(syscall.SIGSTOP)
-		sleepContext(ctx, drawLength(rng, 4*time.Second))
+		sleepContext(ctx, drawAround(rng, 4*time.Second))
 		leader.signal(syscall.SIGCONT)
 	})
 }
@@ -320,11 +320,11 @@
 	if leader == nil {
 		return
 	}
-	leader.tryExclusive(func() { c.restart(leader, syscall.SIGKILL, drawLength(rng, 3*time.Second)) })
+	leader.tryExclusive(func() { c.restart(leader, syscall.SIGKILL, drawAround(rng, 3*time.Second)) })
 }
 
 func (c *siteCell) killInstances(_ context.Context, rng *rand.Rand) {
-	c.killAtOnce(c.someProcesses(rng, 0.16), drawLength(rng, 3500*time.Millisecond))
+	c.killAtOnce(c.someProcesses(rng, 0.16), drawAround(rng, 3500*time.Millisecond))
 }
 
 func (c *siteCell) killAll(_ context.Context, rng *rand.Rand) {
@@ -341,7 +341,7 @@
 
 // slowInstances lets instances run for a part of the time only.
 func (c *siteCell) slowInstances(ctx context.Context, rng *rand.Rand) {
-	ctx, cancel := context.WithTimeout(ctx, drawLength(rng, 5500*time.Millisecond))
+	ctx, cancel := context.WithTimeout(ctx, drawAround(rng, 5500*time.Millisecond))
 	defer cancel()
 	list := c.someProcesses(rng, 0.15)
 	if leader := c.leader(); leader != nil && rng.IntN(2) == 0 {
@@ -387,7 +387,7 @@
 
 func (c *siteCell) storeDown(ctx context.Context, rng *rand.Rand) {
 	f := platformtest.StoreFault{Refused: []float64{1, 1, 0.7}[rng.IntN(3)], How: platformtest.RefusalKind(rng.IntN(4))}
-	c.setStoreFault(ctx, c.processes, f, drawLength(rng, 4500*time.Millisecond))
+	c.setStoreFault(ctx, c.processes, f, drawAround(rng, 4500*time.Millisecond))
 }
 
 func (c *siteCell) storeRefusesSome(ctx context.Context, rng *rand.Rand) {
@@ -395,11 +395,11 @@
 	if leader := c.leader(); leader != nil {
 		list = append(list, leader)
 	}
-	c.setStoreFault(ctx, list, platformtest.StoreFault{Refused: 1, How: platformtest.RefusalKind(rng.IntN(4))}, drawLength(rng, 8*time.Second))
+	c.setStoreFault(ctx, list, platformtest.StoreFault{Refused: 1, How: platformtest.RefusalKind(rng.IntN(4))}, drawAround(rng, 8*time.Second))
 }
 
 func (c *siteCell) storeSlow(ctx context.Context, rng *rand.Rand) {
-	c.setStoreFault(ctx, c.processes, platformtest.StoreFault{Latency: 240 * time.Millisecond}, drawLength(rng, 4500*time.Millisecond))
+	c.setStoreFault(ctx, c.processes, platformtest.StoreFault{Latency: 240 * time.Millisecond}, drawAround(rng, 4500*time.Millisecond))
 }
 
 func (c *siteCell) storeLosesAnswers(ctx context.Context, rng *rand.Rand) {
@@ -407,11 +407,11 @@
 	if rng.IntN(2) == 0 {
 		f = platformtest.StoreFault{LateCommits: 0.35}
 	}
-	c.setStoreFault(ctx, c.processes, f, drawLength(rng, 4500*time.Millisecond))
+	c.setStoreFault(ctx, c.processes, f, drawAround(rng, 4500*time.Millisecond))
 }
 
 func (c *siteCell) storeForgets(ctx context.Context, rng *rand.Rand) {
-	c.setStoreFault(ctx, c.processes, platformtest.StoreFault{Forgets: true}, drawLength(rng, 6*time.Second))
+	c.setStoreFault(ctx, c.processes, platformtest.StoreFault{Forgets: true}, drawAround(rng, 6*time.Second))
 }
 
 func (c *siteCell) crashWorkers(ctx context.Context, rng *rand.Rand) {
@@ -424,7 +424,7 @@
 			links = append(links, c.workerLinks(w)...)
 		}
 	}
-	cutLinks(ctx, links, platformtest.BothWays, drawLength(rng, []time.Duration{4500 * time.Millisecond, time.Second}[rng.IntN(2)]))
+	cutLinks(ctx, links, platformtest.BothWays, drawAround(rng, []time.Duration{4500 * time.Millisecond, time.Second}[rng.IntN(2)]))
 	for _, w := range list {
 		if err := w.Restart(); err != nil {
 			c.t.Error(err)
@@ -444,15 +444,15 @@
 }
 
 func (c *siteCell) lateWorkers(ctx context.Context, rng *rand.Rand) {
-	setWorkerFault(ctx, c.someWorkers(rng, 0.055), platformtest.WorkerFault{LateRequests: true}, drawLength(rng, 5500*time.Millisecond))
+	setWorkerFault(ctx, c.someWorkers(rng, 0.055), platformtest.WorkerFault{LateRequests: true}, drawAround(rng, 5500*time.Millisecond))
 }
 
 func (c *siteCell) slowWorkers(ctx context.Context, rng *rand.Rand) {
-	setWorkerFault(ctx, c.someWorkers(rng, 0.17), platformtest.WorkerFault{Speed: 1 / 6.5}, drawLength(rng, 7*time.Second))
+	setWorkerFault(ctx, c.someWorkers(rng, 0.17), platformtest.WorkerFault{Speed: 1 / 6.5}, drawAround(rng, 7*time.Second))
 }
 
 func (c *siteCell) stallWorkers(ctx context.Context, rng *rand.Rand) {
-	setWorkerFault(ctx, c.someWorkers(rng, 0.1), platformtest.WorkerFault{Stalled: true}, drawLength(rng, 5500*time.Millisecond))
+	setWorkerFault(ctx, c.someWorkers(rng, 0.1), platformtest.WorkerFault{Stalled: true}, drawAround(rng, 5500*time.Millisecond))
 }
 
 func (c *siteCell) failWorkers(ctx context.Context, rng *rand.Rand) {
@@ -460,7 +460,7 @@
 	if rng.IntN(2) == 0 {
 		f = platformtest.WorkerFault{RefusedRuns: 1}
 	}
-	setWorkerFault(ctx, c.someWorkers(rng, 0.085), f, drawLength(rng, 6500*time.Millisecond))
+	setWorkerFault(ctx, c.someWorkers(rng, 0.085), f, drawAround(rng, 6500*time.Millisecond))
 }
 
 // drainWorkers lets workers drain, leave, and return as other incarnations.
@@ -473,7 +473,7 @@
 	for _, w := range list {
 		w.Crash(platformtest.Crashed)
 	}
-	sleepContext(ctx, drawLength(rng, 2*time.Second))
+	sleepContext(ctx, drawAround(rng, 2*time.Second))
 	for _, w := range list {
 		if err := w.Restart(); err != nil {
 			c.t.Error(err)
@@ -483,13 +483,13 @@
 
 func (c *siteCell) holdRequests(ctx context.Context, rng *rand.Rand) {
 	c.site.AddFaults(platformtest.SiteFaults{HeldRequests: 0.03, LateRequests: 0.02})
-	sleepContext(ctx, drawLength(rng, 5500*time.Millisecond))
+	sleepContext(ctx, drawAround(rng, 5500*time.Millisecond))
 	c.site.AddFaults(platformtest.SiteFaults{HeldRequests: -0.03, LateRequests: -0.02})
 }
 
 func (c *siteCell) loseAnswers(ctx context.Context, rng *rand.Rand) {
 	c.site.AddFaults(platformtest.SiteFaults{LostResponses: 0.025})
-	sleepContext(ctx, drawLength(rng, 5500*time.Millisecond))
+	sleepContext(ctx, drawAround(rng, 5500*time.Millisecond))
 	c.site.AddFaults(platformtest.SiteFaults{LostResponses: -0.025})
 }
 
@@ -540,6 +540,6 @@
 	}
 	if rng.IntN(2) == 0 {
 		sleepContext(ctx, time.Duration(500+rng.IntN(4000))*time.Millisecond)
-		c.cutWorkersFor(ctx, rng, list, drawLength(rng, cutLength+2*time.Second))
+		c.cutWorkersFor(ctx, rng, list, drawAround(rng, cutLength+2*time.Second))
 	}
 }
--- a/soak/site_profiles_test.go
+++ b/soak/site_profiles_test.go
@@ -111,9 +111,13 @@
 		RestoreTime: p.restoreTime, ZoneLatency: p.latency, LateLapse: lateLapse, DirectoryLag: 800 * time.Millisecond,
 	}
 	for _, k := range p.kinds {
+		var advisor *wire.AdvisorSpec
+		if k.adviceMs > 0 {
+			advisor = &wire.AdvisorSpec{DecideMs: k.adviceMs, EachMs: k.adviceEachMs, ValidMs: k.adviceValidMs}
+		}
 		c.Queues = append(c.Queues, platformtest.SiteQueue{ApprovedPart: k.approvedPart, Route: wire.Route{
 			Name: k.queue, Host: platformtest.Host, PathPrefix: platformtest.Prefix + k.queue + "/", TimeoutMs: 3000, SloMs: k.sloMs, Priority: k.priority, Service: platformtest.Service,
-			MaxAttempts: k.attempts, StretchFactor: k.stretch, Advisor: &wire.AdvisorSpec{DecideMs: k.adviceMs, EachMs: k.adviceEachMs, ValidMs: k.adviceValidMs},
+			MaxAttempts: k.attempts, StretchFactor: k.stretch, Advisor: advisor,
 		}})
 	}
 	return c
