--- a/cell/effects.go
+++ b/cell/effects.go
@@ -97,7 +97,7 @@
 	"start": "since_ready_ms", "stop": "percent", "run_ended": "failed_runs", "run_lost": "lease_left_ms", "start_unanswered": "tries",
 	"job_done": "since_submit_ms", "job_failed": "since_submit_ms", "job_cancelled": "since_submit_ms",
 	"advice": "good_workers", "task_stalled": "percent", "quarantine": "failures",
-	"worker_silent": "runs", "worker_restarted": "runs", "lease_over": "runs", "worker_gone": "since_change_ms", "worker_back": "missed_renewals",
+	"worker_silent": "runs", "worker_restarted": "runs", "address_taken": "runs", "lease_over": "runs", "worker_gone": "since_change_ms", "worker_back": "missed_renewals",
 	"worker_draining": "remaining_ms", "recovery_complete": "jobs",
 	"lost_run_listed": "since_loss_ms", "ends_forgotten": "ends", "worker_listed_late": "since_change_ms", "late_request_fenced": "token", "pause_noticed": "paused_ms",
 }
