--- a/dispatch/sim_worker_test.go
+++ b/dispatch/sim_worker_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"hash/fnv"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -136,7 +137,8 @@
 	w.sim.late.note(r.task, w, "  %s run %d ends on %s as %s, number %d", r.task, r.run, w.ID, how, w.lastEndNumber)
 	if g := r.gang; g != nil && !g.over {
 		g.over = true
-		for name, member := range g.members {
+		for _, name := range slices.Sorted(maps.Keys(g.members)) {
+			member := g.members[name]
 			if name == r.task {
 				continue
 			}
@@ -212,7 +214,8 @@
 		delete(w.running, r.task)
 		if g := r.gang; g != nil && !g.over {
 			g.over = true
-			for name, member := range g.members {
+			for _, name := range slices.Sorted(maps.Keys(g.members)) {
+				member := g.members[name]
 				if other := member.running[name]; other != nil && other.run == r.run {
 					w.sim.at(time.Millisecond, func() { member.finish(other, workflow.EndGangBroken) })
 				}
@@ -245,7 +248,8 @@
 			if g.complete || g.over {
 				return
 			}
-			for name, member := range g.members {
+			for _, name := range slices.Sorted(maps.Keys(g.members)) {
+				member := g.members[name]
 				if other := member.running[name]; other != nil && other.run == r.run {
 					member.finish(other, workflow.EndGangIncomplete)
 				}
