--- a/soak/standin_test.go
+++ b/soak/standin_test.go
@@ -26,6 +26,19 @@
 	c.reportViolations()
 }
 
+// Guards against tasks that start elsewhere while they go on, on a worker that is not cut
+// off but short of processor time: it answers each request after 600 ms, which is too late
+// for the leader, and ends its runs late.
+func TestStarvedWorkerRunsNoTaskTwice(t *testing.T) {
+	t.Parallel()
+	late := platformtest.Range{Min: 600 * time.Millisecond, Max: 600 * time.Millisecond}
+	c := startCellWith(t, 1, 2, platformtest.Options{LapseDelay: late})
+	w := c.startOnFirst(20 * time.Second)
+	w.SetStarved(late)
+	time.Sleep(8 * time.Second)
+	c.reportViolations()
+}
+
 // Guards against tasks that start again after an end as done that is acknowledged. The
 // lease of the worker ends while nothing runs there any more, which may count as no lapse
 // of it: then the end stands, and the leader must not have started the task elsewhere, or
