soak: a fault of the worker soak that starves workers of processor time

Callers would see nothing; the worker soak plays workers that answer late without a cut.

Cause: only a steered test starved a worker.

--- a/soak/options_test.go
+++ b/soak/options_test.go
@@ -51,17 +51,18 @@
 	{"max-lease", func(o *platformtest.Options, _ *rand.Rand) { o.MaxLease = 10 * time.Second }},
 }
 
-// storeFault is a fault of the store that a seed plays again and again.
-type storeFault struct {
+// repeatedFault is a fault of the store or of workers that a seed plays again and again.
+type repeatedFault struct {
 	name   string
 	inject func(c *testCell, rng *rand.Rand, fault bool)
 }
 
-var storeFaults = []storeFault{
+var repeatedFaults = []repeatedFault{
 	{"late-commits", storeModeFault(platformtest.StoreDelaysCommits)},
 	{"lost-history", storeModeFault(platformtest.StoreForgetsHistory)},
 	{"slow-store", storeModeFault(platformtest.StoreSlow)},
 	{"lost-commit-responses", storeModeFault(platformtest.StoreLosesResponses)},
+	{"starved-workers", starveWorkers},
 	// The store does not serve the leader, which still reaches the workers and the others.
 	{"refused-leader", func(c *testCell, rng *rand.Rand, fault bool) {
 		for _, p := range c.processes {
@@ -76,6 +77,18 @@
 	}},
 }
 
+// starveWorkers makes some workers answer each request late.
+func starveWorkers(c *testCell, rng *rand.Rand, fault bool) {
+	for _, w := range c.platform.Workers {
+		switch {
+		case !fault:
+			w.SetStarved(platformtest.Range{})
+		case rng.IntN(4) == 0:
+			w.SetStarved(platformtest.Range{Min: 100 * time.Millisecond, Max: 900 * time.Millisecond})
+		}
+	}
+}
+
 func storeModeFault(mode platformtest.StoreMode) func(*testCell, *rand.Rand, bool) {
 	return func(c *testCell, _ *rand.Rand, fault bool) {
 		if fault {
@@ -86,30 +99,30 @@
 	}
 }
 
-// injectStoreFaults injects a fault of the store for 1 to 4 s, again and again, until ctx
+// injectRepeatedFault injects a fault for 1 to 4 s, again and again, until ctx
 // ends.
-func (c *testCell) injectStoreFaults(ctx context.Context, rng *rand.Rand, fault storeFault) {
+func (c *testCell) injectRepeatedFault(ctx context.Context, rng *rand.Rand, fault repeatedFault) {
 	for ctx.Err() == nil {
 		sleepContext(ctx, time.Duration(500+rng.IntN(3000))*time.Millisecond)
-		c.logFault("the store has the fault %s", fault.name)
+		c.logFault("fault %s", fault.name)
 		fault.inject(c, rng, true)
 		sleepContext(ctx, time.Duration(1000+rng.IntN(3000))*time.Millisecond)
 		fault.inject(c, rng, false)
 	}
 }
 
-// drawStoreFault returns the fault of the store that a seed plays, if any.
-func drawStoreFault(rng *rand.Rand) (storeFault, bool) {
+// drawRepeatedFault returns the fault that a seed plays again and again, if any.
+func drawRepeatedFault(rng *rand.Rand) (repeatedFault, bool) {
 	if *optionName == "" {
-		n := rng.IntN(2 * len(storeFaults))
-		return storeFaults[n%len(storeFaults)], n < len(storeFaults)
+		n := rng.IntN(2 * len(repeatedFaults))
+		return repeatedFaults[n%len(repeatedFaults)], n < len(repeatedFaults)
 	}
-	for _, fault := range storeFaults {
-		if fault.name == *optionName {
+	for _, fault := range repeatedFaults {
+		if slices.Contains(strings.Split(*optionName, ","), fault.name) {
 			return fault, true
 		}
 	}
-	return storeFault{}, false
+	return repeatedFault{}, false
 }
 
 // drawOptions returns the options that a seed plays, and their names.
--- a/soak/workers_test.go
+++ b/soak/workers_test.go
@@ -78,9 +78,9 @@
 	c.platform.SetFaults(drawRequestFaults(rand.New(rand.NewPCG(seed, 6))))
 	group.Go(func() { c.injectWorkerFaults(ctx, rng, seed >= firstOptionSeed) })
 	if seed >= firstOptionSeed {
-		storeRNG := rand.New(rand.NewPCG(seed, 8))
-		if fault, drawn := drawStoreFault(storeRNG); drawn {
-			group.Go(func() { c.injectStoreFaults(ctx, storeRNG, fault) })
+		faultRNG := rand.New(rand.NewPCG(seed, 8))
+		if fault, drawn := drawRepeatedFault(faultRNG); drawn {
+			group.Go(func() { c.injectRepeatedFault(ctx, faultRNG, fault) })
 		}
 	}
 	group.Wait()
