--- a/soak/site_faults_test.go
+++ b/soak/site_faults_test.go
@@ -419,7 +419,9 @@
 	list := c.someWorkers(rng, 0.14)
 	var links []*platformtest.Link
 	for _, w := range list {
-		w.Crash(power)
+		if err := w.Crash(power); err != nil {
+			c.t.Error(err)
+		}
 		if power == platformtest.Dark {
 			links = append(links, c.workerLinks(w)...)
 		}
@@ -471,7 +473,9 @@
 	}
 	sleepContext(ctx, 3500*time.Millisecond)
 	for _, w := range list {
-		w.Crash(platformtest.Crashed)
+		if err := w.Crash(platformtest.Crashed); err != nil {
+			c.t.Error(err)
+		}
 	}
 	sleepContext(ctx, drawLength(rng, 2*time.Second))
 	for _, w := range list {
@@ -530,7 +534,9 @@
 	list := c.someWorkers(rng, 0.14)
 	setWorkerFault(ctx, list, platformtest.WorkerFault{LateRequests: true}, time.Duration(200+rng.IntN(800))*time.Millisecond)
 	for _, w := range list {
-		w.Crash(platformtest.Dark)
+		if err := w.Crash(platformtest.Dark); err != nil {
+			c.t.Error(err)
+		}
 	}
 	sleepContext(ctx, time.Duration(50+rng.IntN(600))*time.Millisecond)
 	for _, w := range list {
--- a/soak/site_profiles_test.go
+++ b/soak/site_profiles_test.go
@@ -27,6 +27,7 @@
 	priority, attempts          int
 	perSecond                   float64
 	steps, width, cpu, workMs   draw
+	longShare, longFactor       float64 // share of the jobs whose tasks take longer by a factor
 	gangs, saves, apart         float64 // shares of the jobs, of 1
 	cancels, repeats            float64 // shares of the jobs that are cancelled, and submitted again after their acceptance
 	failing, hopeless           float64 // share of the runs that fail, and of the jobs whose runs all fail
@@ -91,15 +92,15 @@
 		kinds: []jobKind{
 			{
 				queue: "wide", priority: 1, attempts: 3, perSecond: 4, steps: draw{1.2, 0.4, 3}, width: draw{20, 0.8, 120}, cpu: draw{9000, 0.4, 15_000}, workMs: draw{4200, 0.5, 12_000},
-				gangs: 1, saves: 0.5, repeats: 0.1, failing: 0.005, hopeless: 0.01, estimateError: 0.5, stretch: 2.2, sloMs: 1200, adviceMs: 559, adviceEachMs: 8, approvedPart: 0.35, adviceValidMs: 2500,
+				longShare: 0.03, longFactor: 7, gangs: 1, saves: 0.5, repeats: 0.1, failing: 0.005, hopeless: 0.01, estimateError: 0.5, stretch: 2.2, sloMs: 1200, adviceMs: 559, adviceEachMs: 8, approvedPart: 0.35, adviceValidMs: 2500,
 			},
 			{
 				queue: "batch", priority: 2, attempts: 3, perSecond: 7, steps: draw{1.5, 0.4, 3.8}, width: draw{25, 0.8, 150}, cpu: draw{3500, 0.45, 10_000}, workMs: draw{2900, 0.5, 12_000},
-				saves: 0.8, apart: 0.12, cancels: 0.05, repeats: 0.2, failing: 0.05, estimateError: 0.9, stretch: 4, sloMs: 3000, adviceMs: 156, adviceEachMs: 2.3, approvedPart: 0.45, adviceValidMs: 2500,
+				longShare: 0.03, longFactor: 7, saves: 0.8, apart: 0.12, cancels: 0.05, repeats: 0.2, failing: 0.05, estimateError: 0.9, stretch: 4, sloMs: 3000, adviceMs: 156, adviceEachMs: 2.3, approvedPart: 0.45, adviceValidMs: 2500,
 			},
 			{
 				queue: "urgent", attempts: 3, perSecond: 78, steps: draw{1, 0, 2}, width: draw{3, 0.8, 19}, cpu: draw{5000, 0.45, 15_000}, workMs: draw{850, 0.5, 5000},
-				gangs: 0.3, repeats: 0.2, failing: 0.02, hopeless: 0.01, estimateError: 0.9, stretch: 1.5, sloMs: 600, adviceMs: 14, adviceEachMs: 0.2, approvedPart: 0.7, adviceValidMs: 2500,
+				longShare: 0.03, longFactor: 7, gangs: 0.3, repeats: 0.2, failing: 0.02, hopeless: 0.01, estimateError: 0.9, stretch: 1.5, sloMs: 600, adviceMs: 14, adviceEachMs: 0.2, approvedPart: 0.7, adviceValidMs: 2500,
 			},
 		},
 	},
@@ -122,6 +123,9 @@
 // job draws a job that fits on half of the workers that the advisor approves.
 func (k *jobKind) job(rng *rand.Rand, id string, profile *siteProfile) platformtest.SiteJob {
 	job := platformtest.SiteJob{ID: id, Queue: k.queue, FailShare: k.failing, DurationPart: 1 + k.estimateError*(2*rng.Float64()-1)}
+	if rng.Float64() < k.longShare {
+		job.DurationPart *= k.longFactor
+	}
 	if rng.Float64() < k.hopeless {
 		job.FailShare = 1
 	}
