Recovered outcomes expire although leaders change often

Since ended jobs are kept from when callers can see their end, each new leader kept the outcomes of earlier ones for two more minutes, so with changes every 100 s they never expired: rows, memory and the time to load the cell grew. A recovered row counts from the last commit of the leader before, and no later than its retention after the last end.

--- a/dispatch/recover.go
+++ b/dispatch/recover.go
@@ -79,7 +79,8 @@
 	if err := decodeRow(row, &ended); err != nil {
 		return err
 	}
-	outcomes := &outcomeRow{key: row.Key, storedAt: lastCommit}
+	outcomes := &outcomeRow{key: row.Key}
+	var lastEnd structs.Timestamp
 	for _, e := range ended {
 		j := &job{
 			spec: workflow.Job{ID: e.ID}, state: e.State, endedAt: e.EndedAt, durable: true, recovered: true, outcomeStored: true,
@@ -87,8 +88,10 @@
 		j.visibleState = workflowState(j)
 		c.jobs[e.ID] = j
 		outcomes.jobs = append(outcomes.jobs, j)
-		outcomes.storedAt = max(outcomes.storedAt, e.EndedAt)
+		lastEnd = max(lastEnd, e.EndedAt)
 	}
+	// Without the second bound, rows would never expire while leaders change often.
+	outcomes.storedAt = max(lastEnd, min(lastCommit, lastEnd.Add(c.policy.Retention)))
 	c.outcomeRows = append(c.outcomeRows, outcomes)
 	return nil
 }
