A recovery counts as complete once a later commit proves the leadership

A new leader that was replaced itself before it had heard of every worker took the report of a worker that had restarted meanwhile for its last missing one, and started tasks whose ends the next leader had acknowledged. Found by review; the same cause as with silent workers. Jobs of the leader before start again after a commit that was sent when all workers were known: one commit a change of leader.

--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -153,6 +153,14 @@
 	return rankedStep{s, r, c.stepValueDensity(s, latest), latest}
 }
 
+// isRecoveryProven reports whether every run of the previous leader is known or over, and
+// a commit that was sent afterwards proves that this leader still led then. Before it,
+// the tasks may be running on a worker that has not reported yet, or a later leader may
+// have recorded their ends.
+func (c *Dispatcher) isRecoveryProven() bool {
+	return c.unreported == 0 && !c.leadershipConfirmedAt.Before(c.recoveredAt)
+}
+
 // rankedSteps returns the steps that have tasks to place, in placement order.
 func (c *Dispatcher) rankedSteps() []rankedStep {
 	list := make([]rankedStep, 0, len(c.ready))
@@ -160,8 +168,8 @@
 		if s.unplacedTasks == 0 || !s.job.durable || !s.job.active() {
 			continue
 		}
-		if c.unreported > 0 && s.job.recovered {
-			continue // its tasks may be running on a worker that has not reported yet
+		if s.job.recovered && !c.isRecoveryProven() {
+			continue
 		}
 		list = append(list, c.ranked(s))
 	}
--- a/dispatch/reduce.go
+++ b/dispatch/reduce.go
@@ -108,7 +108,7 @@
 	c.unreported--
 	c.placementNeeded = true
 	if c.unreported == 0 {
-		c.recoveryCompleted = true
+		c.recoveryCompleted, c.recoveredAt = true, c.now
 		c.logDecision(Decision{Event: "recovery_complete", Value: int64(len(c.jobs))})
 	}
 }
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -30,6 +30,7 @@
 	// previous leader: they have not reported, and its leases have not expired.
 	unreported            int
 	recoveryCompleted     bool              // unreported was 0 after a report
+	recoveredAt           structs.Timestamp // when unreported last became 0
 	startedAt             structs.Timestamp // start of this leader
 	previousLeasesEnd     structs.Timestamp
 	leadershipConfirmedAt structs.Timestamp // send time of the last successful commit
