A task starts again after any end once a later commit proves the leadership

A replaced leader that is cut off from the store could take an end from an answer that had waited, of a run that the next leader had stopped or seen end, and start the task at once. With a worker that had restarted since it reported to the next leader, the task ran twice. Found by review. The proof that a lost run's task waits for is asked for after each end that a worker lists.

TestLastingTaskRestartsHoweverItEnds completes a commit after the end and now also confirms the leadership by it. Restarts wait for up to a commit interval, 0.15 s. First starts are not covered; docs/time-bounds.md.

--- a/dispatch/lasting_test.go
+++ b/dispatch/lasting_test.go
@@ -27,6 +27,7 @@
 		s.now = s.now.Add(5 * time.Second)
 		s.dispatcher.lastTickAt = s.now // the leader has not been paused
 		s.report(at, time.Minute, workflow.EndedTask{Sequence: 1, Task: order.Task, Run: order.Run, Kind: kind})
+		s.dispatcher.ConfirmLeadership(s.now)
 		s.commit()
 		if again := takeEffects[StartTask](s); len(again) != 1 || again[0].Order.Run <= order.Run {
 			t.Errorf("starts after the end %s: %+v, want one with a higher run", kind, again)
--- a/dispatch/leases.go
+++ b/dispatch/leases.go
@@ -19,17 +19,17 @@
 	return c.hasExpired(c.lastLeaseEnd(w))
 }
 
-// isLossProven reports whether a commit that was sent after the last run of a task
-// counted as lost proves that this leader still led then. A later leader may have renewed
+// isEndProven reports whether a commit that was sent after the last run of a task had
+// ended or counted as lost proves that this leader still led then. A later leader may have renewed
 // the run's lease, recorded its end or started the task again. Its worker may even answer
 // this leader: it has restarted, or has checked the token of a renewal before the later
 // leader reached it and lists its runs afterwards.
-func (c *Dispatcher) isLossProven(t *task) bool { return !c.leadershipConfirmedAt.Before(t.lostAt) }
+func (c *Dispatcher) isEndProven(t *task) bool { return !c.leadershipConfirmedAt.Before(t.endedAt) }
 
-// areLossesProven reports whether isLossProven holds for all tasks of a step.
-func (c *Dispatcher) areLossesProven(s *step) bool {
+// areEndsProven reports whether isEndProven holds for all tasks of a step.
+func (c *Dispatcher) areEndsProven(s *step) bool {
 	for _, t := range s.tasks {
-		if !c.isLossProven(t) {
+		if !c.isEndProven(t) {
 			return false
 		}
 	}
--- a/dispatch/lost.go
+++ b/dispatch/lost.go
@@ -59,7 +59,7 @@
 	if a.task != nil && a.run != 0 {
 		a.task.lostRun = &run
 		if reason != lossRejected {
-			a.task.lostAt = c.now
+			a.task.endedAt = c.now
 		}
 	}
 	if reason != lossRejected && a.run != 0 {
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -198,6 +198,7 @@
 	c.keepCheckpoint(t, end.Checkpoint)
 	if end.Sequence != 0 {
 		t.step.job.started = true // the end may arrive before the answer to the start request
+		t.endedAt = c.now
 	}
 	switch {
 	case t.step.spec.LongRunning:
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -62,7 +62,7 @@
 	s := ranked.step
 	candidates := c.candidateWorkers(s)
 	for _, t := range s.tasks {
-		if t.state != taskWaiting || t.hasAllocation() || c.now.Before(t.restartAt) || !c.isLossProven(t) {
+		if t.state != taskWaiting || t.hasAllocation() || c.now.Before(t.restartAt) || !c.isEndProven(t) {
 			continue
 		}
 		w := c.chooseWorker(t, candidates, ranked)
@@ -135,7 +135,7 @@
 // call for advice takes a quarter of a gang's run time.
 func (c *Dispatcher) placeGang(ranked *rankedStep) {
 	s := ranked.step
-	if !s.isWaitingGang() || s.isRestartPaused(c.now) || !c.areLossesProven(s) {
+	if !s.isWaitingGang() || s.isRestartPaused(c.now) || !c.areEndsProven(s) {
 		return // an earlier run has not ended yet, or has ended just after its start
 	}
 	assignments := c.assignMembers(s, func(w *worker) structs.Resources { return c.freeFor(w, ranked) })
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -177,7 +177,7 @@
 	avoidWorker structs.WorkerID  // worker of its last failed run
 	lostRun     *EarlierRun       // its last run, if that counted as lost
 	restartAt   structs.Timestamp // when a long-running task may start again
-	lostAt      structs.Timestamp // when its last run counted as lost; 0 if it never did
+	endedAt     structs.Timestamp // when its last run has ended or counted as lost; 0: not known to this leader
 }
 
 // allocation holds the resources of a placed task, or of a run that is running or
