The wait for the lapse of a lease lasts until its lost runs are no longer listed

A worker that listed a run which had counted as lost got a lease with its second report, while the run was still being stopped: the first listing had deleted the run from the list that the wait looks at. The run could end as done and count. It stays on the list until it has ended or is taken back.

--- a/dispatch/leases.go
+++ b/dispatch/leases.go
@@ -136,7 +136,7 @@
 	}
 	for _, running := range r.Running {
 		if lost, known := c.lostRuns[running.Task]; known && lost.Worker == w.ID && lost.Run == running.Run {
-			return // it is being stopped
+			return // it is being stopped, or ends with its lease
 		}
 	}
 	w.lapseBy = 0
--- a/dispatch/lost.go
+++ b/dispatch/lost.go
@@ -76,11 +76,15 @@
 // may be late and than a lease may last after that.
 const lostRunMemory = 30 * time.Second
 
+// stateRunning is the state of a lost run that its worker lists as running.
+const stateRunning = "running"
+
 // lostRun is a run that counted as lost at the given time.
 type lostRun struct {
 	EarlierRun
 	at         structs.Timestamp
-	openStarts int // start requests without an answer at that time
+	openStarts int  // start requests without an answer at that time
+	listed     bool // its worker has listed it since
 }
 
 // rememberLostRun keeps a lost run, so that a worker that lists it later shows that the
@@ -90,7 +94,7 @@
 		c.lostRunsPrunedAt = c.now
 		maps.DeleteFunc(c.lostRuns, func(_ string, lost lostRun) bool { return c.now.Sub(lost.at) > lostRunMemory })
 	}
-	c.lostRuns[task] = lostRun{run, c.now, openStarts}
+	c.lostRuns[task] = lostRun{EarlierRun: run, at: c.now, openStarts: openStarts}
 }
 
 // checkLostRun logs a run that counted as lost and that its worker lists all the same,
@@ -100,7 +104,15 @@
 	if !known || lost.Run != run || lost.Worker != w.ID {
 		return
 	}
-	delete(c.lostRuns, task)
+	if state == stateRunning {
+		if lost.listed {
+			return
+		}
+		lost.listed = true
+		c.lostRuns[task] = lost // until it has ended; see checkLapse
+	} else {
+		delete(c.lostRuns, task)
+	}
 	c.logDecision(Decision{
 		Event: "lost_run_listed", Task: task, Worker: w.ID, Incarnation: w.Incarnation, Run: run, Reason: lost.Reason, State: state,
 		Value: int64(c.now.Sub(lost.at) / time.Millisecond), Earlier: &lost.EarlierRun, Evidence: c.lossEvidence(w, lost.openStarts),
--- a/dispatch/reports.go
+++ b/dispatch/reports.go
@@ -134,7 +134,7 @@
 func (c *Dispatcher) applyRunning(w *worker, r workflow.RunningTask, first bool) {
 	a := w.allocations[r.Task]
 	if a == nil || a.run != r.Run {
-		c.checkLostRun(w, r.Task, r.Run, "running")
+		c.checkLostRun(w, r.Task, r.Run, stateRunning)
 	}
 	if a == nil {
 		a = c.adoptRun(w, r)
@@ -173,6 +173,7 @@
 	w.used = w.used.Add(a.resources)
 	if t != nil && t.state == taskWaiting && t.step.job.active() && (!t.step.spec.Gang || t.step.gangRun <= r.Run) {
 		a.task = t
+		delete(c.lostRuns, r.Task)
 		t.state, t.worker, t.run = taskRunning, w, r.Run
 		t.step.gangRun = r.Run
 		t.step.unplacedTasks--
