Leases end 6.7 s after the last proof of the leadership

Found by review. The longest time without a commit in which leases are granted falls from 7.5 s to 6.7 s, so that a new leader waits 8.5 s for a worker that does not answer. An outage of the store of 6.7 to 7.5 s now ends the leases of a cell.

--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -24,7 +24,7 @@
 func DefaultPolicy() Policy {
 	return Policy{
 		// Longer than a change of leader (about 2 s), and short enough that the
-		// tasks of a lost worker are restarted within 4 s.
+		// tasks of a lost worker are restarted within 6 s.
 		Lease: 4 * time.Second,
 		// A draining worker leaves soon, and what runs on it then counts as lost
 		// when its lease has ended.
@@ -33,9 +33,10 @@
 		// A quarter of a lease, so that a worker is renewed at least once in
 		// each third of its lease.
 		RenewalWait: 1 * time.Second,
-		// Longer than outages of the store, which last 4 to 7 s. A new leader
-		// waits this long for workers that do not answer.
-		Horizon:         7500 * time.Millisecond,
+		// As long as most outages of the store, which last 4 to 7 s. A new leader waits
+		// for workers that do not answer until the clock rate and leaseMargin are
+		// added, 8.5 s; a lasting task may be away for 9 s.
+		Horizon:         6700 * time.Millisecond,
 		MaxStopTime:     900 * time.Millisecond,
 		StartRetryDelay: 400 * time.Millisecond,
 		CommitTimeout:   700 * time.Millisecond,
