--- a/dispatch/review_test.go
+++ b/dispatch/review_test.go
@@ -243,3 +243,21 @@
 		}
 	}
 }
+
+// TestPausedLeaderGrantsNoLeaseWithItsFirstEvent guards against a leader that was paused and replaced, and that renews a
+// lease with its first event afterwards, before its next tick or placement notices the pause.
+func TestPausedLeaderGrantsNoLeaseWithItsFirstEvent(t *testing.T) {
+	s := newDispatcherHarness(t, 1, largeWorker)
+	s.advance(100 * time.Millisecond)
+	s.report("w0", time.Minute)
+	s.now = s.now.Add(3 * time.Second)
+	s.effects = nil
+	s.reduce(WorkerListed{Worker: workflow.Worker{ID: "w0", Incarnation: 1, Service: "svc", Address: "w0", Capacity: largeWorker}})
+	sent := takeEffects[RenewLease](s)
+	if len(sent) != 1 {
+		t.Fatalf("%d renewals, want 1", len(sent))
+	}
+	if sent[0].Order.Deadline != 0 {
+		t.Errorf("lease granted until %v after a pause of 3 s", sent[0].Order.Deadline)
+	}
+}
