Loading the cell does not count as a pause of the leader

A new leader that needed more than 1 s to load the rows took that for a pause, and granted no lease before its first commit, which takes seconds in a store that slow: the leases of a whole cell could have lapsed. The dispatcher is created once the rows are loaded. go test ./cell ./internal/daemon passes.

--- a/cell/leader.go
+++ b/cell/leader.go
@@ -90,7 +90,6 @@
 	if !i.setLeader(l, i.options.ID, l.epoch) {
 		return
 	}
-	l.dispatcher = dispatch.New(i.options.Policy, l.epoch, l.now(), l.confirmedAt)
 	recovered := false
 	l.protect("recover", func() {
 		if err := l.recover(claim.Previous); err != nil {
@@ -159,6 +158,8 @@
 	if err != nil {
 		return err
 	}
+	// The dispatcher takes a gap between its decisions for a pause, and loading may take seconds.
+	l.dispatcher = dispatch.New(l.instance.options.Policy, l.epoch, l.now(), l.confirmedAt)
 	lastCommit := previous.CommittedAt
 	if previous.Epoch == 0 {
 		lastCommit = dispatch.NoPreviousLeader
