--- a/cell/leaseclock_test.go
+++ b/cell/leaseclock_test.go
@@ -82,8 +82,11 @@
 type confirmedDispatcher struct {
 	panickingDispatcher
 	confirmedAt structs.Timestamp
+	ahead       time.Duration
 }
 
+func (d *confirmedDispatcher) SetStoreClockAhead(ahead time.Duration) { d.ahead = ahead }
+
 func (d *confirmedDispatcher) ConfirmLeadership(at structs.Timestamp) { d.confirmedAt = at }
 
 // newTimedStore returns a store and the instance that calls it.
@@ -184,6 +187,19 @@
 	}
 }
 
+// TestDispatcherKnowsStoreClock guards against stored times that the next leader, whose
+// clock is closer to the store's, counts as over too early.
+func TestDispatcherKnowsStoreClock(t *testing.T) {
+	s := newTimedStore(t)
+	s.answers = []time.Duration{3 * time.Second} // of the claim; the leader's clock is behind the store's by it
+	l := s.claim()
+	behind := s.now().Sub(l.now())
+	s.commit(l)
+	if ahead := l.dispatcher.(*confirmedDispatcher).ahead; behind < 3*time.Second || ahead < behind {
+		t.Errorf("the dispatcher takes the store's clock to be ahead by %s, it is by %s", ahead, behind)
+	}
+}
+
 // TestRowAgeAfterSlowAnswers guards against rows that seem too young, so that followers
 // claim the leadership late: each answer bounds the store's clock, and the closest bound
 // counts, also after slow ones.
