--- a/soak/site_test.go
+++ b/soak/site_test.go
@@ -146,7 +146,9 @@
 
 // TestSiteSoak guards against tasks that run twice, and jobs that are lost, while faults
 // of workers, instances, the store and the links between them overlap under the load of
-// a whole site.
+// a whole site. The default run is short and at a part of the load. By hand, run
+// go test ./soak -run TestSiteSoak -site small-6s -site-load 1 -length 34s -seeds 20 -timeout 60m,
+// and -site grown with 36 processes and 12,600 listeners. SOAK_LOGS keeps the logs.
 func TestSiteSoak(t *testing.T) {
 	names := []string{"small-6s", "small-10s"}
 	if *siteProfileName != "" {
