A start request without an answer is fenced before its run's end is acknowledged

A task started again 80 ms after its acknowledged end as done: its first start request had no answer and was repeated, and the worker carried it out after the acknowledgement. The fencing token of the worker rises with the end of a run that has an unanswered start request, so the acknowledgement fences the request.

--- a/dispatch/reports.go
+++ b/dispatch/reports.go
@@ -69,6 +69,11 @@
 		ack.job = at.job // also of a complete occurrence, whose completion may not be stored yet
 	}
 	if a := w.allocations[end.Task]; a != nil && a.run == end.Run {
+		if a.sends > 0 && a.openStarts > 0 {
+			// A worker that forgets the run with its acknowledged end must not carry out
+			// a start request of it that had no answer.
+			c.raiseFencingToken(w)
+		}
 		c.runEnded(w, a, end)
 	} else {
 		c.checkLostRun(w, end.Task, end.Run, string(end.Kind))
