--- a/soak/site_profiles_test.go
+++ b/soak/site_profiles_test.go
@@ -12,13 +12,12 @@
 
 // siteProfile is the size, the time limits and the traffic of a simulated site.
 type siteProfile struct {
-	instances, workers, zones       int
-	maxLease, stopTime, gangWait    time.Duration
-	restoreTime, latency            time.Duration
-	workerCPU                       int64 // thousandths of a core
-	kinds                           []jobKind
-	lasting                         int // jobs that run until the end
-	resubmitAfter, cancelledRepeats time.Duration
+	instances, workers, zones    int
+	maxLease, stopTime, gangWait time.Duration
+	restoreTime, latency         time.Duration
+	workerCPU                    int64 // thousandths of a core
+	kinds                        []jobKind
+	lasting                      int // jobs that run until the end
 }
 
 // jobKind is a kind of job. Sizes are drawn from a lognormal distribution.
--- a/soak/site_test.go
+++ b/soak/site_test.go
@@ -164,7 +164,6 @@
 // siteSoakJob is a submitted job and what its caller knows about it.
 type siteSoakJob struct {
 	platformtest.SiteJob
-	mu             sync.Mutex
 	accepted       bool
 	outcomeUnknown bool // at least one request had no conclusive response
 	cancelled      bool // its cancellation was requested
