soak: a leader that is cut off with a part of the workers

Cause: a leader that is cut off from the store, the other instances and most workers goes on with the workers that it still reaches until its horizon of 7.5 s. Change: the fault leader-side-cut; the advisor has a link of its own, which a connected group keeps.

--- a/soak/site_faults_test.go
+++ b/soak/site_faults_test.go
@@ -36,6 +36,7 @@
 	{"instances-cut", instanceFault, (*siteCell).cutInstances},
 	{"leader-cut", instanceFault, (*siteCell).cutLeader},
 	{"leader-split", instanceFault, (*siteCell).splitLeader},
+	{"leader-side-cut", instanceFault, (*siteCell).cutLeaderSide},
 	{"leader-store-cut", instanceFault, (*siteCell).cutLeaderFromStore},
 	{"leader-frozen", instanceFault, (*siteCell).freezeLeader},
 	{"leader-killed", instanceFault, (*siteCell).killLeader},
@@ -197,7 +198,7 @@
 }
 
 // isolate cuts a group of instances and workers off from everything outside it, and, if
-// not connected, also from each other.
+// not connected, also from each other. A connected group still reaches the advisor.
 func (c *siteCell) isolate(ctx context.Context, group []*siteProcess, workers []*platformtest.SiteWorker, connected bool, length time.Duration) {
 	inside := map[any]bool{}
 	for _, p := range group {
@@ -214,6 +215,9 @@
 	for _, p := range c.processes {
 		if inside[p] {
 			links = append(links, p.instance.StoreLink)
+			if !connected {
+				links = append(links, p.instance.AdvisorLink)
+			}
 		}
 		for n, w := range c.site.Workers {
 			if inside[p] != inside[w] || (inside[p] && !connected) {
@@ -243,6 +247,14 @@
 	}
 }
 
+// cutLeaderSide cuts the leader and a part of the workers, which it still reaches, off from
+// everything else for longer than a lease. The next leader has the other workers.
+func (c *siteCell) cutLeaderSide(ctx context.Context, rng *rand.Rand) {
+	if leader := c.leader(); leader != nil {
+		c.isolate(ctx, []*siteProcess{leader}, c.someWorkers(rng, 0.1+0.5*rng.Float64()), true, drawLength(rng, cutLength+2*time.Second))
+	}
+}
+
 // splitLeader cuts the leader off from the store and most instances. It still reaches a
 // part of the workers, which the next leader may not reach.
 func (c *siteCell) splitLeader(ctx context.Context, rng *rand.Rand) {
