--- a/soak/site_faults_test.go
+++ b/soak/site_faults_test.go
@@ -251,7 +251,7 @@
 // everything else for longer than a lease. The next leader has the other workers.
 func (c *siteCell) cutLeaderSide(ctx context.Context, rng *rand.Rand) {
 	if leader := c.leader(); leader != nil {
-		c.isolate(ctx, []*siteProcess{leader}, c.someWorkers(rng, 0.1+0.5*rng.Float64()), true, drawLength(rng, cutLength+2*time.Second))
+		c.isolate(ctx, []*siteProcess{leader}, c.someWorkers(rng, 0.1+0.5*rng.Float64()), true, drawAround(rng, cutLength+2*time.Second))
 	}
 }
 
