--- a/dispatch/incarnations.go
+++ b/dispatch/incarnations.go
@@ -65,9 +65,9 @@
 	return w.Restarted && uptime < c.policy.Lease+lateRequestTime+c.longestLease()
 }
 
-// uptime returns how long the present incarnation of a worker has certainly been up. Its
-// clock begins with the incarnation, but perhaps not at 0, and its start time is by its
-// own time of day.
+// uptime returns how long the present incarnation of a worker has been up: the smaller of
+// two estimates. Its clock begins with the incarnation, but perhaps not at 0, and its
+// start time is by its own time of day, which may be off by seconds.
 func (c *Dispatcher) uptime(w *worker) time.Duration {
 	if c.wallOffset == 0 {
 		return w.clock // the time of day is not known before the first tick
--- a/dispatch/leases.go
+++ b/dispatch/leases.go
@@ -20,10 +20,10 @@
 }
 
 // isEndProven reports whether a commit that was sent after the last run of a task had
-// ended or counted as lost proves that this leader still led then. A later leader may have renewed
-// the run's lease, recorded its end or started the task again. Its worker may even answer
-// this leader: it has restarted, or has checked the token of a renewal before the later
-// leader reached it and lists its runs afterwards.
+// ended or counted as lost proves that this leader still led then. A later leader may
+// have renewed the run's lease, recorded its end or started the task again. Its worker
+// may even answer this leader: it has restarted, or has checked the token of a renewal
+// before the later leader reached it and lists its runs afterwards.
 func (c *Dispatcher) isEndProven(t *task) bool { return !c.leadershipConfirmedAt.Before(t.endedAt) }
 
 // areEndsProven reports whether isEndProven holds for all tasks of a step.
--- a/dispatch/reduce.go
+++ b/dispatch/reduce.go
@@ -73,10 +73,10 @@
 // and replaced. Other instances claim the leadership of one that is silent for so long.
 const maxTickGap = time.Second
 
-// detectPause notices that this leader has been paused, with whatever it does first
-// afterwards. Until a commit that is sent after
-// the pause proves that it still leads, it grants no leases and starts nothing: a worker
-// that has restarted meanwhile has received no token of a later leader.
+// detectPause notices that this leader has been paused. It is called with each event and
+// placement, as answers may be processed before the first tick afterwards. Until a commit
+// that is sent after the pause proves that it still leads, it grants no leases and starts
+// nothing: a worker that has restarted meanwhile has received no token of a later leader.
 func (c *Dispatcher) detectPause() {
 	if c.lastTickAt != 0 && c.now.Sub(c.lastTickAt) > maxTickGap {
 		c.pausedAt = c.now
