A transport that is closed before it serves stops serving

Its server was shut down before it knew the listener, and then accepted connections for ever. An instance that stops within its first milliseconds would not end either. Closing the transport closes the listener of a later Serve too.

TestServeAfterCloseReturns failed before (serving 10 s after it was closed); go test -race ./peer passes 30 times.

--- a/peer/node.go
+++ b/peer/node.go
@@ -77,8 +77,13 @@
 // Printf implements fasthttp.Logger.
 func (discardLogger) Printf(string, ...any) {}
 
-// Serve accepts connections of peers on listener until Close is called.
-func (n *Transport) Serve(listener net.Listener) error { return n.server.Serve(listener) }
+// Serve accepts connections of peers on listener until Close is called. It returns at
+// once if Close has been called before, which the server would not know.
+func (n *Transport) Serve(listener net.Listener) error {
+	stop := context.AfterFunc(n.ctx, func() { _ = listener.Close() })
+	defer stop()
+	return n.server.Serve(listener)
+}
 
 // Close closes all connections and waits until its goroutines have ended.
 func (n *Transport) Close() {
--- a/peer/node_test.go
+++ b/peer/node_test.go
@@ -92,3 +92,22 @@
 		}
 	})
 }
+
+// TestServeAfterCloseReturns guards against a transport that serves for ever because it was
+// closed before its goroutine began to serve.
+func TestServeAfterCloseReturns(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := New(Options{Self: "a", Logger: hclog.NewNullLogger(), OnMessage: func(Message) {}})
+	n.Close()
+	served := make(chan struct{})
+	go func() { defer close(served); _ = n.Serve(listener) }()
+	select {
+	case <-served:
+	case <-time.After(10 * time.Second):
+		t.Error("the transport still serves 10 s after it was closed")
+		_ = listener.Close()
+	}
+}
