--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -21,7 +21,8 @@
 // cases are the cases by name. A case notes broken rules in the record; its error means
 // that it could not run.
 var cases = map[string]func(r *record, trouble bool) error{
-	"odd-entry": playOddEntry,
+	"odd-entry":          playOddEntry,
+	"hangup-in-shutdown": playHangup,
 }
 
 // maxCaseTime bounds a case.
