--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -23,6 +23,7 @@
 var cases = map[string]func(r *record, trouble bool) error{
 	"odd-entry":          playOddEntry,
 	"hangup-in-shutdown": playHangup,
+	"other-kind":         playOtherKind,
 	"lasting-task":       playLastingTask,
 }
 
