--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -25,6 +25,7 @@
 	"hangup-in-shutdown": playHangup,
 	"other-kind":         playOtherKind,
 	"lasting-task":       playLastingTask,
+	"many-checkpoints":   playManyCheckpoints,
 }
 
 // maxCaseTime bounds a case.
