review: the SIGHUP of case 8 comes 300 ms after the SIGTERM

The next leader accepted the waiting jobs 383 to 512 ms after the SIGTERM in a run without the disruption, so 350 ms was close to the lower figure.

--- a/review/harness-2/case_hangup.go
+++ b/review/harness-2/case_hangup.go
@@ -34,7 +34,7 @@
 		group.Go(func() { s.play(i, stop) })
 	}
 	time.Sleep(5 * time.Second)
-	const rounds, hangupDelay = 5, 350 * time.Millisecond
+	const rounds, hangupDelay = 5, 300 * time.Millisecond
 	for range rounds {
 		target := c.writerInstance()
 		if target == nil {
