A restarted worker gets tasks only by its own directory entry

Cause: a report shows that a worker has restarted, and made it usable at once with the service, labels and capacity of the former incarnation's directory entry. The entry of the new one is read up to 0.4 s later.

Change: placement requires that the entry is that of the incarnation that reports. Two tests placed a task on a restarted worker without an entry; they list it now, and check as before.

--- a/dispatch/incarnations.go
+++ b/dispatch/incarnations.go
@@ -39,6 +39,11 @@
 	c.emit(StepDown{Worker: w.ID, Reason: "a worker has received a higher fencing token"})
 }
 
+// isDescribed reports whether the directory entry that gives the worker's service, labels,
+// rack and capacity is that of its present incarnation. The next incarnation of a worker
+// may be of another kind, and a report may show it before its entry has been read.
+func (w *worker) isDescribed() bool { return w.listedIncarnation == w.Incarnation }
+
 // mayReachNextIncarnation reports whether the next incarnation of the worker may run
 // an allocation of this one. It cannot if this incarnation has listed the run, and was
 // asked to do so after the last start request had its answer.
--- a/dispatch/restarts_test.go
+++ b/dispatch/restarts_test.go
@@ -58,3 +58,50 @@
 		}
 	}
 }
+
+// TestRestartedWorkerWaitsForItsEntry guards against starting a task on a worker that has
+// come back as another kind: its report shows the new incarnation before the directory
+// entry that says what this one is, and the leader went by the entry of the former one.
+func TestRestartedWorkerWaitsForItsEntry(t *testing.T) {
+	former := workflow.Worker{ID: "w0", Incarnation: 1, Service: "svc", Address: "w0", Capacity: largeWorker, Labels: []string{"a"}}
+	step := workflow.Step{Tasks: 1, Estimate: time.Second, Resources: structs.Resources{MilliCPU: 1000}, RequiredLabel: "a"}
+	for name, change := range map[string]func(*workflow.Worker){
+		"label":    func(w *workflow.Worker) { w.Labels = []string{"b"} },
+		"service":  func(w *workflow.Worker) { w.Service = "other" },
+		"capacity": func(w *workflow.Worker) { w.Capacity = structs.Resources{MilliCPU: 500, MemoryBytes: 1 << 30} },
+		"draining": func(w *workflow.Worker) { w.Draining = true },
+		"nothing":  func(*workflow.Worker) {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newDispatcherHarness(t, 0, largeWorker)
+			s.reduce(WorkerListed{Worker: former})
+			s.reportOf("w0", workflow.Report{Incarnation: 1, Clock: time.Hour})
+			for s.dispatcher.NeedsCommit() {
+				s.commit()
+			}
+			s.now = s.now.Add(time.Second)
+			s.reportOf("w0", workflow.Report{Incarnation: 2, Clock: 50 * time.Millisecond})
+			s.reduce(SubmitJob{Call: 1, Job: workflow.Job{ID: "0000000000000001", Steps: []workflow.Step{step}}, Queue: batchQueue(nil)})
+			for s.dispatcher.NeedsCommit() {
+				s.commit()
+			}
+			s.advance(100 * time.Millisecond)
+			if early := takeEffects[StartTask](s); len(early) != 0 {
+				t.Fatalf("%d starts at an incarnation whose directory entry has not been read, want 0", len(early))
+			}
+			present := former
+			present.Incarnation = 2
+			change(&present)
+			s.reduce(WorkerListed{Worker: present})
+			s.reportOf("w0", workflow.Report{Incarnation: 2, Clock: 200 * time.Millisecond})
+			s.advance(100 * time.Millisecond)
+			want := 0
+			if name == "nothing" {
+				want = 1
+			}
+			if starts := takeEffects[StartTask](s); len(starts) != want {
+				t.Errorf("%d starts once its entry has been read, want %d", len(starts), want)
+			}
+		})
+	}
+}
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -47,6 +47,7 @@
 	onDecision      func(Decision)         // called for each decision, if set
 	late            *lateFaults            // nil for seeds up to lastSeedWithoutLateRequests
 	pairs           *pairFaults            // nil for seeds up to lastSeedWithoutPairFaults
+	kinds           *workerKinds           // nil for seeds up to lastSeedWithoutWorkerKinds
 }
 
 // simJob is a job of the simulation.
@@ -175,6 +176,7 @@
 	if !used.Fits(w.Capacity) {
 		s.t.Errorf("%v: start of %s run %d exceeds the capacity of %s", s.now, order.Task, order.Run, w.ID)
 	}
+	s.kinds.checkStart(w, order, st)
 	if st.MaxPerWorker > 0 && onWorker > st.MaxPerWorker {
 		s.t.Errorf("%v: %d tasks of %s on %s, at most %d allowed", s.now, onWorker, step, w.ID, st.MaxPerWorker)
 	}
--- a/dispatch/sim_worker_test.go
+++ b/dispatch/sim_worker_test.go
@@ -31,8 +31,9 @@
 	running           map[string]*fakeRun
 	ended             []workflow.EndedTask
 	lastEndNumber     uint64
-	highest           map[string]uint64 // highest run number that was stopped or has ended, by task
-	forgotten         map[uint64]bool   // ends whose lease expired before they were acknowledged
+	highest           map[string]uint64    // highest run number that was stopped or has ended, by task
+	forgotten         map[uint64]bool      // ends whose lease expired before they were acknowledged
+	askedAs           workflow.Incarnation // incarnation that the leader had in mind with the latest start request
 }
 
 // fakeRun is a run of a task on a worker.
@@ -234,6 +235,7 @@
 	}
 	w.up, w.startedAt = true, w.sim.now
 	w.Incarnation++
+	w.sim.kinds.restarted(w)
 }
 
 // joinGang adds a run to its gang. The gang ends if it is not complete within
--- a/dispatch/stale_news_test.go
+++ b/dispatch/stale_news_test.go
@@ -14,7 +14,7 @@
 	return WorkerListed{Worker: workflow.Worker{ID: "w0", Incarnation: incarnation, Service: "svc", Address: address, Capacity: largeWorker}}
 }
 
-// runOnRestartedWorker returns a harness in which w0, whose directory entry and first
+// runOnRestartedWorker returns a harness in which w0, whose first directory entry and
 // reports name start time 9, has started again with the earlier start time 5, because
 // the time of day of its machine went back. A task runs there, which its reports list.
 // w1 is idle.
@@ -25,6 +25,7 @@
 	s.reportOf("w0", workflow.Report{Incarnation: 9, Clock: time.Minute})
 	s.now = s.now.Add(time.Second)
 	s.reportOf("w0", workflow.Report{Incarnation: 5})
+	s.reduce(entry(5, "w0"))
 	s.commit()
 	s.reduce(SubmitJob{Call: 1, Job: arrayJob(1, false), Queue: batchQueue(nil)})
 	s.commit()
--- a/dispatch/stored_workers_test.go
+++ b/dispatch/stored_workers_test.go
@@ -67,6 +67,7 @@
 	}
 	s.now = s.now.Add(time.Second)
 	s.reportOf("w0", workflow.Report{Incarnation: 2})
+	s.reduce(WorkerListed{Worker: workflow.Worker{ID: "w0", Incarnation: 2, Service: "svc", Address: "w0", Capacity: largeWorker}})
 	s.reduce(Committed{Sequence: commit.Sequence})
 	s.place()
 	if starts := takeEffects[StartTask](s); len(starts) != 0 {
