A ticket that was asked for before a restart is not used after it

What callers saw: nothing directly; a worker rejects such a start (409, ticket), and rejected starts are priced.

Cause: an answer of the advisor counted for the incarnation of the worker that the leader knew when the answer came. The worker may have restarted between the call and the answer, and a ticket is valid for one incarnation.

Change: an answer whose call was sent before the leader learned of the present incarnation approves the worker, without a ticket.

Result: TestTicketOfFormerIncarnationIsNotUsed failed before (the task was started with the earlier ticket).

--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -173,14 +173,17 @@
 	for _, id := range e.Workers {
 		s.advice[id] = workerAdvice{}
 	}
+	askedAt := s.adviceExpectedAt.Add(-e.Expected)
 	for _, ticket := range e.Advice.Tickets {
 		w := c.workers[ticket.Worker]
 		if w == nil {
 			continue
 		}
-		s.advice[ticket.Worker] = workerAdvice{
-			approved: true, token: ticket.Token, expiresAt: c.now.Add(e.Advice.Validity - ticketMargin), incarnation: w.Incarnation,
+		expiresAt := c.now.Add(e.Advice.Validity - ticketMargin)
+		if w.incarnationSince.After(askedAt) {
+			expiresAt = 0 // the ticket may be for the incarnation before
 		}
+		s.advice[ticket.Worker] = workerAdvice{approved: true, token: ticket.Token, expiresAt: expiresAt, incarnation: w.Incarnation}
 	}
 	s.approvedWorkers = s.approvedWorkers[:0]
 	for _, w := range c.sortedWorkers {
--- a/dispatch/advice_test.go
+++ b/dispatch/advice_test.go
@@ -221,3 +221,42 @@
 		t.Errorf("%d starts within 2 s after the workers have come back, want 4", len(starts))
 	}
 }
+
+// TestTicketOfFormerIncarnationIsNotUsed guards against a start that the worker rejects
+// for its ticket: the worker has restarted between the call for advice and its answer, and
+// the ticket may be for the incarnation before.
+func TestTicketOfFormerIncarnationIsNotUsed(t *testing.T) {
+	s := newDispatcherHarness(t, 1, largeWorker)
+	advisor := &workflow.Advisor{BaseTime: 300 * time.Millisecond, TimePerWorker: time.Millisecond, Validity: 1500 * time.Millisecond}
+	s.reduce(SubmitJob{Call: 1, Job: arrayJob(1, false), Queue: batchQueue(advisor)})
+	s.commit()
+	calls := takeEffects[RequestAdvice](s)
+	if len(calls) != 1 {
+		t.Fatalf("%d calls for advice, want 1", len(calls))
+	}
+	s.now = s.now.Add(100 * time.Millisecond)
+	s.reduce(WorkerListed{Worker: workflow.Worker{ID: "w0", Incarnation: 2, Service: "svc", Address: "w0", Capacity: largeWorker}})
+	s.now = s.now.Add(20 * time.Millisecond)
+	s.reportOf("w0", workflow.Report{Incarnation: 2, Clock: time.Minute})
+	s.commit()
+	s.now = s.now.Add(200 * time.Millisecond)
+	s.answerAdvice(calls[0])
+	s.advance(50 * time.Millisecond)
+	var again []RequestAdvice
+	for _, effect := range s.effects {
+		switch e := effect.(type) {
+		case StartTask:
+			t.Fatalf("%s is started with a ticket that was asked for before the restart", e.Order.Task)
+		case RequestAdvice:
+			again = append(again, e)
+		}
+	}
+	if len(again) != 1 {
+		t.Fatalf("%d calls for a ticket of the new incarnation, want 1", len(again))
+	}
+	s.effects = nil
+	s.answerAdvice(again[0])
+	if starts := takeEffects[StartTask](s); len(starts) != 1 {
+		t.Errorf("%d starts with the new ticket, want 1", len(starts))
+	}
+}
