A commit that the store rejects for good ends the leadership

Cause: the leader took a status 400 for a lost answer and sent the same commit again at once, for ever.

Change: a second rejection of a commit ends the leadership. Each is logged with entries, bytes and the largest row. The registration of an instance stops when its row is rejected.

--- a/cell/commits.go
+++ b/cell/commits.go
@@ -155,8 +155,34 @@
 		l.recordStoreClock(answer)
 		l.handleCommitConflict(p, answer.page)
 	default:
-		p.recordFailedCopy(l.now(), errs.Is(err, errs.NotRun))
 		l.instance.metrics.count("commit_failures", "kind", string(errs.KindOf(err)))
+		p.recordFailedCopy(l.now(), errs.Is(err, errs.NotRun) || errs.Is(err, errs.InvalidInput))
+		if errs.Is(err, errs.InvalidInput) {
+			l.handleRejectedCommit(p, err)
+		}
+	}
+}
+
+// maxRejections is how often the store may reject a commit as invalid before the leader
+// gives up. One rejection may come from a damaged request.
+const maxRejections = 2
+
+// handleRejectedCommit handles a commit that the store rejects as invalid. It would reject
+// each copy of it, so the leadership ends: the next leader begins with the stored state,
+// without the change in memory that cannot be stored.
+func (l *leader) handleRejectedCommit(p *pendingCommit, err error) {
+	p.rejections++
+	largest, bytes := tablestore.Put{}, 0
+	for _, put := range p.tx.Puts {
+		bytes += len(put.Value)
+		if len(put.Value) > len(largest.Value) {
+			largest = put
+		}
+	}
+	l.log.Error("the store rejects a commit", "error", err, "rejections", p.rejections, "entries", len(p.tx.Puts)+len(p.tx.Removes)+len(p.tx.Conditions),
+		"removed_rows", len(p.tx.Removes), "bytes", bytes, "largest_row", largest.Table+"/"+largest.Key, "largest_row_bytes", len(largest.Value))
+	if p.rejections >= maxRejections {
+		l.depose("the store rejects a commit for good", 0)
 	}
 }
 
--- a/cell/committracker.go
+++ b/cell/committracker.go
@@ -21,7 +21,10 @@
 	sentAt    structs.Timestamp // when the last copy was sent; 0 if none was sent
 	inFlight  int               // copies without an outcome
 	refusals  int               // copies that were certainly not applied
-	retryAt   structs.Timestamp // earliest time for another copy
+	// rejections is the number of copies that the store rejected as invalid. It counts in
+	// refusals, too.
+	rejections int
+	retryAt    structs.Timestamp // earliest time for another copy
 
 	readInFlight     bool
 	readSentAt       structs.Timestamp // when the last read-back was sent
--- a/cell/instance.go
+++ b/cell/instance.go
@@ -181,9 +181,14 @@
 	tx := tablestore.Tx{Part: StorePart, Puts: []tablestore.Put{{Table: peerTable, Key: string(i.options.ID), Value: value}}}
 	const retry, timeout = 500 * time.Millisecond, 2 * time.Second
 	for i.ctx.Err() == nil {
-		if _, err = i.store.Commit(tx, timeout); err == nil {
+		_, err = i.store.Commit(tx, timeout)
+		switch {
+		case err == nil:
 			i.log.Info("registered", "address", i.options.PeerAddress)
 			return
+		case errs.Is(err, errs.InvalidInput): // each copy would be rejected
+			i.log.Error("the store rejects the instance row; the leader cannot find this instance", "error", err)
+			return
 		}
 		sleep(i.ctx, retry)
 	}
