The stored workers of a bucket take further rows when they outgrow one

Cause: nothing bounded the 32 rows of workers. Many entries, or some with long names, exceed the store's limit of a row, and each commit with such a row is rejected.

Change: a bucket is stored in rows of at most 44 KB, packed one value after another. Rows that it no longer needs are removed in the same commit, which counts them against its limit of entries. Beyond 256 KB a new worker is not stored and gets no tasks.

--- a/dispatch/commit.go
+++ b/dispatch/commit.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"fmt"
 	"slices"
 	"time"
 
@@ -21,10 +20,6 @@
 	ProgressTable = "mangodrum_progress" // progress of the active jobs; a row holds a bucket of them
 	EndedJobTable = "mangodrum_ended"    // outcomes; a row holds the jobs that ended in one commit
 	CellTable     = "mangodrum_cell"     // the leadership row and the workers, in buckets
-	// workersPrefix is the prefix of the keys in CellTable that hold the workers
-	// that may be running tasks. They are split into buckets because a row has
-	// at most 64 KiB.
-	workersPrefix = "workers-"
 )
 
 // storedJob is the stored specification of a job. A row of JobTable holds a list
@@ -96,14 +91,6 @@
 	// progressBuckets is the number of buckets for the progress of the active
 	// jobs. All of them fit into one commit.
 	progressBuckets = 64
-	// workerBuckets is the number of buckets for workers. With 3,000 workers a
-	// bucket takes 12 KB.
-	workerBuckets = 32
-	// maxWorkerBytes is the size of the worker buckets in a commit from which no
-	// further one is added. A new leader writes all buckets when it lists the
-	// directory, which would fill a commit in a cell of 3,000 workers. Those of 350
-	// workers fit into one commit; new workers get no tasks before it.
-	maxWorkerBytes = 48 << 10
 	// maxProgressDelay is how long the progress of a job may wait for a commit.
 	// Most urgent jobs end within that time, so a burst of them writes no
 	// progress.
@@ -175,7 +162,7 @@
 	c.now = max(c.now, now)
 	c.sequence++
 	b := &commitBuilder{dispatcher: c, commit: Commit{Sequence: c.sequence}, buckets: map[int]bool{}}
-	c.committing, c.committingWorkers = c.committing[:0], c.committingWorkers[:0]
+	c.committing, c.committingWorkers, c.workersLeftOut = c.committing[:0], c.committingWorkers[:0], c.workersLeftOut[:0]
 	taken := 0
 	for _, j := range c.dirty {
 		if !b.fits(j) {
@@ -277,45 +264,10 @@
 	return nil
 }
 
-// workerChanged adds the bucket of a worker to one of the next commits.
-func (c *Dispatcher) workerChanged(id structs.WorkerID) {
-	n := bucketOf(string(id), workerBuckets)
-	if at, found := slices.BinarySearch(c.dirtyWorkers, n); !found {
-		c.dirtyWorkers = slices.Insert(c.dirtyWorkers, at, n)
-	}
-}
-
 // SetStoreClockAhead sets by how much the store's clock may be ahead of the times that
 // are passed to the dispatcher. The next leader counts stored times on the store's clock.
 func (c *Dispatcher) SetStoreClockAhead(d time.Duration) { c.storeClockAhead = max(d, 0) }
 
-// writeWorkers adds changed worker buckets to a commit: up to limit rows, and none
-// once they take maxWorkerBytes.
-func (c *Dispatcher) writeWorkers(commit *Commit, limit int) error {
-	count, size := 0, 0
-	for count < min(len(c.dirtyWorkers), limit) && size < maxWorkerBytes {
-		n := c.dirtyWorkers[count]
-		list := []workflow.Worker{}
-		for _, w := range c.sortedWorkers {
-			if bucketOf(string(w.ID), workerBuckets) == n {
-				stored := w.Worker
-				if stored.InheritedLeaseEnd != 0 {
-					stored.InheritedLeaseEnd = stored.InheritedLeaseEnd.Add(c.storeClockAhead)
-				}
-				list = append(list, stored)
-				c.committingWorkers = append(c.committingWorkers, w)
-			}
-		}
-		if err := putRow(commit, CellTable, fmt.Sprintf("%s%02x", workersPrefix, n), list); err != nil {
-			return err
-		}
-		size += len(commit.Puts[len(commit.Puts)-1].Value)
-		count++
-	}
-	c.dirtyWorkers = slices.Delete(c.dirtyWorkers, 0, count)
-	return nil
-}
-
 // committed handles the completion of a commit.
 func (c *Dispatcher) committed(sequence uint64) {
 	if sequence != c.sequence {
@@ -333,6 +285,9 @@
 			w.stored = true
 		}
 	}
+	for _, w := range c.workersLeftOut {
+		c.logDecision(Decision{Event: "worker_not_stored", Worker: w.ID, Reason: "the rows of its bucket are full"})
+	}
 	for _, w := range c.sortedWorkers {
 		w.acknowledge()
 	}
--- a/dispatch/commit_builder.go
+++ b/dispatch/commit_builder.go
@@ -212,7 +212,7 @@
 	if err := b.removeOutcomes(); err != nil {
 		return err
 	}
-	if err := c.writeWorkers(&b.commit, b.remainingEntries()); err != nil {
+	if err := b.putWorkers(); err != nil {
 		return err
 	}
 	removed := min(len(c.removals), b.remainingEntries())
@@ -278,25 +278,57 @@
 // progressKey returns the key of a part of a progress bucket.
 func progressKey(n, part int) string { return fmt.Sprintf("%02x-%02x", n, part) }
 
-// putInRows encodes rows as lists of at most maxRowBytes each and passes each
-// list to emit.
-func putInRows[T any](rows []T, emit func([]T, []byte)) error {
-	if len(rows) == 0 {
+// arrayHeaderBytes is an upper estimate of the encoded head of a list.
+const arrayHeaderBytes = 9
+
+// maxRows returns the largest number of rows in which putInRows stores values of the
+// given total size: two rows in succession take more than maxRowBytes together.
+func maxRows(bytes int) int {
+	if bytes == 0 {
+		return 0
+	}
+	return 1 + 2*bytes/maxRowBytes
+}
+
+// putInRows encodes values as lists of at most maxRowBytes each and passes each list to
+// emit.
+func putInRows[T any](values []T, emit func([]T, []byte)) error {
+	if len(values) == 0 {
 		return nil
 	}
-	data, err := cbor.Marshal(rows)
+	data, err := cbor.Marshal(values)
 	if err != nil {
-		return errs.Wrap(err, errs.InvalidInput, "report this bug", "encode %d rows", len(rows))
+		return errs.Wrap(err, errs.InvalidInput, "report this bug", "encode %d values", len(values))
 	}
-	if len(data) <= maxRowBytes || len(rows) == 1 {
-		emit(rows, data)
+	if len(data) <= maxRowBytes {
+		emit(values, data)
 		return nil
 	}
-	half := len(rows) / 2
-	if err := putInRows(rows[:half], emit); err != nil {
-		return err
+	var row []cbor.RawMessage
+	size := arrayHeaderBytes
+	put := func(end int) error {
+		list, err := cbor.Marshal(row)
+		if err != nil {
+			return errs.Wrap(err, errs.InvalidInput, "report this bug", "encode a row")
+		}
+		emit(values[end-len(row):end], list)
+		row, size = nil, arrayHeaderBytes
+		return nil
+	}
+	for n := range values {
+		value, err := cbor.Marshal(values[n])
+		if err != nil {
+			return errs.Wrap(err, errs.InvalidInput, "report this bug", "encode a value of a row")
+		}
+		if len(row) > 0 && size+len(value) > maxRowBytes {
+			if err := put(n); err != nil {
+				return err
+			}
+		}
+		row = append(row, value)
+		size += len(value)
 	}
-	return putInRows(rows[half:], emit)
+	return put(len(values))
 }
 
 // maxTasksPerPart is the number of tasks with failed runs or a checkpoint in a part of
--- a/dispatch/recover.go
+++ b/dispatch/recover.go
@@ -207,6 +207,11 @@
 	if err := decodeRow(row, &list); err != nil {
 		return err
 	}
+	bucket, n, err := parseWorkerRowKey(row.Key)
+	if err != nil {
+		return err
+	}
+	c.workerRows[bucket] = max(c.workerRows[bucket], n+1)
 	for _, w := range list {
 		// A worker that answers is waited for even if all leases should have
 		// expired: one that has restarted unnoticed may hold a longer one.
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -41,13 +41,15 @@
 	deferred              []*job             // jobs for a commit within maxProgressDelay
 	committing            []*job             // jobs in the commit in progress
 	committingWorkers     []*worker          // workers in the commit in progress
+	workersLeftOut        []*worker          // workers that do not fit into their rows of that commit
 	removals              []tablestore.RowID // rows to remove with the next commits
 	buckets               [progressBuckets][]*job
 	bucketRows            [progressBuckets]int // number of stored rows of each progress bucket
 	outcomeRows           []*outcomeRow        // stored rows of EndedJobTable in commit order
 	expiredOutcomes       []*outcomeRow        // of these, rows to remove with the next commits
 	sequence              uint64
-	dirtyWorkers          []int // worker buckets for the next commits, ascending
+	dirtyWorkers          []int              // worker buckets for the next commits, ascending
+	workerRows            [workerBuckets]int // number of stored rows of each worker bucket
 	placementNeeded       bool
 	nextReservationAt     structs.Timestamp // when the reservations of gangs are computed again
 	outages               outageHistory
