A job that is too large to be stored is refused

Cause: a job is stored in one row, nothing bounded its size, and a commit takes any first job. The store rejected that commit and all after it.

Change: the instance that takes the request answers 413 with the size and the limit; the leader refuses such a job too. A job's size in a commit counts its names.

--- a/cell/callers.go
+++ b/cell/callers.go
@@ -112,6 +112,10 @@
 		writeError(ctx, fasthttp.StatusBadRequest, 0, err.Error())
 		return
 	}
+	if err := dispatch.CheckSize(&job, &route.Queue); err != nil {
+		writeError(ctx, fasthttp.StatusRequestEntityTooLarge, 0, err.Error())
+		return
+	}
 	reply, err := i.callLeader(methodSubmit, jobCall{ID: job.ID, Job: &job, Queue: &route.Queue}, deadline)
 	i.logResult("submit", id, reply, err)
 	switch {
--- a/cell/jobcalls_test.go
+++ b/cell/jobcalls_test.go
@@ -1,12 +1,18 @@
 package cell
 
 import (
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+	"github.com/valyala/fasthttp"
+
 	"github.com/mangodrum/mangodrum/dispatch"
 	"github.com/mangodrum/mangodrum/errs"
 	"github.com/mangodrum/mangodrum/leadership"
+	"github.com/mangodrum/mangodrum/routing"
+	"github.com/mangodrum/mangodrum/workflow"
 )
 
 // TestPausedLeaderDeniesNoJob guards against a leader that was paused, was replaced
@@ -61,3 +67,24 @@
 		}
 	}
 }
+
+// stubCodec decodes every job as the same one.
+type stubCodec struct {
+	Codec
+	job workflow.Job
+}
+
+func (c stubCodec) DecodeJob(string, []byte) (workflow.Job, error) { return c.job, nil }
+
+// TestJobTooLargeIsAnsweredAtOnce guards against a caller that sends a job which can never
+// be stored again and again: it has to be told that the job is too large.
+func TestJobTooLargeIsAnsweredAtOnce(t *testing.T) {
+	i := New(Options{ID: "self", Logger: hclog.NewNullLogger(), Codec: stubCodec{job: workflow.Job{ID: "0", Spec: strings.Repeat("s", 100_000)}}})
+	t.Cleanup(func() { i.cancel(); i.transport.Close() })
+	i.config.current.Store(&routing.Config{})
+	var ctx fasthttp.RequestCtx
+	i.serveSubmit(&ctx, &routing.Route{}, "0", time.Now().Add(time.Second))
+	if ctx.Response.StatusCode() != fasthttp.StatusRequestEntityTooLarge || !strings.Contains(string(ctx.Response.Body()), "at most") {
+		t.Errorf("status %d, body %q, want 413 with the limit", ctx.Response.StatusCode(), ctx.Response.Body())
+	}
+}
--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -3,7 +3,9 @@
 import (
 	"time"
 
+	"github.com/mangodrum/mangodrum/errs"
 	"github.com/mangodrum/mangodrum/structs"
+	"github.com/mangodrum/mangodrum/workflow"
 )
 
 // This file decides which submissions wait for a commit, how long, and when a
@@ -32,11 +34,23 @@
 	RefusedNotCommitted RefusalReason = "not committed in time"
 	// RefusedBefore means that another copy of the request was refused.
 	RefusedBefore RefusalReason = "request was refused before"
+	// RefusedTooLarge means that the job cannot be stored; see CheckSize.
+	RefusedTooLarge RefusalReason = "too large to be stored"
 	// RefusedTooManyWaiting means that as many submissions wait for the store as
 	// the instance can hold.
 	RefusedTooManyWaiting RefusalReason = "too many submissions wait for the store"
 )
 
+// CheckSize returns an error for a job that is too large to be stored in a row, with the
+// policy of its queue. No commit that holds it would succeed.
+func CheckSize(j *workflow.Job, q *workflow.Queue) error {
+	if size := specSize(j, q); size > maxRowBytes {
+		return errs.New(errs.InvalidInput, "shorten its specification and names, or split its steps over several jobs",
+			"job %s takes %d bytes in the store with the policy of its queue, at most %d are possible", j.ID, size, maxRowBytes)
+	}
+	return nil
+}
+
 // RequestID identifies one request of a caller. The instance that took the request
 // may pass it on several times.
 type RequestID string
--- a/dispatch/commit_builder.go
+++ b/dispatch/commit_builder.go
@@ -10,6 +10,7 @@
 	"github.com/mangodrum/mangodrum/errs"
 	"github.com/mangodrum/mangodrum/structs"
 	"github.com/mangodrum/mangodrum/tablestore"
+	"github.com/mangodrum/mangodrum/workflow"
 )
 
 // commitBuilder collects the rows of one commit.
@@ -44,7 +45,7 @@
 	case !j.active():
 		return outcomeBytes
 	case j.specRow == nil:
-		return specBytes + len(j.spec.Spec) + len(j.spec.Steps)*stepBytes
+		return specSize(&j.spec, &j.queue)
 	}
 	n := jobBucket(j.spec.ID)
 	if b.buckets[n] {
@@ -107,14 +108,26 @@
 // the known sites.
 const (
 	outcomeBytes    = 40
-	specBytes       = 300
-	stepBytes       = 100
+	specBytes       = 300 // of a job without its texts and steps
+	stepBytes       = 100 // of a step without its texts and dependencies
+	dependencyBytes = 2
 	progressBytes   = 100 // of a job without occurrences
 	occurrenceBytes = 16
 	taskBytes       = 12 // of a task without its checkpoint and failed runs
 	failedRunBytes  = 9
 )
 
+// specSize returns an upper estimate of the encoded size of a job's specification with the
+// policy of its queue.
+func specSize(j *workflow.Job, q *workflow.Queue) int {
+	size := specBytes + len(j.Spec) + len(q.Name) + len(q.Service)
+	for n := range j.Steps {
+		s := &j.Steps[n]
+		size += stepBytes + len(s.RequiredLabel) + len(s.DataRack) + len(s.Image) + dependencyBytes*len(s.DependsOn)
+	}
+	return size
+}
+
 // releaseSpec removes an ended job from the count of its row in JobTable, and
 // the row once it has no active job.
 func (b *commitBuilder) releaseSpec(j *job) {
--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -28,6 +28,9 @@
 	case !canWait(c.outages.isAway(), len(c.dirty)):
 		c.refuse(e, RefusedTooManyWaiting)
 		return
+	case CheckSize(&e.Job, &e.Queue) != nil:
+		c.refuse(e, RefusedTooLarge)
+		return
 	}
 	j = c.newJob(e.Job, e.Queue, c.now)
 	j.pendingSubmits = []pendingCall{call}
