A SIGHUP does not end a process that is starting or stopping

Cause: only the loop that watches the settings file handled SIGHUP. It began after the listeners were open and ended with the SIGTERM, and then gave the signal its default action back. `run`, `dev` and `standin` never handled it.

Change: the signals are received from the initialization of the program on, and never given back. `run` logs a SIGHUP, `dev` and `standin` stop in order, as their terminal was closed.

--- a/internal/daemon/command.go
+++ b/internal/daemon/command.go
@@ -5,15 +5,14 @@
 	"fmt"
 	"io"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"github.com/urfave/cli/v3"
 
 	"github.com/mangodrum/mangodrum/errs"
 	"github.com/mangodrum/mangodrum/instance"
+	"github.com/mangodrum/mangodrum/internal/signals"
 )
 
 // Exit codes of mangodrumd.
@@ -27,14 +26,14 @@
 const platformTimeout = 5 * time.Second
 
 // New returns the root command of mangodrumd, which writes to out and errOut.
-func New(out, errOut io.Writer) *cli.Command {
+func New(received *signals.Received, out, errOut io.Writer) *cli.Command {
 	return &cli.Command{
 		Name:      "mangodrumd",
 		Usage:     "run an instance of the mangodrum cluster scheduler",
 		Version:   instance.BuildVersion(),
 		Writer:    out,
 		ErrWriter: errOut,
-		Commands:  []*cli.Command{devCommand(), runCommand(), serveCommand(), standinCommand()},
+		Commands:  []*cli.Command{devCommand(received), runCommand(received), serveCommand(received), standinCommand(received)},
 		// Main reports the error and chooses the exit code.
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error {
@@ -44,14 +43,13 @@
 }
 
 // Main runs the command line and returns the exit code. The first SIGINT or
-// SIGTERM starts a drain, a second one exits at once.
+// SIGTERM starts a drain, a second one exits at once. SIGHUP ends no instance.
 func Main(args []string, out, errOut io.Writer) int {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
-	defer stop()
+	received := signals.Receive()
 	finished := make(chan struct{})
 	defer close(finished)
-	go exitOnSecondSignal(ctx, finished, errOut)
-	err := New(out, errOut).Run(ctx, args)
+	go exitOnSecondSignal(received, finished, errOut)
+	err := New(received, out, errOut).Run(received.Stop, args)
 	if err == nil {
 		return ExitDone
 	}
@@ -62,24 +60,31 @@
 	return ExitFailed
 }
 
-// exitOnSecondSignal waits until the first signal has ended ctx and exits the
-// process on the next one. It returns when finished is closed.
-func exitOnSecondSignal(ctx context.Context, finished chan struct{}, errOut io.Writer) {
+// exitOnSecondSignal exits the process on a signal after the one that started the drain.
+// It returns when finished is closed.
+func exitOnSecondSignal(received *signals.Received, finished chan struct{}, errOut io.Writer) {
 	select {
 	case <-finished:
-		return
-	case <-ctx.Done():
-	}
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
-	select {
-	case <-finished:
-	case <-signals:
+	case <-received.Again:
 		_, _ = fmt.Fprintln(errOut, "mangodrumd: second signal: exited without waiting for running requests and shard hand-overs; "+
 			"remedy: look up the outcome of non-idempotent requests by their request IDs")
 		os.Exit(ExitFailed)
 	}
 }
 
+// untilHangup returns a context that ends with ctx or with a SIGHUP, which a program in a
+// terminal gets when the terminal is closed.
+func untilHangup(ctx context.Context, received *signals.Received) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		defer cancel()
+		select {
+		case <-ctx.Done():
+		case <-received.Hangups:
+		}
+	}()
+	return ctx, cancel
+}
+
 // limitMemory sets the soft memory limit of the Go runtime, in bytes.
 func limitMemory(limit int64) { debug.SetMemoryLimit(limit) }
--- a/internal/daemon/dev.go
+++ b/internal/daemon/dev.go
@@ -15,6 +15,7 @@
 	"github.com/mangodrum/mangodrum/errs"
 	"github.com/mangodrum/mangodrum/examples"
 	"github.com/mangodrum/mangodrum/instance"
+	"github.com/mangodrum/mangodrum/internal/signals"
 	"github.com/mangodrum/mangodrum/provider/httpapi"
 	"github.com/mangodrum/mangodrum/provider/standin"
 	"github.com/mangodrum/mangodrum/settings"
@@ -36,7 +37,7 @@
 	return &cli.StringFlag{Name: "example", Usage: "`NAME` of the cell: bureau or sierra-alta", Value: "bureau"}
 }
 
-func devCommand() *cli.Command {
+func devCommand(received *signals.Received) *cli.Command {
 	return &cli.Command{
 		Name:      "dev",
 		Usage:     "run three instances, a stand-in platform, workers and executors in one process",
@@ -48,6 +49,8 @@
 			&cli.BoolFlag{Name: "log-json", Usage: "write log lines as JSON"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
+			ctx, cancel := untilHangup(ctx, received)
+			defer cancel()
 			return runDev(ctx, devOptions{
 				example: c.String("example"), portBase: c.Int("port-base"),
 				logLevel: c.String("log-level"), logJSON: c.Bool("log-json"),
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -13,12 +14,13 @@
 	"github.com/mangodrum/mangodrum/errs"
 	"github.com/mangodrum/mangodrum/gateway"
 	"github.com/mangodrum/mangodrum/instance"
+	"github.com/mangodrum/mangodrum/internal/signals"
 	"github.com/mangodrum/mangodrum/provider/httpapi"
 	"github.com/mangodrum/mangodrum/structs"
 	"github.com/mangodrum/mangodrum/telemetry"
 )
 
-func runCommand() *cli.Command {
+func runCommand(received *signals.Received) *cli.Command {
 	return &cli.Command{
 		Name:      "run",
 		Usage:     "run one instance",
@@ -31,12 +33,13 @@
 			if err != nil {
 				return err
 			}
-			return runInstance(ctx, cfg, c.Root().ErrWriter)
+			return runInstance(ctx, cfg, received.Hangups, c.Root().ErrWriter)
 		},
 	}
 }
 
-func runInstance(ctx context.Context, cfg *config.Instance, logOut io.Writer) error {
+// runInstance runs an instance until ctx ends. It logs to logOut.
+func runInstance(ctx context.Context, cfg *config.Instance, hangups <-chan os.Signal, logOut io.Writer) error {
 	limitMemory(int64(cfg.Limits.Memory))
 	log, err := telemetry.NewLogger(logOut, string(cfg.ID), cfg.Log.Level, cfg.Log.Format == "json")
 	if err != nil {
@@ -46,6 +49,7 @@
 	if err != nil {
 		return err
 	}
+	go logHangups(ctx, hangups, log)
 	client := httpapi.New(cfg.PlatformAddress, platformTimeout)
 	return instance.New(instance.Options{
 		Info: cfg.Info(), PeerSecret: cfg.Secrets.Peers, OperatorSecret: cfg.Secrets.Operators,
@@ -55,6 +59,18 @@
 	}).Run(ctx)
 }
 
+// logHangups logs each SIGHUP until ctx ends.
+func logHangups(ctx context.Context, hangups <-chan os.Signal, log settingsLogger) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+			log.Info("hangup: a changed instance file takes effect at the next start")
+		}
+	}
+}
+
 // gatewayLimits converts the limits of the instance file for the gateway.
 func gatewayLimits(limits config.Limits) gateway.Limits {
 	return gateway.Limits{
@@ -81,7 +97,7 @@
 	return listeners, nil
 }
 
-func standinCommand() *cli.Command {
+func standinCommand(received *signals.Received) *cli.Command {
 	return &cli.Command{
 		Name:      "standin",
 		Usage:     "run the stand-in of the platform, with workers and executors, for development",
@@ -91,6 +107,8 @@
 			&cli.StringFlag{Name: "listen", Usage: "`ADDRESS` of the platform's API", Value: "127.0.0.1:7069"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
+			ctx, cancel := untilHangup(ctx, received)
+			defer cancel()
 			p, err := startPlatform(ctx, c.String("example"), c.String("listen"))
 			if err != nil {
 				return err
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -4,9 +4,7 @@
 	"context"
 	"net"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -14,6 +12,7 @@
 	"github.com/mangodrum/mangodrum/cell"
 	"github.com/mangodrum/mangodrum/dispatch"
 	"github.com/mangodrum/mangodrum/errs"
+	"github.com/mangodrum/mangodrum/internal/signals"
 	"github.com/mangodrum/mangodrum/platform"
 	"github.com/mangodrum/mangodrum/telemetry"
 )
@@ -31,7 +30,7 @@
 	settingsPollInterval = 2 * time.Second
 )
 
-func serveCommand() *cli.Command {
+func serveCommand(received *signals.Received) *cli.Command {
 	return &cli.Command{
 		Name:      "serve",
 		Usage:     "run one instance of a cell on the platform that the environment describes",
@@ -48,14 +47,14 @@
 					return err
 				}
 			}
-			return serve(ctx, path, c.String("log-level"), c.Root().Writer)
+			return serve(ctx, path, received.Hangups, c.String("log-level"), c.Root().Writer)
 		},
 	}
 }
 
-// serve runs an instance with the settings file at path until ctx ends. The
-// instance logs to out.
-func serve(ctx context.Context, path, level string, out interface{ Write([]byte) (int, error) }) error {
+// serve runs an instance with the settings file at path until ctx ends. A signal from
+// hangups says that the file has changed. The instance logs to out.
+func serve(ctx context.Context, path string, hangups <-chan os.Signal, level string, out interface{ Write([]byte) (int, error) }) error {
 	settings, err := platform.LoadSettings(path)
 	if err != nil {
 		return err
@@ -81,7 +80,7 @@
 		Advisor: platform.NewAdvisorClient(settings.AdvisorAddress), Codec: platform.Codec{}, PlatformNames: platform.Names(),
 		Policy: dispatchPolicy(settings.TimeLimits), DialPeer: platform.DialContext, StopGrace: settings.TimeLimits.StopGrace, Logger: log,
 	})
-	go watchSettings(ctx, path, settings, log)
+	go watchSettings(ctx, path, hangups, settings, log)
 	return instance.Run(ctx)
 }
 
@@ -123,12 +122,9 @@
 }
 
 // watchSettings logs changes of the settings file, which it checks at
-// intervals and on SIGHUP, until ctx ends. Changed addresses and limits take
-// effect at the next start.
-func watchSettings(ctx context.Context, path string, current platform.Settings, log settingsLogger) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
+// intervals and at each signal from hangups, until ctx ends. Changed addresses and limits
+// take effect at the next start.
+func watchSettings(ctx context.Context, path string, hangups <-chan os.Signal, current platform.Settings, log settingsLogger) {
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
 	modified := modTime(path)
--- /dev/null
+++ b/internal/signals/signals.go
@@ -0,0 +1,39 @@
+// Package signals receives the signals of a daemon. From the first call of Receive to the
+// end of the process no handled signal has its default action, which would end the process
+// and cut the requests that it is answering.
+package signals
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"sync"
+	"syscall"
+)
+
+// Received holds the signals that the process gets.
+type Received struct {
+	// Stop ends with the first SIGINT or SIGTERM.
+	Stop context.Context
+	// Again gets the next SIGINT or SIGTERM.
+	Again <-chan os.Signal
+	// Hangups gets SIGHUP. One that comes before it is read from is kept.
+	Hangups <-chan os.Signal
+}
+
+// Receive starts to receive the signals of the process and returns them. Later calls
+// return the same.
+var Receive = sync.OnceValue(func() *Received {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	stops := make(chan os.Signal, 2)
+	signal.Notify(stops, syscall.SIGINT, syscall.SIGTERM)
+	again := make(chan os.Signal, 1)
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-stops
+		cancel()
+		again <- <-stops
+	}()
+	return &Received{Stop: ctx, Again: again, Hangups: hangups}
+})
