A repeated SIGTERM does not end the drain

What callers would see: requests that an instance is answering are cut by a second SIGTERM.

Cause: any second SIGINT or SIGTERM was taken for an operator who does not want to wait.

Change: only a SIGINT after the first signal ends the drain at once.

--- a/internal/daemon/command.go
+++ b/internal/daemon/command.go
@@ -43,12 +43,12 @@
 }
 
 // Main runs the command line and returns the exit code. The first SIGINT or
-// SIGTERM starts a drain, a second one exits at once. SIGHUP ends no instance.
+// SIGTERM starts a drain, which a SIGINT after it ends at once. SIGHUP ends no instance.
 func Main(args []string, out, errOut io.Writer) int {
 	received := signals.Receive()
 	finished := make(chan struct{})
 	defer close(finished)
-	go exitOnSecondSignal(received, finished, errOut)
+	go exitOnInterrupt(received, finished, errOut)
 	err := New(received, out, errOut).Run(received.Stop, args)
 	if err == nil {
 		return ExitDone
@@ -60,13 +60,13 @@
 	return ExitFailed
 }
 
-// exitOnSecondSignal exits the process on a signal after the one that started the drain.
+// exitOnInterrupt exits the process on a SIGINT after the signal that started the drain.
 // It returns when finished is closed.
-func exitOnSecondSignal(received *signals.Received, finished chan struct{}, errOut io.Writer) {
+func exitOnInterrupt(received *signals.Received, finished chan struct{}, errOut io.Writer) {
 	select {
 	case <-finished:
-	case <-received.Again:
-		_, _ = fmt.Fprintln(errOut, "mangodrumd: second signal: exited without waiting for running requests and shard hand-overs; "+
+	case <-received.Interrupted:
+		_, _ = fmt.Fprintln(errOut, "mangodrumd: SIGINT during the drain: exited without waiting for running requests and shard hand-overs; "+
 			"remedy: look up the outcome of non-idempotent requests by their request IDs")
 		os.Exit(ExitFailed)
 	}
--- a/internal/daemon/signals_test.go
+++ b/internal/daemon/signals_test.go
@@ -93,6 +93,23 @@
 	}
 }
 
+// TestRepeatedSigtermCutsNothing guards against an instance that ends its drain at the
+// second SIGTERM, with the requests that it is answering. Only a SIGINT after the first
+// signal ends it.
+func TestRepeatedSigtermCutsNothing(t *testing.T) {
+	p := startServe(t)
+	p.signal(t, syscall.SIGTERM)
+	const shortestDrain = 2 * time.Second // the load balancer needs as long to send callers elsewhere
+	if took := p.signalUntilEnd(t, syscall.SIGTERM); p.code != ExitDone || took < shortestDrain {
+		t.Errorf("exit code %d after %s of repeated SIGTERM, want %d after a whole drain", p.code, took, ExitDone)
+	}
+	p = startServe(t)
+	p.signal(t, syscall.SIGTERM)
+	if took := p.signalUntilEnd(t, syscall.SIGINT); p.code != ExitFailed || took > shortestDrain {
+		t.Errorf("exit code %d, %s after SIGTERM and SIGINT, want %d at once", p.code, took, ExitFailed)
+	}
+}
+
 // TestHangupDuringStartIsKept guards against an instance that is killed by a SIGHUP before
 // it has read its settings.
 func TestHangupDuringStartIsKept(t *testing.T) {
--- a/internal/signals/signals.go
+++ b/internal/signals/signals.go
@@ -15,8 +15,9 @@
 type Received struct {
 	// Stop ends with the first SIGINT or SIGTERM.
 	Stop context.Context
-	// Again gets the next SIGINT or SIGTERM.
-	Again <-chan os.Signal
+	// Interrupted gets a SIGINT that follows, from an operator who does not want to wait. A
+	// repeated SIGTERM says nothing new.
+	Interrupted <-chan os.Signal
 	// Hangups gets SIGHUP. One that comes before it is read from is kept.
 	Hangups <-chan os.Signal
 }
@@ -28,12 +29,17 @@
 	signal.Notify(hangups, syscall.SIGHUP)
 	stops := make(chan os.Signal, 2)
 	signal.Notify(stops, syscall.SIGINT, syscall.SIGTERM)
-	again := make(chan os.Signal, 1)
+	interrupted := make(chan os.Signal, 1)
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() {
 		<-stops
 		cancel()
-		again <- <-stops
+		for s := range stops {
+			if s == syscall.SIGINT {
+				interrupted <- s
+				return
+			}
+		}
 	}()
-	return &Received{Stop: ctx, Again: again, Hangups: hangups}
+	return &Received{Stop: ctx, Interrupted: interrupted, Hangups: hangups}
 })
