A log without a reader does not end the instance

What callers would see: requests cut by SIGPIPE when the reader of the log goes away.

Cause: the default action of SIGPIPE for writes to standard output and standard error.

Change: the daemon ignores SIGPIPE.

--- a/internal/daemon/process_test.go
+++ b/internal/daemon/process_test.go
@@ -44,14 +44,36 @@
 // its standard output.
 func startProcess(t *testing.T, args string) (*process, *bufio.Reader) {
 	t.Helper()
+	p := newProcess(args)
+	out, err := p.command.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.start(t)
+	return p, bufio.NewReader(out)
+}
+
+// startProcessTo starts mangodrumd with the arguments and the given standard output.
+func startProcessTo(t *testing.T, args string, out *os.File) *process {
+	t.Helper()
+	p := newProcess(args)
+	p.command.Stdout = out
+	p.start(t)
+	return p
+}
+
+func newProcess(args string) *process {
 	command := exec.Command(os.Args[0])
 	command.Env = append(os.Environ(), argsEnv+"="+args)
 	p := &process{command: command, ended: make(chan struct{}), stderr: &bytes.Buffer{}}
 	command.Stderr = p.stderr
-	out, err := command.StdoutPipe()
-	if err != nil {
-		t.Fatal(err)
-	}
+	return p
+}
+
+// start starts the process. The end of the test kills it.
+func (p *process) start(t *testing.T) {
+	t.Helper()
+	command := p.command
 	if err := command.Start(); err != nil {
 		t.Fatal(err)
 	}
@@ -65,7 +87,6 @@
 		_ = command.Process.Kill()
 		<-p.ended
 	})
-	return p, bufio.NewReader(out)
 }
 
 func (p *process) signal(t *testing.T, s syscall.Signal) {
--- a/internal/daemon/signals_test.go
+++ b/internal/daemon/signals_test.go
@@ -166,3 +166,30 @@
 		t.Errorf("exit code %d (-1: killed) of the stand-in after SIGHUP, want %d", standin.code, ExitDone)
 	}
 }
+
+// TestClosedLogEndsNothing guards against an instance that is killed by SIGPIPE, with the
+// requests that it is answering, when the reader of its log goes away.
+func TestClosedLogEndsNothing(t *testing.T) {
+	text, callers := serveSettings(t)
+	path := filepath.Join(t.TempDir(), "settings.yaml")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	reader, writer, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := startProcessTo(t, "serve --config "+path, writer)
+	if err := writer.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if err := reader.Close(); err != nil { // the first line of the log finds no reader
+		t.Fatal(err)
+	}
+	waitListening(t, callers)
+	p.signal(t, syscall.SIGTERM) // the drain logs several lines
+	<-p.ended
+	if p.code != ExitDone {
+		t.Errorf("exit code %d (-1: killed) without a reader of the log, want %d", p.code, ExitDone)
+	}
+}
--- a/internal/signals/signals.go
+++ b/internal/signals/signals.go
@@ -27,6 +27,7 @@
 var Receive = sync.OnceValue(func() *Received {
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
+	signal.Ignore(syscall.SIGPIPE) // a write to a closed log fails, and ends nothing
 	stops := make(chan os.Signal, 2)
 	signal.Notify(stops, syscall.SIGINT, syscall.SIGTERM)
 	interrupted := make(chan os.Signal, 1)
