A commit counts the entries of progress buckets

Cause: a bucket of progress that needs fewer rows than are stored removes the others in the same transaction. A commit took jobs by their bytes, and did not count these entries; the store rejects over 100.

Change: a commit takes a job only if the rows that its bucket may write, or that are stored for it, fit into 96 entries with all others. A commit that is too large all the same is not sent. The code of progress moved to progress.go.

--- a/dispatch/commit.go
+++ b/dispatch/commit.go
@@ -30,15 +30,6 @@
 	Accepted structs.Timestamp `cbor:"3,keyasint"` // on the store's clock
 }
 
-// storedProgress is the stored progress of an active job. A row of ProgressTable
-// holds a list of them. An occurrence below Next that is not in Runs is complete.
-type storedProgress struct {
-	ID      structs.JobID      `cbor:"1,keyasint"`
-	Next    int                `cbor:"3,keyasint,omitempty"` // next occurrence to create
-	Runs    []storedOccurrence `cbor:"4,keyasint,omitempty"`
-	Started bool               `cbor:"5,keyasint,omitempty"`
-}
-
 // storedOutcome is the stored outcome of a job. A row of EndedJobTable holds a list
 // of them.
 type storedOutcome struct {
@@ -47,27 +38,6 @@
 	EndedAt structs.Timestamp `cbor:"3,keyasint"`
 }
 
-// storedOccurrence is the stored progress of one occurrence of a job.
-type storedOccurrence struct {
-	Index int          `cbor:"1,keyasint"`
-	Steps []storedStep `cbor:"2,keyasint"`
-}
-
-// storedStep is the stored progress of one step.
-type storedStep struct {
-	Done       []byte       `cbor:"1,keyasint,omitempty"` // bit set of the tasks that succeeded
-	Checkpoint string       `cbor:"2,keyasint,omitempty"` // of a gang, which has one checkpoint for all tasks
-	Tasks      []storedTask `cbor:"3,keyasint,omitempty"` // tasks with failed runs or a checkpoint
-}
-
-// storedTask is the stored progress of a task that has not succeeded. FailedRuns is
-// bounded by the attempts of the job; see task.
-type storedTask struct {
-	Index      int      `cbor:"1,keyasint"`
-	FailedRuns []uint64 `cbor:"2,keyasint,omitempty"`
-	Checkpoint string   `cbor:"3,keyasint,omitempty"`
-}
-
 // Commit is a set of rows to write in one transaction.
 type Commit struct {
 	Sequence uint64
@@ -85,12 +55,10 @@
 	// maxRowBytes keeps a row within the store's limit of 64 KiB after that
 	// encoding.
 	maxRowBytes = 44 << 10
-	// maxCheckpointBytes limits the checkpoints of a job that are stored, so that its
-	// progress fits into a row.
-	maxCheckpointBytes = 24 << 10
-	// progressBuckets is the number of buckets for the progress of the active
-	// jobs. All of them fit into one commit.
-	progressBuckets = 64
+	// storeRowLimit and storeCommitLimit are the store's limits of a row, 64 KiB in base64,
+	// and of the rows of a transaction, 1 MB with the rest of the request.
+	storeRowLimit    = 48 << 10
+	storeCommitLimit = 720 << 10
 	// maxProgressDelay is how long the progress of a job may wait for a commit.
 	// Most urgent jobs end within that time, so a burst of them writes no
 	// progress.
@@ -161,97 +129,42 @@
 func (c *Dispatcher) NextCommit(now structs.Timestamp) (Commit, error) {
 	c.now = max(c.now, now)
 	c.sequence++
-	b := &commitBuilder{dispatcher: c, commit: Commit{Sequence: c.sequence}, buckets: map[int]bool{}}
+	b := &commitBuilder{dispatcher: c, commit: Commit{Sequence: c.sequence}, buckets: map[int]progressSize{}}
 	c.committing, c.committingWorkers, c.workersLeftOut = c.committing[:0], c.committingWorkers[:0], c.workersLeftOut[:0]
 	taken := 0
 	for _, j := range c.dirty {
-		if !b.fits(j) {
+		add := b.additionOf(j)
+		if !b.fits(&add) {
 			break
 		}
 		taken++
-		b.add(j)
+		b.add(j, &add)
 		j.inDirty, j.deferredSince = false, 0
 		j.writingVersion = j.version
 		c.committing = append(c.committing, j)
 	}
 	c.dirty = append(c.dirty[:0], c.dirty[taken:]...)
-	err := b.finish()
-	return b.commit, err
-}
-
-// progress returns the stored form of the job's progress.
-func (j *job) progress() storedProgress {
-	row := storedProgress{ID: j.spec.ID, Next: j.nextDue, Started: j.started}
-	budget := maxCheckpointBytes
-	for _, occ := range j.occurrences {
-		run := storedOccurrence{Index: occ.index, Steps: []storedStep{}}
-		for n, s := range occ.steps {
-			if s.hasProgress() {
-				for len(run.Steps) < n {
-					run.Steps = append(run.Steps, storedStep{})
-				}
-				run.Steps = append(run.Steps, s.progress(&budget))
-			}
-		}
-		row.Runs = append(row.Runs, run)
+	if err := b.finish(); err != nil {
+		return b.commit, err
 	}
-	return row
+	return b.commit, b.commit.check()
 }
 
-// hasProgress reports whether the step has any progress to store.
-func (s *step) hasProgress() bool {
-	return s.remainingTasks < len(s.tasks) || s.checkpoint != "" ||
-		slices.ContainsFunc(s.tasks, func(t *task) bool { return len(t.failedRuns) > 0 || t.checkpoint != "" })
-}
-
-// progress returns the stored form of the step's progress. Checkpoints are left out
-// once the budget of the job is used up; a new leader then starts these tasks from
-// their beginning.
-func (s *step) progress(budget *int) storedStep {
-	row := storedStep{Checkpoint: takeCheckpoint(budget, s.checkpoint)}
-	if s.remainingTasks < len(s.tasks) {
-		row.Done = make([]byte, (len(s.tasks)+7)/8)
-	}
-	for n, t := range s.tasks {
-		if t.state == taskDone {
-			row.Done[n/8] |= 1 << (n % 8)
-		} else if checkpoint := takeCheckpoint(budget, t.checkpoint); len(t.failedRuns) > 0 || checkpoint != "" {
-			row.Tasks = append(row.Tasks, storedTask{n, slices.Clone(t.failedRuns), checkpoint})
+// check returns an error if the store would reject the commit for its size. The limits of
+// what a commit takes keep that from happening.
+func (m *Commit) check() error {
+	entries, bytes := len(m.Puts)+len(m.Removes), 0
+	for n := range m.Puts {
+		put := &m.Puts[n]
+		bytes += len(put.Value)
+		if len(put.Value) > storeRowLimit {
+			return errs.New(errs.InvalidInput, "report this bug", "row %s of %s has %d bytes, the store takes %d", put.Key, put.Table, len(put.Value), storeRowLimit)
 		}
 	}
-	return row
-}
-
-// takeCheckpoint returns a checkpoint if it fits into the rest of a budget in bytes,
-// and takes it from that.
-func takeCheckpoint(budget *int, checkpoint string) string {
-	size := len(checkpoint) + taskBytes
-	if checkpoint == "" || size > *budget {
-		return ""
+	if entries > maxEntries || bytes > storeCommitLimit {
+		return errs.New(errs.InvalidInput, "report this bug", "a commit has %d entries and %d bytes, the store takes %d and %d", entries, bytes, maxEntries, storeCommitLimit)
 	}
-	*budget -= size
-	return checkpoint
-}
-
-// progressSize returns an upper estimate of the encoded size of the job's progress.
-func (j *job) progressSize() int {
-	size, checkpoints := progressBytes, 0
-	for _, occ := range j.occurrences {
-		size += occurrenceBytes
-		for _, s := range occ.steps {
-			size += stepBytes/4 + len(s.tasks)/8
-			checkpoints += len(s.checkpoint)
-			for _, t := range s.tasks {
-				if len(t.failedRuns) > 0 {
-					size += taskBytes + failedRunBytes*len(t.failedRuns)
-				}
-				if t.checkpoint != "" {
-					checkpoints += len(t.checkpoint) + taskBytes
-				}
-			}
-		}
-	}
-	return size + min(checkpoints, maxCheckpointBytes)
+	return nil
 }
 
 // putRow adds a row with the encoded value to a commit.
--- a/dispatch/commit_builder.go
+++ b/dispatch/commit_builder.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"hash/fnv"
-	"slices"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -15,13 +14,15 @@
 
 // commitBuilder collects the rows of one commit.
 type commitBuilder struct {
-	dispatcher *Dispatcher
-	commit     Commit
-	bytes      int
-	specs      []storedJob
-	specRow    *specRow
-	outcomes   []storedOutcome
-	buckets    map[int]bool
+	dispatcher    *Dispatcher
+	commit        Commit
+	bytes         int // upper estimate of the size of all rows
+	specs         []storedJob
+	specBytes     int // part of bytes
+	specRow       *specRow
+	outcomes      []storedOutcome
+	buckets       map[int]progressSize // progress buckets in the commit
+	bucketEntries int                  // upper estimate of their entries
 }
 
 // isFull reports whether the commit takes no further rows.
@@ -32,30 +33,62 @@
 	return max(maxEntries-len(b.commit.Puts)-len(b.commit.Removes), 0)
 }
 
-// fits reports whether the commit takes a job. It takes any first one.
-func (b *commitBuilder) fits(j *job) bool {
-	return b.bytes == 0 || b.bytes+b.sizeOf(j) <= maxCommitBytes
+// addition is an upper estimate of what one more job adds to a commit.
+type addition struct {
+	specBytes, outcomeBytes int
+	// The job changes the progress bucket to the given size.
+	changesBucket              bool
+	bucket                     int
+	size                       progressSize
+	bucketBytes, bucketEntries int
 }
 
-// sizeOf returns an upper estimate of the bytes that adding a job adds to the commit.
-func (b *commitBuilder) sizeOf(j *job) int {
+// additionOf returns what adding a job adds to the commit.
+func (b *commitBuilder) additionOf(j *job) addition {
 	switch {
 	case !j.active() && j.outcomeStored:
-		return 0
+		return addition{}
 	case !j.active():
-		return outcomeBytes
+		return addition{outcomeBytes: outcomeBytes}
 	case j.specRow == nil:
-		return specSize(&j.spec, &j.queue)
+		return addition{specBytes: specSize(&j.spec, &j.queue)}
 	}
 	n := jobBucket(j.spec.ID)
-	if b.buckets[n] {
-		return 0 // a job that joins its bucket has been counted with its first progress
+	before, counted := b.buckets[n]
+	if counted && j.inBucket {
+		return addition{} // counted with the bucket
+	}
+	after := before
+	if !counted {
+		for _, other := range b.dispatcher.buckets[n] {
+			after.add(other.progressSize())
+		}
 	}
-	size := 0
-	for _, other := range b.dispatcher.buckets[n] {
-		size += other.progressSize()
+	if !j.inBucket {
+		after.add(j.progressSize())
 	}
-	return size
+	add := addition{changesBucket: true, bucket: n, size: after, bucketBytes: after.total() - before.total()}
+	add.bucketEntries = b.entriesOf(n, after)
+	if counted {
+		add.bucketEntries -= b.entriesOf(n, before)
+	}
+	return add
+}
+
+// entriesOf returns the largest number of entries of a progress bucket of the given size:
+// it writes its rows and removes the others that are stored.
+func (b *commitBuilder) entriesOf(bucket int, size progressSize) int {
+	return max(maxRows(size.total()), b.dispatcher.bucketRows[bucket])
+}
+
+// fits reports whether the commit takes an addition. It takes any first one, which is
+// bounded by itself.
+func (b *commitBuilder) fits(add *addition) bool {
+	if b.bytes == 0 {
+		return true
+	}
+	entries := maxRows(b.specBytes+add.specBytes) + maxRows(len(b.outcomes)*outcomeBytes+add.outcomeBytes) + b.bucketEntries + add.bucketEntries
+	return b.bytes+add.specBytes+add.outcomeBytes+add.bucketBytes <= maxCommitBytes && entries <= maxEntries
 }
 
 // key returns the key of the n-th row that this commit adds to a table. Keys are
@@ -66,11 +99,13 @@
 
 // add adds a job to the commit: its specification when it is accepted, its
 // progress after that, and only its outcome once it has ended.
-func (b *commitBuilder) add(j *job) {
-	if j.active() && j.specRow != nil {
-		b.addToBucket(j)
+func (b *commitBuilder) add(j *job, add *addition) {
+	b.bytes += add.specBytes + add.outcomeBytes + add.bucketBytes
+	b.specBytes += add.specBytes
+	b.bucketEntries += add.bucketEntries
+	if add.changesBucket {
+		b.buckets[add.bucket] = add.size
 	}
-	b.bytes += b.sizeOf(j)
 	switch {
 	case !j.active() && j.outcomeStored:
 		// There is nothing to write. The callers wait for a commit to succeed,
@@ -87,7 +122,7 @@
 		b.specRow.active++
 		b.specs = append(b.specs, storedJob{j.spec, j.queue, j.acceptedAt})
 	default:
-		b.buckets[jobBucket(j.spec.ID)] = true
+		b.addToBucket(j)
 	}
 }
 
@@ -99,9 +134,6 @@
 	j.inBucket = true
 	n := jobBucket(j.spec.ID)
 	b.dispatcher.buckets[n] = append(b.dispatcher.buckets[n], j)
-	if b.buckets[n] {
-		b.bytes += j.progressSize()
-	}
 }
 
 // Upper estimates of encoded sizes in bytes, larger than those of the jobs at
@@ -111,10 +143,6 @@
 	specBytes       = 300 // of a job without its texts and steps
 	stepBytes       = 100 // of a step without its texts and dependencies
 	dependencyBytes = 2
-	progressBytes   = 100 // of a job without occurrences
-	occurrenceBytes = 16
-	taskBytes       = 12 // of a task without its checkpoint and failed runs
-	failedRunBytes  = 9
 )
 
 // specSize returns an upper estimate of the encoded size of a job's specification with the
@@ -216,7 +244,7 @@
 		}
 	}
 	for n := range progressBuckets {
-		if b.buckets[n] {
+		if _, changed := b.buckets[n]; changed {
 			if err := b.putProgressBucket(n); err != nil {
 				return err
 			}
@@ -266,31 +294,6 @@
 	})
 }
 
-// putProgressBucket adds the progress of the active jobs of a bucket and removes
-// the rows that the bucket no longer needs.
-func (b *commitBuilder) putProgressBucket(n int) error {
-	c := b.dispatcher
-	c.buckets[n] = slices.DeleteFunc(c.buckets[n], func(j *job) bool { return !j.active() })
-	rows := make([]storedProgress, 0, len(c.buckets[n]))
-	for _, j := range c.buckets[n] {
-		rows = append(rows, splitProgress(j.progress())...)
-	}
-	part := 0
-	err := putInRows(rows, func(_ []storedProgress, data []byte) {
-		b.commit.Puts = append(b.commit.Puts, tablestore.Put{Table: ProgressTable, Key: progressKey(n, part), Value: data})
-		part++
-	})
-	for old := part; old < c.bucketRows[n]; old++ {
-		// In the same commit: a new leader merges all parts.
-		b.commit.Removes = append(b.commit.Removes, tablestore.RowID{Table: ProgressTable, Key: progressKey(n, old)})
-	}
-	c.bucketRows[n] = part
-	return err
-}
-
-// progressKey returns the key of a part of a progress bucket.
-func progressKey(n, part int) string { return fmt.Sprintf("%02x-%02x", n, part) }
-
 // arrayHeaderBytes is an upper estimate of the encoded head of a list.
 const arrayHeaderBytes = 9
 
@@ -343,33 +346,3 @@
 	}
 	return put(len(values))
 }
-
-// maxTasksPerPart is the number of tasks with failed runs or a checkpoint in a part of
-// a job's progress. With ten failed runs each, such a part takes 40 KB.
-const maxTasksPerPart = 400
-
-// splitProgress splits the progress of a job so that each part fits into a row. Most
-// jobs have one part. A new leader merges them.
-func splitProgress(whole storedProgress) []storedProgress {
-	part := storedProgress{ID: whole.ID, Next: whole.Next, Started: whole.Started}
-	parts, tasks := []storedProgress{}, 0
-	for _, run := range whole.Runs {
-		occ := storedOccurrence{Index: run.Index, Steps: []storedStep{}}
-		for n, step := range run.Steps {
-			rest := step.Tasks
-			for len(rest) > maxTasksPerPart-tasks {
-				step.Tasks, rest = rest[:maxTasksPerPart-tasks], rest[maxTasksPerPart-tasks:]
-				occ.Steps = append(occ.Steps, step)
-				part.Runs = append(part.Runs, occ)
-				parts = append(parts, part)
-				part.Runs, tasks = nil, 0
-				occ.Steps, step = make([]storedStep, n), storedStep{}
-			}
-			step.Tasks = rest
-			tasks += len(rest)
-			occ.Steps = append(occ.Steps, step)
-		}
-		part.Runs = append(part.Runs, occ)
-	}
-	return append(parts, part)
-}
--- /dev/null
+++ b/dispatch/progress.go
@@ -0,0 +1,236 @@
+package dispatch
+
+import (
+	"fmt"
+	"math"
+	"slices"
+
+	"github.com/mangodrum/mangodrum/structs"
+	"github.com/mangodrum/mangodrum/tablestore"
+)
+
+// This file stores the progress of the active jobs. A job belongs to a bucket by a hash of
+// its identifier, and a bucket is written as a whole.
+
+const (
+	// progressBuckets is the number of buckets for the progress of the active jobs.
+	progressBuckets = 64
+	// maxCheckpointBytes limits the stored checkpoints of a job.
+	maxCheckpointBytes = 24 << 10
+)
+
+// Upper estimates of encoded sizes in bytes.
+const (
+	progressBytes   = 100 // of a job without occurrences
+	occurrenceBytes = 16
+	stepHeadBytes   = 25 // of a step without its tasks
+	taskBytes       = 12 // of a task without its checkpoint and failed runs
+)
+
+// uintBytes returns the encoded size of a number.
+func uintBytes(n uint64) int {
+	switch {
+	case n < 24:
+		return 1
+	case n <= math.MaxUint8:
+		return 2
+	case n <= math.MaxUint16:
+		return 3
+	case n <= math.MaxUint32:
+		return 5
+	}
+	return 9
+}
+
+// storedProgress is the stored progress of an active job. A row of ProgressTable
+// holds a list of them. An occurrence below Next that is not in Runs is complete.
+type storedProgress struct {
+	ID      structs.JobID      `cbor:"1,keyasint"`
+	Next    int                `cbor:"3,keyasint,omitempty"` // next occurrence to create
+	Runs    []storedOccurrence `cbor:"4,keyasint,omitempty"`
+	Started bool               `cbor:"5,keyasint,omitempty"`
+}
+
+// storedOccurrence is the stored progress of one occurrence of a job.
+type storedOccurrence struct {
+	Index int          `cbor:"1,keyasint"`
+	Steps []storedStep `cbor:"2,keyasint"`
+}
+
+// storedStep is the stored progress of one step.
+type storedStep struct {
+	Done       []byte       `cbor:"1,keyasint,omitempty"` // bit set of the tasks that succeeded
+	Checkpoint string       `cbor:"2,keyasint,omitempty"` // of a gang, which has one checkpoint for all tasks
+	Tasks      []storedTask `cbor:"3,keyasint,omitempty"` // tasks with failed runs or a checkpoint
+}
+
+// storedTask is the stored progress of a task that has not succeeded; see task.
+type storedTask struct {
+	Index      int      `cbor:"1,keyasint"`
+	FailedRuns []uint64 `cbor:"2,keyasint,omitempty"`
+	Checkpoint string   `cbor:"3,keyasint,omitempty"`
+}
+
+// progressSize is an upper estimate of the encoded size of progress, in bytes.
+type progressSize struct {
+	fixed       int // without checkpoints and failed runs
+	failedRuns  int
+	checkpoints int
+}
+
+func (p *progressSize) add(o progressSize) {
+	p.fixed += o.fixed
+	p.failedRuns += o.failedRuns
+	p.checkpoints += o.checkpoints
+}
+
+// total returns the size of what is stored in a bucket.
+func (p *progressSize) total() int {
+	return p.fixed + p.failedRuns + p.checkpoints
+}
+
+// progressSize returns the size of the job's progress.
+func (j *job) progressSize() progressSize {
+	size, checkpoints := progressSize{fixed: progressBytes}, 0
+	for _, occ := range j.occurrences {
+		size.fixed += occurrenceBytes
+		for _, s := range occ.steps {
+			size.fixed += stepHeadBytes + len(s.tasks)/8
+			checkpoints += len(s.checkpoint)
+			for _, t := range s.tasks {
+				size.failedRuns += t.failedRunsSize()
+				if t.checkpoint != "" {
+					checkpoints += len(t.checkpoint) + taskBytes
+				}
+			}
+		}
+	}
+	size.checkpoints = min(checkpoints, maxCheckpointBytes)
+	return size
+}
+
+// failedRunsSize returns the stored size of the task's failed runs.
+func (t *task) failedRunsSize() int {
+	if len(t.failedRuns) == 0 {
+		return 0
+	}
+	return taskBytes + failedRunsBytes(t.failedRuns)
+}
+
+// failedRunsBytes returns the encoded size of numbers of failed runs.
+func failedRunsBytes(runs []uint64) int {
+	size := 0
+	for _, run := range runs {
+		size += uintBytes(run)
+	}
+	return size
+}
+
+// putProgressBucket adds the progress of the active jobs of a bucket and removes
+// the rows that the bucket no longer needs.
+func (b *commitBuilder) putProgressBucket(n int) error {
+	c := b.dispatcher
+	c.buckets[n] = slices.DeleteFunc(c.buckets[n], func(j *job) bool { return !j.active() })
+	rows := make([]storedProgress, 0, len(c.buckets[n]))
+	for _, j := range c.buckets[n] {
+		rows = append(rows, splitProgress(j.progress())...)
+	}
+	part := 0
+	err := putInRows(rows, func(_ []storedProgress, data []byte) {
+		b.commit.Puts = append(b.commit.Puts, tablestore.Put{Table: ProgressTable, Key: progressKey(n, part), Value: data})
+		part++
+	})
+	for old := part; old < c.bucketRows[n]; old++ {
+		// In the same commit: a new leader merges all parts.
+		b.commit.Removes = append(b.commit.Removes, tablestore.RowID{Table: ProgressTable, Key: progressKey(n, old)})
+	}
+	c.bucketRows[n] = part
+	return err
+}
+
+// progressKey returns the key of a part of a progress bucket.
+func progressKey(n, part int) string { return fmt.Sprintf("%02x-%02x", n, part) }
+
+// progress returns the stored form of the job's progress.
+func (j *job) progress() storedProgress {
+	row := storedProgress{ID: j.spec.ID, Next: j.nextDue, Started: j.started}
+	budget := maxCheckpointBytes
+	for _, occ := range j.occurrences {
+		run := storedOccurrence{Index: occ.index, Steps: []storedStep{}}
+		for n, s := range occ.steps {
+			if s.hasProgress() {
+				for len(run.Steps) < n {
+					run.Steps = append(run.Steps, storedStep{})
+				}
+				run.Steps = append(run.Steps, s.progress(&budget))
+			}
+		}
+		row.Runs = append(row.Runs, run)
+	}
+	return row
+}
+
+// hasProgress reports whether the step has any progress to store.
+func (s *step) hasProgress() bool {
+	return s.remainingTasks < len(s.tasks) || s.checkpoint != "" ||
+		slices.ContainsFunc(s.tasks, func(t *task) bool { return len(t.failedRuns) > 0 || t.checkpoint != "" })
+}
+
+// progress returns the stored form of the step's progress. Checkpoints are left out
+// once the budget of the job is used up; a new leader then starts these tasks from
+// their beginning.
+func (s *step) progress(budget *int) storedStep {
+	row := storedStep{Checkpoint: takeCheckpoint(budget, s.checkpoint)}
+	if s.remainingTasks < len(s.tasks) {
+		row.Done = make([]byte, (len(s.tasks)+7)/8)
+	}
+	for n, t := range s.tasks {
+		if t.state == taskDone {
+			row.Done[n/8] |= 1 << (n % 8)
+		} else if checkpoint := takeCheckpoint(budget, t.checkpoint); len(t.failedRuns) > 0 || checkpoint != "" {
+			row.Tasks = append(row.Tasks, storedTask{n, slices.Clone(t.failedRuns), checkpoint})
+		}
+	}
+	return row
+}
+
+// takeCheckpoint returns a checkpoint if it fits into the rest of a budget in bytes,
+// and takes it from that.
+func takeCheckpoint(budget *int, checkpoint string) string {
+	size := len(checkpoint) + taskBytes
+	if checkpoint == "" || size > *budget {
+		return ""
+	}
+	*budget -= size
+	return checkpoint
+}
+
+// maxTasksPerPart is the number of tasks with failed runs or a checkpoint in a part of
+// a job's progress. With ten failed runs each, such a part takes 40 KB.
+const maxTasksPerPart = 400
+
+// splitProgress splits the progress of a job so that each part fits into a row. Most
+// jobs have one part. A new leader merges them.
+func splitProgress(whole storedProgress) []storedProgress {
+	part := storedProgress{ID: whole.ID, Next: whole.Next, Started: whole.Started}
+	parts, tasks := []storedProgress{}, 0
+	for _, run := range whole.Runs {
+		occ := storedOccurrence{Index: run.Index, Steps: []storedStep{}}
+		for n, step := range run.Steps {
+			rest := step.Tasks
+			for len(rest) > maxTasksPerPart-tasks {
+				step.Tasks, rest = rest[:maxTasksPerPart-tasks], rest[maxTasksPerPart-tasks:]
+				occ.Steps = append(occ.Steps, step)
+				part.Runs = append(part.Runs, occ)
+				parts = append(parts, part)
+				part.Runs, tasks = nil, 0
+				occ.Steps, step = make([]storedStep, n), storedStep{}
+			}
+			step.Tasks = rest
+			tasks += len(rest)
+			occ.Steps = append(occ.Steps, step)
+		}
+		part.Runs = append(part.Runs, occ)
+	}
+	return append(parts, part)
+}
--- a/dispatch/widejobs_test.go
+++ b/dispatch/widejobs_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -89,3 +90,60 @@
 		}
 	}
 }
+
+// checkpointJob returns a job of one step whose tasks save their progress.
+func checkpointJob(n, tasks int) workflow.Job {
+	step := workflow.Step{Tasks: tasks, Estimate: time.Second, Checkpoints: true, Resources: structs.Resources{MilliCPU: 100}}
+	return workflow.Job{ID: structs.JobID(fmt.Sprintf("%016x", n)), Spec: "spec", Steps: []workflow.Step{step}}
+}
+
+// TestRemovedProgressRowsFitIntoACommit guards against a commit with too many removed rows:
+// jobs with large progress have ended, the rows of their buckets are still stored, and the
+// first changes after an outage of the store concern all buckets. The store rejected that
+// commit for its number of entries, for good (review/7).
+func TestRemovedProgressRowsFitIntoACommit(t *testing.T) {
+	const jobs, tasks = 300, 24
+	s := newDispatcherHarness(t, 1, structs.Resources{})
+	stored := map[tablestore.RowID][]byte{}
+	submit := func(n, tasks int) *step {
+		job := checkpointJob(n, tasks)
+		s.reduce(SubmitJob{Call: CallID(n + 1), Job: job, Queue: batchQueue(nil)})
+		return s.dispatcher.jobs[job.ID].occurrences[0].steps[0]
+	}
+	var large, small []*step
+	for n := range jobs {
+		large, small = append(large, submit(n, tasks)), append(small, submit(jobs+n, 2))
+	}
+	s.commitWithinLimits(stored)
+	for _, step := range large {
+		for _, task := range step.tasks {
+			task.checkpoint = strings.Repeat("c", 1000)
+		}
+		s.dispatcher.markDirty(step.job)
+	}
+	s.commitWithinLimits(stored)
+	if rows := len(stored); rows < 2*progressBuckets {
+		t.Fatalf("%d rows are stored, want more than one for each of %d buckets", rows, progressBuckets)
+	}
+	for _, step := range large {
+		for _, task := range step.tasks {
+			s.dispatcher.succeed(task)
+		}
+	}
+	s.commitWithinLimits(stored)
+	s.advance(endedStepsRetention + time.Second)
+	for _, step := range small {
+		s.dispatcher.succeed(step.tasks[0])
+	}
+	s.advance(maxProgressDelay)
+	s.commitWithinLimits(stored)
+	if rows := len(stored); rows > 2*progressBuckets {
+		t.Errorf("%d rows are stored, want that those of the ended jobs are removed", rows)
+	}
+	next := s.recoverNext(stored)
+	for _, step := range small {
+		if left := next.jobs[step.job.spec.ID].occurrences[0].steps[0].remainingTasks; left != 1 {
+			t.Errorf("%d tasks of %s are left at the next leader, want 1", left, step.name)
+		}
+	}
+}
