The checkpoints and failed runs of a progress bucket are bounded

Cause: checkpoints are bounded for a job, not for a bucket, which is written in one transaction.

Change: a bucket stores at most 256 KB of checkpoints and 192 KB of failed runs. A new leader starts the other tasks from their beginning, or counts their attempts anew.

--- a/dispatch/progress.go
+++ b/dispatch/progress.go
@@ -17,6 +17,10 @@
 	progressBuckets = 64
 	// maxCheckpointBytes limits the stored checkpoints of a job.
 	maxCheckpointBytes = 24 << 10
+	// maxBucketCheckpoints and maxBucketFailedRuns limit the stored checkpoints and failed
+	// runs of a bucket, in bytes, so that a bucket fits into one transaction.
+	maxBucketCheckpoints = 256 << 10
+	maxBucketFailedRuns  = 192 << 10
 )
 
 // Upper estimates of encoded sizes in bytes.
@@ -86,7 +90,7 @@
 
 // total returns the size of what is stored in a bucket.
 func (p *progressSize) total() int {
-	return p.fixed + p.failedRuns + p.checkpoints
+	return p.fixed + min(p.failedRuns, maxBucketFailedRuns) + min(p.checkpoints, maxBucketCheckpoints)
 }
 
 // progressSize returns the size of the job's progress.
@@ -126,14 +130,19 @@
 	return size
 }
 
+// progressBudget is what may still be stored in a bucket, in bytes. Once it is used up, a
+// new leader starts tasks from their beginning, or counts their failed runs anew.
+type progressBudget struct{ checkpoints, failedRuns int }
+
 // putProgressBucket adds the progress of the active jobs of a bucket and removes
 // the rows that the bucket no longer needs.
 func (b *commitBuilder) putProgressBucket(n int) error {
 	c := b.dispatcher
 	c.buckets[n] = slices.DeleteFunc(c.buckets[n], func(j *job) bool { return !j.active() })
 	rows := make([]storedProgress, 0, len(c.buckets[n]))
+	budget := progressBudget{maxBucketCheckpoints, maxBucketFailedRuns}
 	for _, j := range c.buckets[n] {
-		rows = append(rows, splitProgress(j.progress())...)
+		rows = append(rows, splitProgress(j.progress(&budget))...)
 	}
 	part := 0
 	err := putInRows(rows, func(_ []storedProgress, data []byte) {
@@ -151,10 +160,12 @@
 // progressKey returns the key of a part of a progress bucket.
 func progressKey(n, part int) string { return fmt.Sprintf("%02x-%02x", n, part) }
 
-// progress returns the stored form of the job's progress.
-func (j *job) progress() storedProgress {
+// progress returns the stored form of the job's progress and takes what it stores from the
+// budget of its bucket.
+func (j *job) progress(bucket *progressBudget) storedProgress {
 	row := storedProgress{ID: j.spec.ID, Next: j.nextDue, Started: j.started}
-	budget := maxCheckpointBytes
+	own := min(maxCheckpointBytes, bucket.checkpoints)
+	budget := progressBudget{own, bucket.failedRuns}
 	for _, occ := range j.occurrences {
 		run := storedOccurrence{Index: occ.index, Steps: []storedStep{}}
 		for n, s := range occ.steps {
@@ -167,6 +178,8 @@
 		}
 		row.Runs = append(row.Runs, run)
 	}
+	bucket.checkpoints -= own - budget.checkpoints
+	bucket.failedRuns = budget.failedRuns
 	return row
 }
 
@@ -176,35 +189,49 @@
 		slices.ContainsFunc(s.tasks, func(t *task) bool { return len(t.failedRuns) > 0 || t.checkpoint != "" })
 }
 
-// progress returns the stored form of the step's progress. Checkpoints are left out
-// once the budget of the job is used up; a new leader then starts these tasks from
-// their beginning.
-func (s *step) progress(budget *int) storedStep {
-	row := storedStep{Checkpoint: takeCheckpoint(budget, s.checkpoint)}
+// progress returns the stored form of the step's progress.
+func (s *step) progress(budget *progressBudget) storedStep {
+	row := storedStep{Checkpoint: budget.takeCheckpoint(s.checkpoint)}
 	if s.remainingTasks < len(s.tasks) {
 		row.Done = make([]byte, (len(s.tasks)+7)/8)
 	}
 	for n, t := range s.tasks {
 		if t.state == taskDone {
 			row.Done[n/8] |= 1 << (n % 8)
-		} else if checkpoint := takeCheckpoint(budget, t.checkpoint); len(t.failedRuns) > 0 || checkpoint != "" {
-			row.Tasks = append(row.Tasks, storedTask{n, slices.Clone(t.failedRuns), checkpoint})
+			continue
+		}
+		stored := storedTask{Index: n, Checkpoint: budget.takeCheckpoint(t.checkpoint)}
+		if budget.takeFailedRuns(t) {
+			stored.FailedRuns = slices.Clone(t.failedRuns)
+		}
+		if stored.Checkpoint != "" || len(stored.FailedRuns) > 0 {
+			row.Tasks = append(row.Tasks, stored)
 		}
 	}
 	return row
 }
 
-// takeCheckpoint returns a checkpoint if it fits into the rest of a budget in bytes,
-// and takes it from that.
-func takeCheckpoint(budget *int, checkpoint string) string {
+// takeCheckpoint returns a checkpoint if it fits into the budget, and takes it from that.
+func (p *progressBudget) takeCheckpoint(checkpoint string) string {
 	size := len(checkpoint) + taskBytes
-	if checkpoint == "" || size > *budget {
+	if checkpoint == "" || size > p.checkpoints {
 		return ""
 	}
-	*budget -= size
+	p.checkpoints -= size
 	return checkpoint
 }
 
+// takeFailedRuns reports whether a task has failed runs that fit into the budget, and takes
+// them from that.
+func (p *progressBudget) takeFailedRuns(t *task) bool {
+	size := t.failedRunsSize()
+	if size == 0 || size > p.failedRuns {
+		return false
+	}
+	p.failedRuns -= size
+	return true
+}
+
 // maxTasksPerPart is the number of tasks with failed runs or a checkpoint in a part of
 // a job's progress. With ten failed runs each, such a part takes 40 KB.
 const maxTasksPerPart = 400
--- a/dispatch/widejobs_test.go
+++ b/dispatch/widejobs_test.go
@@ -147,3 +147,35 @@
 		}
 	}
 }
+
+// TestLargeBucketFitsIntoACommit guards against jobs of one bucket whose checkpoints outgrow
+// a transaction together: the store rejected each commit with progress of one of them.
+func TestLargeBucketFitsIntoACommit(t *testing.T) {
+	const jobs, tasks = 120, 24
+	s := newDispatcherHarness(t, 1, structs.Resources{})
+	stored := map[tablestore.RowID][]byte{}
+	var same []workflow.Job
+	for n := 0; len(same) < jobs; n++ {
+		if job := checkpointJob(n, tasks); jobBucket(job.ID) == 0 {
+			same = append(same, job)
+			s.reduce(SubmitJob{Call: CallID(n + 1), Job: job, Queue: batchQueue(nil)})
+		}
+	}
+	s.commitWithinLimits(stored)
+	for _, job := range same {
+		j := s.dispatcher.jobs[job.ID]
+		for k, task := range j.occurrences[0].steps[0].tasks {
+			if task.checkpoint = strings.Repeat("c", 1000); k == 0 {
+				s.dispatcher.succeed(task)
+			}
+		}
+		s.dispatcher.markDirty(j)
+	}
+	s.commitWithinLimits(stored)
+	s.nextLeader(stored)
+	for _, job := range same {
+		if left := s.dispatcher.jobs[job.ID].occurrences[0].steps[0].remainingTasks; left != tasks-1 {
+			t.Errorf("job %s: %d tasks are left at the next leader, want %d", job.ID, left, tasks-1)
+		}
+	}
+}
