The progress of a job is split by bytes

Cause: progress was split by the number of tasks with checkpoints or failed runs. Steps and occurrences take space as well.

Change: parts are cut by an upper estimate of their size, between steps and between the tasks of a step.

Result: TestManyOpenOccurrencesFitIntoRows failed before with a row of 81,441 bytes, where the store takes 49,152.

--- a/dispatch/progress.go
+++ b/dispatch/progress.go
@@ -21,6 +21,8 @@
 	// runs of a bucket, in bytes, so that a bucket fits into one transaction.
 	maxBucketCheckpoints = 256 << 10
 	maxBucketFailedRuns  = 192 << 10
+	// maxPartBytes is the size of a part of a job's progress, which has to fit into a row.
+	maxPartBytes = maxRowBytes * 3 / 4
 )
 
 // Upper estimates of encoded sizes in bytes.
@@ -232,30 +234,40 @@
 	return true
 }
 
-// maxTasksPerPart is the number of tasks with failed runs or a checkpoint in a part of
-// a job's progress. With ten failed runs each, such a part takes 40 KB.
-const maxTasksPerPart = 400
-
 // splitProgress splits the progress of a job so that each part fits into a row. Most
 // jobs have one part. A new leader merges them.
 func splitProgress(whole storedProgress) []storedProgress {
+	var parts []storedProgress
 	part := storedProgress{ID: whole.ID, Next: whole.Next, Started: whole.Started}
-	parts, tasks := []storedProgress{}, 0
+	size := progressBytes
 	for _, run := range whole.Runs {
 		occ := storedOccurrence{Index: run.Index, Steps: []storedStep{}}
+		// cut ends the part before step n of the occurrence. Steps are known by their position.
+		cut := func(n int) {
+			part.Runs = append(part.Runs, occ)
+			parts = append(parts, part)
+			part.Runs = nil
+			occ.Steps = make([]storedStep, n)
+			size = progressBytes + occurrenceBytes + n*stepHeadBytes
+		}
+		size += occurrenceBytes
 		for n, step := range run.Steps {
-			rest := step.Tasks
-			for len(rest) > maxTasksPerPart-tasks {
-				step.Tasks, rest = rest[:maxTasksPerPart-tasks], rest[maxTasksPerPart-tasks:]
-				occ.Steps = append(occ.Steps, step)
-				part.Runs = append(part.Runs, occ)
-				parts = append(parts, part)
-				part.Runs, tasks = nil, 0
-				occ.Steps, step = make([]storedStep, n), storedStep{}
+			head := storedStep{Done: step.Done, Checkpoint: step.Checkpoint}
+			headSize := stepHeadBytes + len(step.Done) + len(step.Checkpoint)
+			if size+headSize > maxPartBytes {
+				cut(n)
+			}
+			occ.Steps = append(occ.Steps, head)
+			size += headSize
+			for _, task := range step.Tasks {
+				taskSize := taskBytes + failedRunsBytes(task.FailedRuns) + len(task.Checkpoint)
+				if size+taskSize > maxPartBytes {
+					cut(n + 1)
+				}
+				last := &occ.Steps[n]
+				last.Tasks = append(last.Tasks, task)
+				size += taskSize
 			}
-			step.Tasks = rest
-			tasks += len(rest)
-			occ.Steps = append(occ.Steps, step)
 		}
 		part.Runs = append(part.Runs, occ)
 	}
--- a/dispatch/widejobs_test.go
+++ b/dispatch/widejobs_test.go
@@ -179,3 +179,40 @@
 		}
 	}
 }
+
+// TestManyOpenOccurrencesFitIntoRows guards against a job with times whose progress outgrows
+// a row by its steps, although no task of it has a checkpoint or a failed run.
+func TestManyOpenOccurrencesFitIntoRows(t *testing.T) {
+	s := newDispatcherHarness(t, 1, structs.Resources{})
+	stored := map[tablestore.RowID][]byte{}
+	job := workflow.Job{ID: "0000000000000001", Spec: "spec", Occurrences: 1000}
+	for range workflow.MaxSteps {
+		job.Steps = append(job.Steps, workflow.Step{Tasks: 1, Estimate: time.Second, Resources: structs.Resources{MilliCPU: 100}})
+	}
+	s.reduce(SubmitJob{Call: 1, Job: job, Queue: batchQueue(nil)})
+	s.commitWithinLimits(stored)
+	s.advance(time.Second)
+	j := s.dispatcher.jobs[job.ID]
+	open := len(j.occurrences)
+	if open < 100 {
+		t.Fatalf("%d open occurrences, want at least 100", open)
+	}
+	for _, occ := range j.occurrences {
+		for _, step := range occ.steps[1:] {
+			s.dispatcher.succeed(step.tasks[0])
+		}
+	}
+	s.dispatcher.markDirty(j)
+	s.commitWithinLimits(stored)
+	next := s.recoverNext(stored).jobs[job.ID]
+	if next.nextDue != j.nextDue || len(next.occurrences) != open {
+		t.Fatalf("%d open occurrences before %d at the next leader, want %d before %d", len(next.occurrences), next.nextDue, open, j.nextDue)
+	}
+	for _, occ := range next.occurrences {
+		for n, step := range occ.steps {
+			if want := min(n, 1); step.remainingTasks != 1-want {
+				t.Fatalf("%d tasks of %s are left at the next leader, want %d", step.remainingTasks, step.name, 1-want)
+			}
+		}
+	}
+}
