A task keeps the numbers of its last failed runs, and counts the others

Cause: the numbers of all failed runs of a task are stored in one row, and a queue may allow any number of attempts.

Change: the last 16 numbers are stored, the count of the others and the highest number among them.

Result: TestManyFailedRunsFitIntoARow failed before with a row of 75,039 bytes, where the store takes 49,152.

--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -349,14 +349,28 @@
 	if t.step.spec.Gang {
 		owner = t.step.tasks[0] // failed runs of a gang are counted on its first task
 	}
-	if slices.Contains(owner.failedRuns, run) {
+	if run <= owner.failedThrough || slices.Contains(owner.failedRuns, run) {
 		return // already counted from an earlier report
 	}
-	owner.failedRuns = append(owner.failedRuns, run)
+	owner.addFailedRun(run)
 	j := t.step.job
 	c.markDirtyDeferred(j)
 	limit := j.queue.MaxAttempts
-	if limit > 0 && len(owner.failedRuns) >= limit && !t.step.spec.LongRunning && j.active() {
+	if limit > 0 && owner.failures() >= limit && !t.step.spec.LongRunning && j.active() {
 		c.endJob(j, jobFailed)
 	}
 }
+
+// failures returns the number of failed runs of a task.
+func (t *task) failures() int { return t.failedBefore + len(t.failedRuns) }
+
+// addFailedRun adds a failed run, and no longer lists the lowest one if there are too many.
+func (t *task) addFailedRun(run uint64) {
+	t.failedRuns = append(t.failedRuns, run)
+	if len(t.failedRuns) <= maxListedFailedRuns {
+		return
+	}
+	lowest := slices.Min(t.failedRuns)
+	t.failedRuns = slices.DeleteFunc(t.failedRuns, func(r uint64) bool { return r == lowest })
+	t.failedBefore, t.failedThrough = t.failedBefore+1, max(t.failedThrough, lowest)
+}
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -214,7 +214,7 @@
 		c.fail(t, a.run)
 	}
 	if end.Kind != workflow.EndDone && end.Kind != workflow.EndLost {
-		c.logDecision(Decision{Event: "run_ended", Job: t.step.job.spec.ID, Task: t.name, Worker: w.ID, Run: a.run, Reason: string(end.Kind), Value: int64(len(t.failedRuns))})
+		c.logDecision(Decision{Event: "run_ended", Job: t.step.job.spec.ID, Task: t.name, Worker: w.ID, Run: a.run, Reason: string(end.Kind), Value: int64(t.failures())})
 	}
 	if t.state == taskDone {
 		return
--- a/dispatch/progress.go
+++ b/dispatch/progress.go
@@ -23,6 +23,9 @@
 	maxBucketFailedRuns  = 192 << 10
 	// maxPartBytes is the size of a part of a job's progress, which has to fit into a row.
 	maxPartBytes = maxRowBytes * 3 / 4
+	// maxListedFailedRuns is how many numbers of failed runs a task keeps. Others are
+	// counted only.
+	maxListedFailedRuns = 16
 )
 
 // Upper estimates of encoded sizes in bytes.
@@ -31,6 +34,7 @@
 	occurrenceBytes = 16
 	stepHeadBytes   = 25 // of a step without its tasks
 	taskBytes       = 12 // of a task without its checkpoint and failed runs
+	unlistedBytes   = 16 // of the count of failed runs that are not listed
 )
 
 // uintBytes returns the encoded size of a number.
@@ -75,6 +79,10 @@
 	Index      int      `cbor:"1,keyasint"`
 	FailedRuns []uint64 `cbor:"2,keyasint,omitempty"`
 	Checkpoint string   `cbor:"3,keyasint,omitempty"`
+	// FailedBefore counts the failed runs that are not in FailedRuns, and FailedThrough is
+	// the highest number among them.
+	FailedBefore  int    `cbor:"4,keyasint,omitempty"`
+	FailedThrough uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 // progressSize is an upper estimate of the encoded size of progress, in bytes.
@@ -120,7 +128,11 @@
 	if len(t.failedRuns) == 0 {
 		return 0
 	}
-	return taskBytes + failedRunsBytes(t.failedRuns)
+	size := taskBytes + failedRunsBytes(t.failedRuns)
+	if t.failedBefore > 0 {
+		size += unlistedBytes
+	}
+	return size
 }
 
 // failedRunsBytes returns the encoded size of numbers of failed runs.
@@ -204,7 +216,7 @@
 		}
 		stored := storedTask{Index: n, Checkpoint: budget.takeCheckpoint(t.checkpoint)}
 		if budget.takeFailedRuns(t) {
-			stored.FailedRuns = slices.Clone(t.failedRuns)
+			stored.FailedRuns, stored.FailedBefore, stored.FailedThrough = slices.Clone(t.failedRuns), t.failedBefore, t.failedThrough
 		}
 		if stored.Checkpoint != "" || len(stored.FailedRuns) > 0 {
 			row.Tasks = append(row.Tasks, stored)
@@ -260,7 +272,7 @@
 			occ.Steps = append(occ.Steps, head)
 			size += headSize
 			for _, task := range step.Tasks {
-				taskSize := taskBytes + failedRunsBytes(task.FailedRuns) + len(task.Checkpoint)
+				taskSize := taskBytes + unlistedBytes + failedRunsBytes(task.FailedRuns) + len(task.Checkpoint)
 				if size+taskSize > maxPartBytes {
 					cut(n + 1)
 				}
--- a/dispatch/recover.go
+++ b/dispatch/recover.go
@@ -182,11 +182,12 @@
 			if kept.Index < len(s.tasks) {
 				t := s.tasks[kept.Index]
 				t.checkpoint = kept.Checkpoint
-				t.failedRuns = kept.FailedRuns
+				t.failedRuns, t.failedBefore, t.failedThrough = kept.FailedRuns, kept.FailedBefore, kept.FailedThrough
 				if s.spec.LongRunning {
 					t.pauseRestart(now)
 					continue
 				}
+				t.run = max(t.run, kept.FailedThrough)
 				for _, run := range kept.FailedRuns {
 					t.run = max(t.run, run)
 				}
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -171,15 +171,18 @@
 	state  taskState
 	worker *worker
 	run    uint64
-	// failedRuns has the numbers of the failed runs, each once. For a long-running task
-	// it has the last runs in a row, at most maxShortRuns, that ended soon after their
-	// start.
-	failedRuns  []uint64
-	checkpoint  string
-	avoidWorker structs.WorkerID  // worker of its last failed run
-	lostRun     *EarlierRun       // its last run, if that counted as lost
-	restartAt   structs.Timestamp // when a long-running task may start again
-	endedAt     structs.Timestamp // when its last run has ended or counted as lost; 0: not known to this leader
+	// failedRuns has the numbers of the failed runs, each once, and at most
+	// maxListedFailedRuns of them: failedBefore counts the others, whose highest number is
+	// failedThrough. For a long-running task it has the last runs in a row, at most
+	// maxShortRuns, that ended soon after their start.
+	failedRuns    []uint64
+	failedBefore  int
+	failedThrough uint64
+	checkpoint    string
+	avoidWorker   structs.WorkerID  // worker of its last failed run
+	lostRun       *EarlierRun       // its last run, if that counted as lost
+	restartAt     structs.Timestamp // when a long-running task may start again
+	endedAt       structs.Timestamp // when its last run has ended or counted as lost; 0: not known to this leader
 }
 
 // allocation holds the resources of a placed task, or of a run that is running or
--- a/dispatch/widejobs_test.go
+++ b/dispatch/widejobs_test.go
@@ -216,3 +216,35 @@
 		}
 	}
 }
+
+// TestManyFailedRunsFitIntoARow guards against a task without a limit of attempts, or with a
+// high one, whose failed runs outgrow a row. Their count must last, as attempts are limited.
+func TestManyFailedRunsFitIntoARow(t *testing.T) {
+	const attempts, failed = 20_000, 15_000
+	s := newDispatcherHarness(t, 1, structs.Resources{})
+	stored := map[tablestore.RowID][]byte{}
+	queue := batchQueue(nil)
+	queue.MaxAttempts = attempts
+	job := checkpointJob(1, 2)
+	s.reduce(SubmitJob{Call: 1, Job: job, Queue: queue})
+	s.commitWithinLimits(stored)
+	task := s.dispatcher.jobs[job.ID].occurrences[0].steps[0].tasks[1]
+	for run := range failed {
+		s.dispatcher.fail(task, uint64(1_000_000+run))
+	}
+	s.dispatcher.fail(task, 1_000_000) // listed again
+	s.advance(maxProgressDelay)
+	s.commitWithinLimits(stored)
+	s.nextLeader(stored)
+	task = s.dispatcher.jobs[job.ID].occurrences[0].steps[0].tasks[1]
+	s.dispatcher.fail(task, 1_000_000+failed-1) // the next leader lists it, too
+	if task.failures() != failed || s.dispatcher.jobs[job.ID].state != jobActive {
+		t.Errorf("%d failed runs at the next leader, want %d", task.failures(), failed)
+	}
+	for run := failed; run < attempts; run++ {
+		s.dispatcher.fail(task, uint64(1_000_000+run))
+	}
+	if state := s.dispatcher.jobs[job.ID].state; state != jobFailed {
+		t.Errorf("state %d after %d failed runs, want failed", state, attempts)
+	}
+}
