Fault schedules: a repeated start of a gang member that has crashed ends as broken

Cause: in the simulation, a member that had crashed and was started again by a repeated request joined a gang that was over.

Change: such a run ends as broken after a millisecond, as the runs of the others do when a member ends. No check is changed.

--- a/dispatch/sim_worker_test.go
+++ b/dispatch/sim_worker_test.go
@@ -260,6 +260,9 @@
 	}
 	r.gang = g
 	g.members[r.task] = w
+	if g.over { // a repeated start request, after a member had crashed
+		s.at(time.Millisecond, func() { w.finish(r, workflow.EndGangBroken) })
+	}
 	if len(g.members) == g.size && !g.over {
 		g.complete = true
 		s.at(r.duration, func() {
