The end of the leases of a worker that has left is stored

Cause: a new leader starts no task of an earlier leader's job until every stored worker has answered or all leases that its predecessor can have granted have ended, 8.5 s after the last commit. The predecessor knew that they end sooner, and had not stored it.

Change: for a worker that has left the leader stores when its leases end, and grants none until a commit has withdrawn that.

Result: TestNextLeaderWaitsForNoWorkerThatHasLeft failed before (not started within 5 s).

--- a/cell/effects.go
+++ b/cell/effects.go
@@ -99,7 +99,7 @@
 	"advice": "good_workers", "task_stalled": "percent", "quarantine": "failures",
 	"worker_silent": "runs", "worker_restarted": "runs", "address_taken": "runs", "lease_over": "runs", "worker_gone": "since_change_ms", "worker_back": "missed_renewals",
 	"worker_draining": "remaining_ms", "recovery_complete": "jobs",
-	"lost_run_listed": "since_loss_ms", "ends_forgotten": "ends", "worker_listed_late": "since_change_ms", "late_request_fenced": "token", "pause_noticed": "paused_ms",
+	"lost_run_listed": "since_loss_ms", "ends_forgotten": "ends", "worker_listed_late": "since_change_ms", "late_request_fenced": "token", "pause_noticed": "paused_ms", "grants_closed": "ends_in_ms",
 }
 
 // logDecision logs and counts a decision of the dispatcher.
--- a/dispatch/commit.go
+++ b/dispatch/commit.go
@@ -194,6 +194,7 @@
 	}
 	for _, w := range c.committingWorkers {
 		w.rowStored = true
+		w.grantsClosed = w.LeasesEndBy != 0 || w.writtenLeasesEndBy != 0
 		if _, changed := slices.BinarySearch(c.dirtyWorkers, bucketOf(string(w.ID), workerBuckets)); !changed {
 			w.stored = true
 		}
--- a/dispatch/leases.go
+++ b/dispatch/leases.go
@@ -40,12 +40,47 @@
 // leader, and its runs with them.
 func (c *Dispatcher) lastLeaseEnd(w *worker) structs.Timestamp {
 	end := max(w.leaseEnd, w.InheritedLeaseEnd)
-	if w.unreported {
+	switch {
+	case w.unreported && w.LeasesEndBy != 0:
+		end = max(end, w.LeasesEndBy) // an earlier leader has stored it
+	case w.unreported:
 		end = max(end, c.previousLeasesEnd)
 	}
 	return end
 }
 
+// closeGrants stores for a worker that has left when its leases end, so that the next leader
+// does not wait for as long as this one might have granted leases. This leader grants none
+// to it any more until reopenGrants is stored. A worker has left if it accepts no
+// connections, is silent while it drains, or has been silent until its leases had ended.
+func (c *Dispatcher) closeGrants(w *worker) {
+	if w.LeasesEndBy != 0 || !w.silent || !w.rowStored || c.pausedAt != 0 {
+		return
+	}
+	if !w.refusesConnections && !w.Draining && !c.haveLeasesEnded(w) {
+		return
+	}
+	for _, a := range w.allocations {
+		if a.mayReachNextIncarnation() {
+			return // the next incarnation may hold a longer lease, with the run
+		}
+	}
+	w.LeasesEndBy = max(c.lastLeaseEnd(w), c.previousLeasesEnd, 1) // an earlier leader may live on and grant leases
+	w.grantsClosed = true
+	c.workerChanged(w.ID)
+	c.logDecision(Decision{Event: "grants_closed", Worker: w.ID, Value: int64(w.LeasesEndBy.Sub(c.now) / time.Millisecond)})
+}
+
+// reopenGrants ends closeGrants for a worker that has answered. It gets no lease before the
+// change is stored.
+func (c *Dispatcher) reopenGrants(w *worker) {
+	if w.LeasesEndBy == 0 {
+		return
+	}
+	w.LeasesEndBy = 0
+	c.workerChanged(w.ID)
+}
+
 // hasExpired reports whether leases that end at the given time by the count of this
 // leader have expired. A later leader may have renewed them unless a commit that was sent
 // after that time has succeeded.
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -25,7 +25,7 @@
 // not know it would complete its recovery, and start the worker's tasks again, if the
 // directory lists the worker late.
 func (c *Dispatcher) eligible(s *step, w *worker) bool {
-	return w.known && w.listed && w.isDescribed() && w.stored && !w.unreported && w.lapseBy == 0 && !w.Draining && w.canStartTasks(c.now) && w.missedRenewals < missedRenewalsBeforeSilent && (w.missedRenewals == 0 || !s.spec.Gang) &&
+	return w.known && w.listed && w.isDescribed() && w.stored && !w.grantsClosed && !w.unreported && w.lapseBy == 0 && !w.Draining && w.canStartTasks(c.now) && w.missedRenewals < missedRenewalsBeforeSilent && (w.missedRenewals == 0 || !s.spec.Gang) &&
 		!c.now.Before(w.pausedUntil) && w.Service == s.job.queue.Service &&
 		(s.spec.RequiredLabel == "" || w.HasLabel(s.spec.RequiredLabel)) &&
 		s.spec.RequiredCapacity().Fits(w.Capacity)
--- a/dispatch/recover.go
+++ b/dispatch/recover.go
@@ -217,7 +217,7 @@
 		// A worker that answers is waited for even if all leases should have
 		// expired: one that has restarted unnoticed may hold a longer one.
 		recovered := c.addWorker(w)
-		recovered.stored, recovered.rowStored = true, true
+		recovered.stored, recovered.rowStored, recovered.grantsClosed = true, true, w.LeasesEndBy != 0
 		// Requests of the previous leader may still be carried out.
 		recovered.requestsUntil = max(c.now, c.previousLeasesEnd).Add(c.policy.RenewalWait + requestTimeout + lateRequestTime)
 		c.markUnreported(recovered)
--- a/dispatch/reports.go
+++ b/dispatch/reports.go
@@ -26,6 +26,7 @@
 		c.logDecision(Decision{Event: "worker_back", Worker: w.ID, Value: int64(w.missedRenewals)})
 	}
 	c.checkLapse(w, r)
+	c.reopenGrants(w)
 	first := !w.known
 	w.reportSentAt = e.SentAt
 	w.Incarnation = r.Incarnation
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -257,9 +257,14 @@
 	leaseDeadline  time.Duration     // latest end of a granted lease on the worker's clock
 	// lapseBy is the time on the worker's clock by which the lease has lapsed that this
 	// leader counted as over, with its runs ended. 0: no lease has to lapse.
-	lapseBy       time.Duration
-	requestsUntil structs.Timestamp // requests that grant leases or acknowledge ends may be carried out until then
-	nextRenewalAt structs.Timestamp // earliest time of the next renewal
+	lapseBy time.Duration
+	// grantsClosed is true while a stored row of the worker, or one in the commit in
+	// progress, may have LeasesEndBy. writtenLeasesEndBy is that of the latest commit.
+	grantsClosed       bool
+	writtenLeasesEndBy structs.Timestamp
+	refusesConnections bool              // the last renewal found that it does not accept connections
+	requestsUntil      structs.Timestamp // requests that grant leases or acknowledge ends may be carried out until then
+	nextRenewalAt      structs.Timestamp // earliest time of the next renewal
 	// incarnationSince is when the end of the previous incarnation became known.
 	incarnationSince structs.Timestamp
 
--- a/dispatch/worker_rows.go
+++ b/dispatch/worker_rows.go
@@ -129,6 +129,9 @@
 		if stored.InheritedLeaseEnd != 0 {
 			stored.InheritedLeaseEnd = stored.InheritedLeaseEnd.Add(c.storeClockAhead)
 		}
+		if stored.LeasesEndBy != 0 {
+			stored.LeasesEndBy = stored.LeasesEndBy.Add(c.storeClockAhead)
+		}
 		data, err := cbor.Marshal(stored)
 		if err != nil {
 			return nil, nil, errs.Wrap(err, errs.InvalidInput, "report this bug", "encode worker %s", w.ID)
@@ -138,6 +141,7 @@
 			continue
 		}
 		size += len(data)
+		w.writtenLeasesEndBy = w.LeasesEndBy
 		workers, list = append(workers, w), append(list, stored)
 	}
 	return workers, list, nil
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -19,7 +19,7 @@
 		return // late entry of an earlier incarnation
 	}
 	earlier := w.Worker
-	entry.Restarted, entry.InheritedLeaseEnd = earlier.Restarted, earlier.InheritedLeaseEnd
+	entry.Restarted, entry.InheritedLeaseEnd, entry.LeasesEndBy = earlier.Restarted, earlier.InheritedLeaseEnd, earlier.LeasesEndBy
 	changed := entry.Incarnation != w.listedIncarnation || entry.Address != earlier.Address
 	w.listedIncarnation = entry.Incarnation
 	switch {
@@ -230,8 +230,8 @@
 // lease may be granted.
 func (c *Dispatcher) extendLease(w *worker) time.Duration {
 	granted := min(c.leaseLength(w), c.leadershipConfirmedAt.Add(c.policy.Horizon).Sub(c.now))
-	if granted <= 0 || !w.known || !w.rowStored || w.lapseBy != 0 || c.pausedAt != 0 {
-		return 0 // the next leader would not count the lease of a worker that is not stored
+	if granted <= 0 || !w.known || !w.rowStored || w.grantsClosed || w.lapseBy != 0 || c.pausedAt != 0 {
+		return 0 // the next leader would not count the lease of a worker that is not stored, or is stored as gone
 	}
 	if w.missedRenewals > 0 {
 		// An unanswered renewal may have been carried out. Extending the lease
@@ -294,6 +294,7 @@
 // renewalMissed records an unanswered renewal.
 func (c *Dispatcher) renewalMissed(w *worker, outcome workflow.Outcome) {
 	w.missedRenewals++
+	w.refusesConnections = outcome == workflow.NotSent
 	if outcome == workflow.NotSent {
 		w.missedRenewals = max(w.missedRenewals, missedRenewalsBeforeSilent) // the worker does not accept connections
 	}
@@ -314,6 +315,7 @@
 	if c.haveLeasesEnded(w) {
 		c.silentWorkerEnded(w)
 	}
+	c.closeGrants(w)
 	if !w.listed && len(w.allocations) == 0 && w.missedRenewals > 0 && !w.unreported && len(w.pendingAcks) == 0 && c.now.After(w.requestsUntil) {
 		// The next leader will not ask it; ends that are not stored yet would be lost, and
 		// it would not know that a late request may have granted a lease.
--- a/workflow/worker.go
+++ b/workflow/worker.go
@@ -28,6 +28,10 @@
 	// earlier incarnation may have granted to this one, on the cell's clock; 0: none. It
 	// is stored, too.
 	InheritedLeaseEnd structs.Timestamp `cbor:"11,keyasint,omitempty"`
+	// LeasesEndBy is set by the leader for a worker that has left: when all leases have
+	// ended that any leader has granted to it, on the cell's clock; 0: not known. No lease
+	// is granted to the worker while its stored row says so.
+	LeasesEndBy structs.Timestamp `cbor:"12,keyasint,omitempty"`
 }
 
 // HasLabel reports whether the worker has a label.
