soak: SIGHUP and a repeated SIGTERM follow each planned stop

Change: each SIGTERM is followed by SIGHUP, SIGTERM and SIGHUP, 0.2 s apart, and the process must end with 0.

--- a/soak/cell_test.go
+++ b/soak/cell_test.go
@@ -181,6 +181,20 @@
 	return p.finished
 }
 
+// signalWhileStopping sends the signals that may follow a SIGTERM: the settings file changes, and
+// the stop is asked for again. None of them may end the process sooner.
+func (p *process) signalWhileStopping(finished <-chan struct{}) {
+	const interval = 200 * time.Millisecond
+	for _, s := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP} {
+		select {
+		case <-finished:
+			return
+		case <-time.After(interval):
+			p.signal(s)
+		}
+	}
+}
+
 func (c *testCell) close() {
 	for _, p := range c.processes {
 		p.signal(syscall.SIGCONT)
@@ -197,8 +211,15 @@
 // restart stops a process with a signal and starts it again after downtime.
 func (c *testCell) restart(p *process, s syscall.Signal, downtime time.Duration) {
 	const stopTimeout = 8 * time.Second
+	finished := p.signal(s)
+	if s == syscall.SIGTERM {
+		p.signalWhileStopping(finished)
+	}
 	select {
-	case <-p.signal(s):
+	case <-finished:
+		if code := p.command.ProcessState.ExitCode(); s == syscall.SIGTERM && code != 0 {
+			c.t.Errorf("%s has ended with exit code %d (-1: killed) after SIGTERM and the signals after it, want 0", p.name, code)
+		}
 	case <-time.After(stopTimeout):
 		c.t.Errorf("%s is still running %s after signal %d", p.name, stopTimeout, s)
 		<-p.signal(syscall.SIGKILL)
