A large bucket of workers waits for a commit that has space for it

What callers would see: a leader that gives up when a commit full of jobs takes a large bucket of workers, too.

Cause: the bytes of workers were not counted with those of jobs.

Change: a bucket is added only if the rows of the commit stay within the store's limit.

--- a/dispatch/commit.go
+++ b/dispatch/commit.go
@@ -150,13 +150,21 @@
 	return b.commit, b.commit.check()
 }
 
+// bytes returns the size of all rows of the commit.
+func (m *Commit) bytes() int {
+	size := 0
+	for n := range m.Puts {
+		size += len(m.Puts[n].Value)
+	}
+	return size
+}
+
 // check returns an error if the store would reject the commit for its size. The limits of
 // what a commit takes keep that from happening.
 func (m *Commit) check() error {
-	entries, bytes := len(m.Puts)+len(m.Removes), 0
+	entries, bytes := len(m.Puts)+len(m.Removes), m.bytes()
 	for n := range m.Puts {
 		put := &m.Puts[n]
-		bytes += len(put.Value)
 		if len(put.Value) > storeRowLimit {
 			return errs.New(errs.InvalidInput, "report this bug", "row %s of %s has %d bytes, the store takes %d", put.Key, put.Table, len(put.Value), storeRowLimit)
 		}
--- a/dispatch/worker_rows.go
+++ b/dispatch/worker_rows.go
@@ -81,15 +81,20 @@
 			return err
 		}
 		var rows [][]byte
-		if err := putInRows(list, func(_ []workflow.Worker, data []byte) { rows = append(rows, data) }); err != nil {
+		rowBytes := 0
+		err = putInRows(list, func(_ []workflow.Worker, data []byte) {
+			rows = append(rows, data)
+			rowBytes += len(data)
+		})
+		if err != nil {
 			return err
 		}
-		if max(len(rows), c.workerRows[n]) > b.remainingEntries() {
-			break
+		if max(len(rows), c.workerRows[n]) > b.remainingEntries() || b.commit.bytes()+rowBytes > storeCommitLimit {
+			break // with one of the next commits
 		}
+		size += rowBytes
 		for k, data := range rows {
 			b.commit.Puts = append(b.commit.Puts, tablestore.Put{Table: CellTable, Key: workerRowKey(n, k), Value: data})
-			size += len(data)
 		}
 		for k := len(rows); k < c.workerRows[n]; k++ {
 			b.commit.Removes = append(b.commit.Removes, tablestore.RowID{Table: CellTable, Key: workerRowKey(n, k)})
--- a/dispatch/worker_rows_test.go
+++ b/dispatch/worker_rows_test.go
@@ -71,3 +71,22 @@
 		t.Error("no decision tells of the workers that are not stored")
 	}
 }
+
+// TestWorkersAndJobsShareACommit guards against a commit that is full of jobs and takes a large
+// bucket of workers as well: it exceeded the store's limit of a transaction.
+func TestWorkersAndJobsShareACommit(t *testing.T) {
+	s := newDispatcherHarness(t, 0, largeWorker)
+	stored := map[tablestore.RowID][]byte{}
+	const jobs = 100
+	for n := range jobs {
+		job := checkpointJob(n, 1)
+		job.Spec = strings.Repeat("s", 20_000)
+		s.reduce(SubmitJob{Call: CallID(n + 1), Job: job, Queue: batchQueue(nil)})
+	}
+	s.listLongWorkers(4000, 4000)
+	s.commitWithinLimits(stored)
+	next := s.recoverNext(stored)
+	if len(next.jobs) != jobs || len(next.workers) == 0 {
+		t.Errorf("the next leader knows %d jobs and %d workers, want %d jobs and some workers", len(next.jobs), len(next.workers), jobs)
+	}
+}
