A listener goes on without descriptors, and its connections are bounded

What callers saw: an instance that is ready and never again answers one, after more clients had connected than it has descriptors; memory over the limit by 2,400 connections that sent a part of a head.

Cause: fasthttp ends Serve with the first error of Accept that is no timeout, and EMFILE is none. Nothing bounded the number of connections; each costs buffers and a goroutine.

Change: internal/inbound wraps each listener of serve. Accept goes on after errors that concern one connection or a want of descriptors. The number of connections is bounded by shares of the memory and the descriptors; at the bound the connection that has waited longest for its client is closed, one whose request is being processed never. An instance whose callers' listener fails for good is no longer ready. The settings' maxFds is read.

Why it works: descriptors are left for peers, workers and the store, so accept does not fail for want of one, and if it does, the listener lives.

--- a/cell/contain.go
+++ b/cell/contain.go
@@ -3,6 +3,8 @@
 import (
 	"github.com/sourcegraph/conc/panics"
 	"github.com/valyala/fasthttp"
+
+	"github.com/mangodrum/mangodrum/internal/inbound"
 )
 
 // contain runs f and reports whether it returned without a panic. A panic costs the
@@ -26,6 +28,12 @@
 // handler returns a handler of HTTP requests that answers 500 if h panics.
 func (i *Instance) handler(operation string, h fasthttp.RequestHandler) fasthttp.RequestHandler {
 	return func(ctx *fasthttp.RequestCtx) {
+		conn := inbound.Of(ctx.Conn())
+		defer conn.Done()
+		if !conn.Begin() {
+			ctx.SetConnectionClose()
+			return // closed to make room; nothing was done
+		}
 		if !i.contain(operation, func() { h(ctx) }) {
 			ctx.Response.Reset()
 			writeError(ctx, fasthttp.StatusInternalServerError, 0, internalErrorText)
--- a/cell/instance.go
+++ b/cell/instance.go
@@ -17,6 +17,7 @@
 
 	"github.com/mangodrum/mangodrum/dispatch"
 	"github.com/mangodrum/mangodrum/errs"
+	"github.com/mangodrum/mangodrum/internal/inbound"
 	"github.com/mangodrum/mangodrum/leadership"
 	"github.com/mangodrum/mangodrum/peer"
 	"github.com/mangodrum/mangodrum/routing"
@@ -42,6 +43,7 @@
 	PlatformNames PlatformNames
 	Policy        dispatch.Policy
 	DialPeer      func(ctx context.Context, network, address string) (net.Conn, error)
+	Limits        Limits // of the process
 	// StopGrace is the time from the request to stop until the process is killed.
 	StopGrace time.Duration
 	Logger    hclog.Logger
@@ -64,6 +66,7 @@
 
 	requests     atomic.Uint64 // number of callers' requests so far
 	draining     atomic.Bool
+	callersEnded atomic.Bool   // the callers' listener has failed for good
 	stepDown     chan struct{} // closed when the instance must not lead anymore
 	stepDownOnce sync.Once
 
@@ -102,20 +105,16 @@
 
 // Run serves until ctx ends, then drains and returns.
 func (i *Instance) Run(ctx context.Context) error {
+	limits := i.options.Limits.withDefaults()
 	callers := i.newCallerServer()
-	servers := []struct {
-		server   *fasthttp.Server
-		listener net.Listener
-	}{
-		{callers, i.options.CallerListener},
-		{&fasthttp.Server{Handler: i.handler("readiness", i.serveReady), Name: "mangodrum"}, i.options.ReadinessListener},
-		{&fasthttp.Server{Handler: i.handler("metrics", i.serveMetrics), Name: "mangodrum"}, i.options.MetricsListener},
-	}
-	for _, s := range servers {
-		i.spawn("listener", func() { i.serveHTTP(s.server, s.listener) })
+	auxiliary := []*fasthttp.Server{
+		newAuxiliaryServer(i.handler("readiness", i.serveReady)), newAuxiliaryServer(i.handler("metrics", i.serveMetrics)),
 	}
+	i.serveHTTP("callers", callers, i.options.CallerListener, limits.callers(), &i.callersEnded)
+	i.serveHTTP("readiness", auxiliary[0], i.options.ReadinessListener, limits.auxiliary(), nil)
+	i.serveHTTP("metrics", auxiliary[1], i.options.MetricsListener, limits.auxiliary(), nil)
 	i.spawn("peer listener", func() {
-		if err := i.transport.Serve(i.options.PeerListener); err != nil && i.ctx.Err() == nil {
+		if err := i.transport.Serve(i.boundListener("peers", i.options.PeerListener, limits.peers())); err != nil && i.ctx.Err() == nil {
 			i.log.Error("peer listener failed", "error", err)
 		}
 	})
@@ -127,17 +126,25 @@
 	i.drain(callers)
 	i.cancel()
 	i.transport.Close()
-	for _, s := range servers[1:] {
-		_ = s.server.Shutdown() // these serve only probes and scrapes
+	for _, s := range auxiliary {
+		_ = s.Shutdown() // these serve only probes and scrapes
 	}
 	i.log.Info("stop")
 	return nil
 }
 
-func (i *Instance) serveHTTP(server *fasthttp.Server, listener net.Listener) {
-	if err := server.Serve(listener); err != nil && i.ctx.Err() == nil && !i.draining.Load() {
-		i.log.Error("listener failed", "address", listener.Addr().String(), "error", err)
-	}
+// serveHTTP serves the bounded connections of a listener. It sets ended, if not nil, when the
+// listener fails.
+func (i *Instance) serveHTTP(name string, server *fasthttp.Server, listener net.Listener, limits inbound.Limits, ended *atomic.Bool) {
+	bounded := i.boundListener(name, listener, limits)
+	i.spawn("listener", func() {
+		if err := server.Serve(bounded); err != nil && i.ctx.Err() == nil && !i.draining.Load() {
+			if ended != nil {
+				ended.Store(true)
+			}
+			i.log.Error("listener failed", "listener", name, "address", listener.Addr().String(), "error", err)
+		}
+	})
 }
 
 const (
@@ -476,7 +483,7 @@
 		return
 	}
 	local, remote, _ := i.currentLeader()
-	if i.draining.Load() || i.config.current.Load() == nil || (local == nil && remote == "") {
+	if i.draining.Load() || i.callersEnded.Load() || i.config.current.Load() == nil || (local == nil && remote == "") {
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 	}
 }
--- a/internal/daemon/command.go
+++ b/internal/daemon/command.go
@@ -4,8 +4,10 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"os"
 	"runtime/debug"
+	"syscall"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -88,3 +90,16 @@
 
 // limitMemory sets the soft memory limit of the Go runtime, in bytes.
 func limitMemory(limit int64) { debug.SetMemoryLimit(limit) }
+
+// descriptorLimit returns the number of descriptors that the process may open: the one that is
+// configured, unless the system allows fewer. 0 means that none is known.
+func descriptorLimit(configured int) int {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil || limit.Cur > math.MaxInt32 {
+		return configured
+	}
+	if configured <= 0 {
+		return int(limit.Cur)
+	}
+	return min(configured, int(limit.Cur))
+}
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -78,6 +78,7 @@
 		CallerListener: listeners[0], ReadinessListener: listeners[1], PeerListener: listeners[2], MetricsListener: listeners[3],
 		Store: platform.NewStore(settings.StoreAddress), Workers: platform.NewWorkerClient(),
 		Advisor: platform.NewAdvisorClient(settings.AdvisorAddress), Codec: platform.Codec{}, PlatformNames: platform.Names(),
+		Limits: cell.Limits{MemoryBytes: settings.MemoryBytes, Descriptors: descriptorLimit(settings.MaxDescriptors)},
 		Policy: dispatchPolicy(settings.TimeLimits), DialPeer: platform.DialContext, StopGrace: settings.TimeLimits.StopGrace, Logger: log,
 	})
 	go watchSettings(ctx, path, hangups, settings, log)
