Bodies are judged by their length before and while they arrive

What callers saw: processes killed by bodies far over the limit, announced or just sent, and by many unfinished bodies inside it.

Cause: the server received up to 1 MB of each body before the limit of the configuration was looked at, and set the announced length aside. Each body had a limit, their sum had none. A request could arrive for ever.

Change: a body that announces too much is answered with 413 at once; others are read by the handler, in a buffer that grows with what arrives. To make room, the request that has waited longest for its client is closed; without one, the answer is 503 with Retry-After, before anything is done. Bodies over 8 KiB are decoded one at a time. Requests have 60 s to arrive and 60 s of Deadline-Ms at most, answers 10 s to be read. The HTTP server logs no line for each malformed request.

Why it works: memory is counted before it is used, and a client that stops sending is the first to go.

--- a/cell/callers.go
+++ b/cell/callers.go
@@ -10,6 +10,7 @@
 
 	"github.com/mangodrum/mangodrum/dispatch"
 	"github.com/mangodrum/mangodrum/errs"
+	"github.com/mangodrum/mangodrum/internal/inbound"
 	"github.com/mangodrum/mangodrum/routing"
 	"github.com/mangodrum/mangodrum/structs"
 	"github.com/mangodrum/mangodrum/workflow"
@@ -18,10 +19,15 @@
 const (
 	callerReadBufferSize = 17 << 10 // bytes; limits the size of a request's headers
 	callerIdleTimeout    = 60 * time.Second
-	maxCallerBody        = 1 << 20 // bytes; applies to all routes
+	// callerReadTimeout bounds the time in which a request arrives, and callerWriteTimeout
+	// that in which its answer is read. Answers are short.
+	callerReadTimeout  = 60 * time.Second
+	callerWriteTimeout = 10 * time.Second
 	// responseMargin is the part of a caller's timeout that is kept for sending
 	// the response.
 	responseMargin = 60 * time.Millisecond
+	// maxCallerTimeout bounds the time that a caller may ask an answer to wait.
+	maxCallerTimeout = 60 * time.Second
 	// defaultCallerTimeout applies to requests without a timeout.
 	defaultCallerTimeout = 3 * time.Second
 	// leaderWait is how long a request waits until a leader is known. A change
@@ -43,14 +49,26 @@
 func (i *Instance) newCallerServer() *fasthttp.Server {
 	return &fasthttp.Server{
 		Handler: i.handler("request", i.serveCaller), Name: "mangodrum", ReadBufferSize: callerReadBufferSize, WriteBufferSize: 1024,
-		IdleTimeout: callerIdleTimeout, MaxRequestBodySize: maxCallerBody, ReduceMemoryUsage: true,
-		NoDefaultServerHeader: true, NoDefaultDate: true,
+		ReadTimeout: callerReadTimeout, WriteTimeout: callerWriteTimeout, IdleTimeout: callerIdleTimeout,
+		StreamRequestBody: true, DisablePreParseMultipartForm: true, ReduceMemoryUsage: true,
+		NoDefaultServerHeader: true, NoDefaultDate: true, Logger: discardLogger{},
 	}
 }
 
+// discardLogger drops the log lines of the HTTP servers: there would be one for each
+// malformed request. The listeners and the statuses of answers are counted.
+type discardLogger struct{}
+
+// Printf implements fasthttp.Logger.
+func (discardLogger) Printf(string, ...any) {}
+
 // serveCaller handles one request of a caller.
 func (i *Instance) serveCaller(ctx *fasthttp.RequestCtx) {
 	started := time.Now()
+	if !ctx.IsPost() && !inbound.Of(ctx.Conn()).Begin() { // readCallerBody begins the others
+		ctx.SetConnectionClose() // closed to make room before anything was done
+		return
+	}
 	if i.draining.Load() {
 		ctx.SetConnectionClose()
 	}
@@ -64,19 +82,23 @@
 		writeError(ctx, fasthttp.StatusNotFound, 0, "no queue has this host and path")
 		return
 	}
-	deadline := started.Add(i.callerTimeout(ctx, route) - responseMargin)
-	i.serveRoute(ctx, route, id, deadline)
+	i.serveRoute(ctx, route, id)
 	i.metrics.observe("request", "queue", route.Queue.Name, time.Since(started))
 	i.metrics.count("answers", "status", strconv.Itoa(ctx.Response.StatusCode()))
 }
 
+// callerDeadline returns when a request that has arrived by now has to be answered.
+func (i *Instance) callerDeadline(ctx *fasthttp.RequestCtx, route *routing.Route) time.Time {
+	return time.Now().Add(i.callerTimeout(ctx, route) - responseMargin)
+}
+
 // callerTimeout returns the time in which a request has to be answered.
 func (i *Instance) callerTimeout(ctx *fasthttp.RequestCtx, route *routing.Route) time.Duration {
 	timeout := i.options.Codec.DecodeCallerTimeout(ctx.Request.Header.Peek(i.options.PlatformNames.TimeoutHeader), defaultCallerTimeout)
 	if route.Timeout > 0 {
 		timeout = min(timeout, route.Timeout)
 	}
-	return timeout
+	return min(timeout, maxCallerTimeout)
 }
 
 // hostName returns the host of the request without its port.
@@ -85,14 +107,15 @@
 	return name
 }
 
-func (i *Instance) serveRoute(ctx *fasthttp.RequestCtx, route *routing.Route, id string, deadline time.Time) {
+func (i *Instance) serveRoute(ctx *fasthttp.RequestCtx, route *routing.Route, id string) {
+	deadline := i.callerDeadline(ctx, route)
 	switch {
 	case id == "" && ctx.IsGet():
 		i.serveQueueLength(ctx, route, deadline)
 	case !i.options.Codec.IsJobID(id):
 		writeError(ctx, fasthttp.StatusNotFound, 0, "the path names no job")
 	case ctx.IsPost():
-		i.serveSubmit(ctx, route, id, deadline)
+		i.serveSubmit(ctx, route, id)
 	case ctx.IsGet():
 		i.serveState(ctx, id, deadline)
 	case ctx.IsDelete():
@@ -102,12 +125,12 @@
 	}
 }
 
-func (i *Instance) serveSubmit(ctx *fasthttp.RequestCtx, route *routing.Route, id string, deadline time.Time) {
-	if limit := i.config.current.Load().MaxBody; limit > 0 && len(ctx.PostBody()) > limit {
-		writeError(ctx, fasthttp.StatusRequestEntityTooLarge, 0, "the body is larger than the "+strconv.Itoa(limit)+" bytes of the configuration")
+func (i *Instance) serveSubmit(ctx *fasthttp.RequestCtx, route *routing.Route, id string) {
+	body, ok := i.readCallerBody(ctx)
+	if !ok {
 		return
 	}
-	job, err := i.options.Codec.DecodeJob(id, ctx.PostBody())
+	job, err := i.decodeJob(id, body)
 	if err != nil {
 		writeError(ctx, fasthttp.StatusBadRequest, 0, err.Error())
 		return
@@ -116,7 +139,8 @@
 		writeError(ctx, fasthttp.StatusRequestEntityTooLarge, 0, err.Error())
 		return
 	}
-	reply, err := i.callLeader(methodSubmit, jobCall{ID: job.ID, Job: &job, Queue: &route.Queue}, deadline)
+	// The caller's wait begins now, after a body that may have arrived slowly.
+	reply, err := i.callLeader(methodSubmit, jobCall{ID: job.ID, Job: &job, Queue: &route.Queue}, i.callerDeadline(ctx, route))
 	i.logResult("submit", id, reply, err)
 	switch {
 	case errs.Is(err, errs.NotRun):
--- a/cell/contain.go
+++ b/cell/contain.go
@@ -25,15 +25,12 @@
 	i.group.Go(func() { i.contain(operation, f) })
 }
 
-// handler returns a handler of HTTP requests that answers 500 if h panics.
+// handler returns a handler of HTTP requests that answers 500 if h panics, and releases what
+// the request holds when h returns.
 func (i *Instance) handler(operation string, h fasthttp.RequestHandler) fasthttp.RequestHandler {
 	return func(ctx *fasthttp.RequestCtx) {
 		conn := inbound.Of(ctx.Conn())
 		defer conn.Done()
-		if !conn.Begin() {
-			ctx.SetConnectionClose()
-			return // closed to make room; nothing was done
-		}
 		if !i.contain(operation, func() { h(ctx) }) {
 			ctx.Response.Reset()
 			writeError(ctx, fasthttp.StatusInternalServerError, 0, internalErrorText)
--- a/cell/instance.go
+++ b/cell/instance.go
@@ -67,6 +67,7 @@
 	requests     atomic.Uint64 // number of callers' requests so far
 	draining     atomic.Bool
 	callersEnded atomic.Bool   // the callers' listener has failed for good
+	longDecodes  sync.Mutex    // held while a long body is decoded
 	stepDown     chan struct{} // closed when the instance must not lead anymore
 	stepDownOnce sync.Once
 
@@ -477,6 +478,7 @@
 	f.run(i.ctx)
 }
 
+// serveReady answers the load balancer's probe.
 func (i *Instance) serveReady(ctx *fasthttp.RequestCtx) {
 	if string(ctx.Path()) != i.options.PlatformNames.ReadinessPath {
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
--- a/cell/jobcalls_test.go
+++ b/cell/jobcalls_test.go
@@ -83,7 +83,7 @@
 	t.Cleanup(func() { i.cancel(); i.transport.Close() })
 	i.config.current.Store(&routing.Config{})
 	var ctx fasthttp.RequestCtx
-	i.serveSubmit(&ctx, &routing.Route{}, "0", time.Now().Add(time.Second))
+	i.serveSubmit(&ctx, &routing.Route{}, "0")
 	if ctx.Response.StatusCode() != fasthttp.StatusRequestEntityTooLarge || !strings.Contains(string(ctx.Response.Body()), "at most") {
 		t.Errorf("status %d, body %q, want 413 with the limit", ctx.Response.StatusCode(), ctx.Response.Body())
 	}
