The text of an error is cut at 500 bytes

What callers saw: an answer as long as the body that they had sent.

Cause: the error of the decoder quotes the value that it cannot take.

--- a/cell/callers.go
+++ b/cell/callers.go
@@ -277,9 +277,16 @@
 	ctx.SetBody(body)
 }
 
+// maxErrorText is the length, in bytes, at which the text of an error is cut. It may quote the
+// request.
+const maxErrorText = 500
+
 // writeError writes an error response with a text and, if retryAfter is
 // positive, a Retry-After header.
 func writeError(ctx *fasthttp.RequestCtx, status int, retryAfter time.Duration, text string) {
+	if len(text) > maxErrorText {
+		text = strings.ToValidUTF8(text[:maxErrorText], "") + " (shortened)"
+	}
 	ctx.SetStatusCode(status)
 	if retryAfter > 0 {
 		ctx.Response.Header.Set("Retry-After", strconv.Itoa(int(math.Ceil(retryAfter.Seconds()))))
