The listeners of probes and scrapes take no bodies and end slow requests

What callers saw: a process killed by bodies sent to the readiness or the metrics listener.

Cause: both had the HTTP server's defaults: 4 MB of body and no timeouts.

Change: 1 KiB of body (413), 10 s for a request to arrive and for its answer to be read, 60 s between two.

--- a/cell/limits.go
+++ b/cell/limits.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -87,7 +88,18 @@
 	return bounded
 }
 
-// newAuxiliaryServer returns a server for requests that the operators' programs send.
+// Bounds of one request of a listener that probes and scrapes use. They have no bodies.
+const (
+	auxiliaryBodyBytes    = 1 << 10
+	auxiliaryReadTimeout  = 10 * time.Second // for a request, also the first of a connection
+	auxiliaryWriteTimeout = 10 * time.Second
+	auxiliaryIdleTimeout  = 60 * time.Second
+)
+
+// newAuxiliaryServer returns a server for probes and scrapes.
 func newAuxiliaryServer(handler fasthttp.RequestHandler) *fasthttp.Server {
-	return &fasthttp.Server{Handler: handler, Name: "mangodrum"}
+	return &fasthttp.Server{
+		Handler: handler, Name: "mangodrum", MaxRequestBodySize: auxiliaryBodyBytes, ReadTimeout: auxiliaryReadTimeout,
+		WriteTimeout: auxiliaryWriteTimeout, IdleTimeout: auxiliaryIdleTimeout, Logger: discardLogger{},
+	}
 }
