The memory of all jobs is bounded

What callers saw: a leader killed by valid jobs, and the next one as it loaded what was stored.

Cause: one job has limits (64 steps, 20,000 tasks); the sum of all jobs, of the occurrences of scheduled ones and of those that have ended had none.

The limit is a sixth of the memory of the instance of the cell that has the least: each may lead next and load the jobs. Instances tell their share in a new optional field of their row; earlier builds ignore it.

Why it works: nothing is created beyond the limit, and what is stored fits the next leader. A refused submission was part of no commit, and its late copies are refused too.

--- a/cell/heartbeats.go
+++ b/cell/heartbeats.go
@@ -14,6 +14,7 @@
 type member struct {
 	address          string
 	processorShare   float64           // processor share in cores
+	maxJobMemory     int64             // see instanceRow
 	heartbeatReplyAt structs.Timestamp // when it last replied; 0 if never
 	heartbeatSentAt  structs.Timestamp // when the last heartbeat was sent
 	// roundTrip is the time from the last heartbeat to its reply.
@@ -87,6 +88,19 @@
 	return list
 }
 
+// maxJobMemory returns the memory for jobs of the instance that has the least of it.
+func (l *leader) maxJobMemory() int64 {
+	least := l.instance.options.Limits.withDefaults().JobMemory()
+	l.peersMu.Lock()
+	defer l.peersMu.Unlock()
+	for _, m := range l.peers {
+		if m.maxJobMemory > 0 {
+			least = min(least, m.maxJobMemory)
+		}
+	}
+	return least
+}
+
 // recordHeartbeatReply records a follower's reply to a heartbeat.
 func (l *leader) recordHeartbeatReply(id structs.InstanceID, reply heartbeatReply) {
 	l.peersMu.Lock()
@@ -120,8 +134,8 @@
 	l.peersMu.Lock()
 	if row.Address == "" {
 		delete(l.peers, id)
-	} else if m := l.peers[id]; m == nil || m.address != row.Address {
-		l.peers[id] = &member{address: row.Address, processorShare: row.ProcessorShare}
+	} else if m := l.peers[id]; m == nil || m.address != row.Address || m.maxJobMemory != row.MaxJobMemory {
+		l.peers[id] = &member{address: row.Address, processorShare: row.ProcessorShare, maxJobMemory: row.MaxJobMemory}
 	}
 	list := make([]structs.InstanceInfo, 0, len(l.peers))
 	for id, m := range l.peers {
--- a/cell/instance.go
+++ b/cell/instance.go
@@ -177,11 +177,14 @@
 type instanceRow struct {
 	Address        string  `cbor:"1,keyasint"` // for peers
 	ProcessorShare float64 `cbor:"2,keyasint"` // processor share in cores
+	// MaxJobMemory is the memory, in bytes, that the instance has for jobs when it leads; 0
+	// from one that does not say.
+	MaxJobMemory int64 `cbor:"3,keyasint,omitempty"`
 }
 
 // register writes the instance's row to peerTable, where the leader finds it.
 func (i *Instance) register() {
-	value, err := cbor.Marshal(instanceRow{i.options.PeerAddress, i.options.ProcessorShare})
+	value, err := cbor.Marshal(instanceRow{i.options.PeerAddress, i.options.ProcessorShare, i.options.Limits.withDefaults().JobMemory()})
 	if err != nil {
 		i.log.Error("failed to encode the instance row", "error", err)
 		return
--- a/cell/leader.go
+++ b/cell/leader.go
@@ -253,7 +253,7 @@
 // tick does the work that depends on time.
 func (l *leader) tick() {
 	l.instance.logSuspension(l.instance.clock.Adjust())
-	l.reduce(dispatch.InstancesConnected{IDs: l.connectedInstances()})
+	l.reduce(dispatch.InstancesConnected{IDs: l.connectedInstances(), MaxJobMemory: l.maxJobMemory()})
 	l.reduce(dispatch.Tick{WallOffset: time.Duration(time.Now().UnixNano()) - time.Duration(l.now())})
 }
 
--- a/cell/limits.go
+++ b/cell/limits.go
@@ -41,6 +41,8 @@
 	// callerHeldShare the part for larger bodies and what becomes of them.
 	callerConnShare = 5
 	callerHeldShare = 12
+	// jobMemoryShare is the part of the memory for the jobs of a leader.
+	jobMemoryShare = 6
 	// callerDescriptorShare is the part of the descriptors for connections of callers. The
 	// rest is for workers, the store, peers and files.
 	callerDescriptorShare = 2
@@ -48,6 +50,9 @@
 	minConnections = 8
 )
 
+// JobMemory returns the memory that a leader has for jobs.
+func (l Limits) JobMemory() int64 { return l.MemoryBytes / jobMemoryShare }
+
 // callers returns the bounds of the callers' listener.
 func (l Limits) callers() inbound.Limits {
 	connections := min(l.MemoryBytes/callerConnShare/callerConnBytes, int64(l.Descriptors/callerDescriptorShare))
--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -36,6 +36,9 @@
 	RefusedBefore RefusalReason = "request was refused before"
 	// RefusedTooLarge means that the job cannot be stored; see CheckSize.
 	RefusedTooLarge RefusalReason = "too large to be stored"
+	// RefusedNoMemory means that the jobs of the cell take the memory that is set aside for
+	// them; see memory.go.
+	RefusedNoMemory RefusalReason = "no memory for another job"
 	// RefusedTooManyWaiting means that as many submissions wait for the store as
 	// the instance can hold.
 	RefusedTooManyWaiting RefusalReason = "too many submissions wait for the store"
--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -170,6 +170,7 @@
 		c.unplaceAll(s)
 		return
 	}
+	s.job.advisedWorkers -= len(s.advice)
 	for _, id := range e.Workers {
 		s.advice[id] = workerAdvice{}
 	}
@@ -185,6 +186,8 @@
 		}
 		s.advice[ticket.Worker] = workerAdvice{approved: true, token: ticket.Token, expiresAt: expiresAt, incarnation: w.Incarnation}
 	}
+	s.job.advisedWorkers += len(s.advice)
+	c.count(s.job)
 	s.approvedWorkers = s.approvedWorkers[:0]
 	for _, w := range c.sortedWorkers {
 		if s.advice[w.ID].approved {
--- a/dispatch/events.go
+++ b/dispatch/events.go
@@ -71,7 +71,12 @@
 }
 
 // InstancesConnected lists the instances that can call the advisor.
-type InstancesConnected struct{ IDs []structs.InstanceID }
+type InstancesConnected struct {
+	IDs []structs.InstanceID
+	// MaxJobMemory replaces Policy.MaxJobMemory unless it is 0. Each instance of the cell
+	// may lead next, and has to hold the stored jobs.
+	MaxJobMemory int64
+}
 
 // Committed reports that a commit returned by Dispatcher.NextCommit is durable.
 type Committed struct{ Sequence uint64 }
--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -31,6 +31,9 @@
 	case CheckSize(&e.Job, &e.Queue) != nil:
 		c.refuse(e, RefusedTooLarge)
 		return
+	case !c.hasMemoryFor(&e.Job):
+		c.refuse(e, RefusedNoMemory)
+		return
 	}
 	j = c.newJob(e.Job, e.Queue, c.now)
 	j.pendingSubmits = []pendingCall{call}
@@ -57,7 +60,11 @@
 // refuse refuses a submission that was not part of any commit.
 func (c *Dispatcher) refuse(e SubmitJob, reason RefusalReason) {
 	c.refused.add(e.Request, c.now)
-	c.emit(Reply{Call: e.Call, Verdict: Refused, RetryAfter: c.outages.retryAfter(c.now, e.Queue.Priority)})
+	retryAfter := c.outages.retryAfter(c.now, e.Queue.Priority)
+	if reason == RefusedNoMemory {
+		retryAfter = max(retryAfter, retryAfterFull)
+	}
+	c.emit(Reply{Call: e.Call, Verdict: Refused, RetryAfter: retryAfter})
 	c.logDecision(Decision{Event: "refuse", Job: e.Job.ID, Reason: string(reason)})
 }
 
@@ -72,6 +79,7 @@
 	} else {
 		c.scheduled = append(c.scheduled, j)
 	}
+	c.count(j)
 	return j
 }
 
@@ -92,6 +100,7 @@
 	}
 	occ.computeChains()
 	j.occurrences = append(j.occurrences, occ)
+	c.count(j)
 	return occ
 }
 
@@ -104,7 +113,7 @@
 		}
 		for j.nextDue < j.spec.Occurrences {
 			due := structs.Timestamp(j.spec.FirstDue + time.Duration(j.nextDue)*j.spec.Interval)
-			if c.wallTime().Before(due) || len(j.occurrences) >= maxOpenOccurrences || j.openTasks() >= workflow.MaxTasksPerJob {
+			if c.wallTime().Before(due) || len(j.occurrences) >= maxOpenOccurrences || !c.hasMemoryForOccurrence(j) || j.openTasks() >= workflow.MaxTasksPerJob {
 				break
 			}
 			occ := c.addOccurrence(j, j.nextDue, c.now)
@@ -299,7 +308,7 @@
 		c.queueReady(s.occ)
 		return
 	}
-	s.job.dropOccurrence(s.occ)
+	c.dropOccurrence(s.job, s.occ)
 	if s.job.isComplete() {
 		c.endJob(s.job, jobDone)
 	}
@@ -307,12 +316,13 @@
 
 // dropOccurrence forgets a completed occurrence of a scheduled job. An occurrence
 // below nextDue that the job does not have is complete.
-func (j *job) dropOccurrence(occ *occurrence) {
+func (c *Dispatcher) dropOccurrence(j *job, occ *occurrence) {
 	if j.spec.Occurrences == 0 {
 		return
 	}
 	if n := slices.Index(j.occurrences, occ); n >= 0 {
 		j.occurrences = slices.Delete(j.occurrences, n, n+1)
+		c.count(j)
 	}
 }
 
--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -12,6 +12,7 @@
 	MaxStopTime             time.Duration // longest time that a stop can take
 	StartRetryDelay         time.Duration // an unanswered start request is sent again after this time
 	CommitTimeout           time.Duration // a call without a deadline is answered after this time if no commit has succeeded
+	MaxJobMemory            int64         // bytes of memory for all jobs; 0: no limit
 	Retention               time.Duration // an ended job is kept for this time
 	MinReservingGangs       int           // gangs that may reserve capacity at a time in a cell of any size
 	WorkersPerReservingGang int           // one gang may reserve capacity for each such number of workers
--- a/dispatch/recover.go
+++ b/dispatch/recover.go
@@ -87,6 +87,7 @@
 		}
 		j.visibleState = workflowState(j)
 		c.jobs[e.ID] = j
+		c.count(j)
 		outcomes.jobs = append(outcomes.jobs, j)
 		lastEnd = max(lastEnd, e.EndedAt)
 	}
@@ -152,7 +153,7 @@
 			}
 			occ.restore(run, c.now)
 			if occ.remainingSteps == 0 {
-				j.dropOccurrence(occ) // an earlier version has stored it, in one part
+				c.dropOccurrence(j, occ) // an earlier version has stored it, in one part
 			}
 		}
 	}
--- a/dispatch/reduce.go
+++ b/dispatch/reduce.go
@@ -33,6 +33,9 @@
 		c.adviceAnswered(e)
 	case InstancesConnected:
 		c.setAdvisorClients(e.IDs)
+		if e.MaxJobMemory != 0 {
+			c.maxJobMemory = e.MaxJobMemory
+		}
 	case LeadershipEnded:
 		c.returnUncommitted()
 	case StoreHealth:
@@ -125,14 +128,15 @@
 		c.endedWithSteps[0] = nil
 		c.endedWithSteps = c.endedWithSteps[1:]
 		j.occurrences = nil
-		j.spec = workflow.Job{ID: j.spec.ID}
+		j.spec, j.advisedWorkers = workflow.Job{ID: j.spec.ID}, 0
+		c.count(j)
 	}
 	for len(c.outcomeRows) > 0 && c.outcomeRows[0].storedAt != 0 && c.now.Sub(c.outcomeRows[0].storedAt) > c.policy.Retention {
 		batch := c.outcomeRows[0]
 		c.outcomeRows[0] = nil
 		c.outcomeRows = c.outcomeRows[1:]
 		for _, j := range batch.jobs {
-			delete(c.jobs, j.spec.ID)
+			c.forget(j.spec.ID)
 		}
 		c.expiredOutcomes = append(c.expiredOutcomes, batch)
 	}
@@ -190,7 +194,7 @@
 	c.replyAll(&j.pendingCancels, NoSuchJob, 0)
 	c.logDecision(Decision{Event: "refuse", Job: j.spec.ID, Reason: string(reason), Value: int64(c.now.Sub(j.acceptedAt) / time.Millisecond)})
 	j.state = jobCancelled // late advice must not start its tasks
-	delete(c.jobs, j.spec.ID)
+	c.forget(j.spec.ID)
 	return true
 }
 
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -19,6 +19,8 @@
 	effects []structs.Effect
 
 	jobs           map[structs.JobID]*job
+	jobMemory      int64   // of all jobs, in bytes; see memory.go
+	maxJobMemory   int64   // limit for it; 0: none
 	scheduled      []*job  // active scheduled jobs
 	endedWithSteps []*job  // ended jobs that still have their steps
 	ready          []*step // steps whose dependencies are done
@@ -90,6 +92,10 @@
 	// outcomeStored is true once the outcome is stored or part of the commit in
 	// progress.
 	outcomeStored bool
+	// countedMemory is its part of Dispatcher.jobMemory, and advisedWorkers the number of
+	// workers with advice for its steps.
+	countedMemory  int64
+	advisedWorkers int
 }
 
 // jobState is the stored state of a job.
@@ -286,7 +292,7 @@
 // commit, the next leader computes the end of its leases from that time.
 func New(policy Policy, epoch structs.Epoch, now, claimed structs.Timestamp) *Dispatcher {
 	return &Dispatcher{
-		policy: policy, epoch: epoch, now: now, leadershipConfirmedAt: claimed, startedAt: now, lastTickAt: now,
+		policy: policy, maxJobMemory: policy.MaxJobMemory, epoch: epoch, now: now, leadershipConfirmedAt: claimed, startedAt: now, lastTickAt: now,
 		jobs: map[structs.JobID]*job{}, workers: map[structs.WorkerID]*worker{}, removedWorkers: map[structs.WorkerID]uint64{}, approvalRates: map[string]float64{}, runTimeModels: map[string]*runTimeModel{}, meanWork: map[string]float64{}, lostRuns: map[string]lostRun{},
 	}
 }
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -73,13 +73,15 @@
 	}
 	log.Info("settings", "region", settings.Location.Region, "failure_domain", settings.Location.FailureDomain,
 		"callers", settings.CallerAddress, "store", settings.StoreAddress, "advisor", settings.AdvisorAddress, "first_start", settings.FirstStart)
+	limits := cell.Limits{MemoryBytes: settings.MemoryBytes, Descriptors: descriptorLimit(settings.MaxDescriptors)}
+	policy := dispatchPolicy(settings.TimeLimits)
+	policy.MaxJobMemory = limits.JobMemory()
 	instance := cell.New(cell.Options{
 		ID: settings.Instance, PeerAddress: settings.PeerAddress, ProcessorShare: settings.ProcessorShare,
 		CallerListener: listeners[0], ReadinessListener: listeners[1], PeerListener: listeners[2], MetricsListener: listeners[3],
 		Store: platform.NewStore(settings.StoreAddress), Workers: platform.NewWorkerClient(),
 		Advisor: platform.NewAdvisorClient(settings.AdvisorAddress), Codec: platform.Codec{}, PlatformNames: platform.Names(),
-		Limits: cell.Limits{MemoryBytes: settings.MemoryBytes, Descriptors: descriptorLimit(settings.MaxDescriptors)},
-		Policy: dispatchPolicy(settings.TimeLimits), DialPeer: platform.DialContext, StopGrace: settings.TimeLimits.StopGrace, Logger: log,
+		Limits: limits, Policy: policy, DialPeer: platform.DialContext, StopGrace: settings.TimeLimits.StopGrace, Logger: log,
 	})
 	go watchSettings(ctx, path, hangups, settings, log)
 	return instance.Run(ctx)
