A leader bounds the calls that other instances pass on

What callers would see: a leader that runs out of memory, as each instance bounds its own callers only and their requests come together at the leader, with a goroutine and a decoded job for each.

Change: 16 KiB and three times the body of each call count against a sixteenth of the memory. Beyond it the leader answers with an error of kind busy before anything is done. The instance that asked answers with 503, or with 504 if an earlier copy may have been taken. Calls to the store and the advisor have a bound of their own and do not wait for requests.

Tests: TestServedCallsAreBounded, TestBusyLeaderIsNoRefusal.

--- a/cell/callers.go
+++ b/cell/callers.go
@@ -225,6 +225,9 @@
 			}
 		case remote != "":
 			err := i.call(remote, method, in, &reply, min(left, callAttemptTimeout))
+			if errs.Is(err, errs.Busy) {
+				return jobReply{}, busyError(sent)
+			}
 			if err == nil && !reply.NotLeader && reply.Verdict != dispatch.Unknown {
 				return reply, nil
 			}
@@ -246,6 +249,15 @@
 	}
 }
 
+// busyError is the error of a request that the leader has not taken because it processes too
+// many. An earlier copy of the request may have been taken.
+func busyError(sent bool) error {
+	if sent {
+		return errs.New(errs.OutcomeUnknown, "send it again", "the leader processes too many requests")
+	}
+	return errs.New(errs.NotRun, "send it again later", "the leader processes too many requests")
+}
+
 // mayHaveRun reports whether a call to another instance that ended without a usable
 // answer may have taken effect. A reply that cannot be decoded is the answer to a
 // call that was carried out.
--- a/cell/instance.go
+++ b/cell/instance.go
@@ -59,6 +59,7 @@
 	store        tablestore.Store // makes calls directly or through a peer
 	transport    *peer.Transport
 	pendingCalls *callRegistry
+	servedCalls  servedCalls
 	config       currentConfig
 	group        conc.WaitGroup
 	ctx          context.Context
@@ -93,6 +94,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	i := &Instance{
 		options: options, log: options.Logger, clock: newClock(), process: rand.Uint64(), pendingCalls: newCallRegistry(),
+		servedCalls: servedCalls{maxJobBytes: options.Limits.withDefaults().callMemory(), maxOther: maxOtherCalls},
 		ctx: ctx, cancel: cancel, stepDown: make(chan struct{}), leaderChanged: make(chan struct{}),
 		electionEvents: make(chan structs.Event, 64), metrics: newMetricSet(),
 	}
--- a/cell/limits.go
+++ b/cell/limits.go
@@ -43,6 +43,8 @@
 	callerHeldShare = 12
 	// jobMemoryShare is the part of the memory for the jobs of a leader.
 	jobMemoryShare = 6
+	// callShare is the part of the memory for requests that other instances pass on.
+	callShare = 16
 	// callerDescriptorShare is the part of the descriptors for connections of callers. The
 	// rest is for workers, the store, peers and files.
 	callerDescriptorShare = 2
@@ -53,6 +55,9 @@
 // JobMemory returns the memory that a leader has for jobs.
 func (l Limits) JobMemory() int64 { return l.MemoryBytes / jobMemoryShare }
 
+// callMemory returns the memory for the calls of other instances that a leader processes.
+func (l Limits) callMemory() int64 { return l.MemoryBytes / callShare }
+
 // callers returns the bounds of the callers' listener.
 func (l Limits) callers() inbound.Limits {
 	connections := min(l.MemoryBytes/callerConnShare/callerConnBytes, int64(l.Descriptors/callerDescriptorShare))
--- a/cell/messages.go
+++ b/cell/messages.go
@@ -40,6 +40,15 @@
 	methodStore   = "store"
 )
 
+// knownMethod returns the label of a method in metrics.
+func knownMethod(method string) string {
+	switch method {
+	case methodSubmit, methodCancel, methodState, methodWaiting, methodAdvise, methodStore:
+		return method
+	}
+	return "other"
+}
+
 // jobCall is the body of submit, cancel, state and waiting.
 type jobCall struct {
 	ID    structs.JobID   `cbor:"1,keyasint,omitempty"`
--- a/cell/peers.go
+++ b/cell/peers.go
@@ -94,7 +94,16 @@
 			i.log.Warn("dropped a malformed call from a peer", "peer", m.From, "error", err)
 			return
 		}
-		i.spawn("call", func() { i.serveCall(m.From, m.CallID, call) })
+		end, err := i.servedCalls.begin(&call)
+		if err != nil {
+			i.metrics.count("peer_calls_refused", "method", knownMethod(call.Method))
+			i.send(m.From, peer.KindReply, m.CallID, peer.NewReply(nil, err))
+			return
+		}
+		i.spawn("call", func() {
+			defer end()
+			i.serveCall(m.From, m.CallID, call)
+		})
 	case peer.KindReply:
 		var reply peer.Reply
 		if err := peer.Decode(m.Body, &reply); err != nil {
--- a/errs/errs.go
+++ b/errs/errs.go
@@ -18,6 +18,7 @@
 	NotFound       Kind = "not-found"       // the named object does not exist
 	NotRun         Kind = "not-run"         // certainly not run or applied; may be retried
 	OutcomeUnknown Kind = "outcome-unknown" // may have run or been applied
+	Busy           Kind = "busy"            // this copy was not taken, because there are too many others
 	Failed         Kind = "ran-and-failed"  // ran and failed
 	Unreachable    Kind = "unreachable"     // no connection to the server
 	Denied         Kind = "denied"          // the shared secret is missing or wrong
