Messages of peers are bounded together while they arrive

What callers saw: a process killed by long messages to the peers' port whose last bytes never came.

Cause: 8 MB for each message, 256 connections, no bound on the sum.

Change: a message has at most 2 MiB in serve, as the store's calls are the longest; beyond 64 KiB three times what arrives counts against a sixteenth of the memory.

--- a/cell/instance.go
+++ b/cell/instance.go
@@ -95,14 +95,14 @@
 	i := &Instance{
 		options: options, log: options.Logger, clock: newClock(), process: rand.Uint64(), pendingCalls: newCallRegistry(),
 		servedCalls: servedCalls{maxJobBytes: options.Limits.withDefaults().callMemory(), maxOther: maxOtherCalls},
-		ctx: ctx, cancel: cancel, stepDown: make(chan struct{}), leaderChanged: make(chan struct{}),
+		ctx:         ctx, cancel: cancel, stepDown: make(chan struct{}), leaderChanged: make(chan struct{}),
 		electionEvents: make(chan structs.Event, 64), metrics: newMetricSet(),
 	}
 	i.store = &relayingStore{
 		instance: i, direct: options.Store, relayRetryAt: map[structs.InstanceID]time.Time{},
 		callPath: storePath{purpose: "calls"}, feedPath: storePath{purpose: "feeds"},
 	}
-	i.transport = peer.New(peer.Options{Self: options.ID, Logger: options.Logger, OnMessage: func(m peer.Message) { i.contain("peer message", func() { i.receive(m) }) }, OnDisconnect: i.disconnected, Dial: options.DialPeer})
+	i.transport = peer.New(peer.Options{Self: options.ID, Logger: options.Logger, OnMessage: func(m peer.Message) { i.contain("peer message", func() { i.receive(m) }) }, OnDisconnect: i.disconnected, Dial: options.DialPeer, MaxMessageBytes: maxMessageBytes})
 	return i
 }
 
--- a/cell/limits.go
+++ b/cell/limits.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/mangodrum/mangodrum/internal/inbound"
+	"github.com/mangodrum/mangodrum/peer"
 )
 
 // Limits are those of the process. What clients can use of it is a share of them, so that
@@ -45,6 +46,11 @@
 	jobMemoryShare = 6
 	// callShare is the part of the memory for requests that other instances pass on.
 	callShare = 16
+	// messageShare is the part of the memory for messages of other instances that arrive.
+	messageShare = 16
+	// maxMessageBytes is the longest message between instances: a call to the store or
+	// its answer, which the store limits to 1 MB in a longer encoding.
+	maxMessageBytes = 2 << 20
 	// callerDescriptorShare is the part of the descriptors for connections of callers. The
 	// rest is for workers, the store, peers and files.
 	callerDescriptorShare = 2
@@ -81,7 +87,10 @@
 // peers returns the bounds of the peers' listener.
 func (l Limits) peers() inbound.Limits {
 	const share, most = 8, 256
-	return inbound.Limits{Connections: min(max(l.Descriptors/share, minConnections), most)}
+	return inbound.Limits{
+		Connections: min(max(l.Descriptors/share, minConnections), most),
+		HeldBytes:   max(l.MemoryBytes/messageShare, peer.MaxHeldBytes(maxMessageBytes)),
+	}
 }
 
 // boundListener returns a listener whose connections stay within limits, and shows its
--- a/internal/inbound/body.go
+++ b/internal/inbound/body.go
@@ -22,7 +22,7 @@
 
 // firstBuffer is the size of the buffer that a body begins with, whatever length was
 // announced for it.
-const firstBuffer = 2 << 10
+const firstBuffer = 1 << 10
 
 // ReadBody reads a body from r, which ends with io.EOF. length is the announced length, or
 // negative if it is not known. Memory grows with what has arrived, not with what was
--- a/peer/node.go
+++ b/peer/node.go
@@ -13,12 +13,19 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/mangodrum/mangodrum/errs"
+	"github.com/mangodrum/mangodrum/internal/inbound"
 	"github.com/mangodrum/mangodrum/structs"
 )
 
 // Limits and constants of the connections between peers.
 const (
-	MaxMessageBytes   = 8 << 20
+	MaxMessageBytes = 8 << 20 // unless Options sets another limit
+	// freeMessageBytes are the bytes of a message that count as a part of its connection.
+	// Only settings, rows of the store and jobs take more.
+	freeMessageBytes = 64 << 10
+	// messageCost is the memory for each further byte: the message, its body, and what
+	// that is decoded into.
+	messageCost       = 3
 	maxConnections    = 256
 	sendQueueMessages = 1024
 	writeTimeout      = 5 * time.Second
@@ -30,6 +37,10 @@
 	versionHeader  = "Mangodrum-Peer-Version"
 )
 
+// MaxHeldBytes returns the memory, counted as by inbound.Conn.Hold, that one message of the
+// given size holds at most while it arrives.
+func MaxHeldBytes(size int) int64 { return int64(size) * messageCost }
+
 // Options configures a Transport.
 type Options struct {
 	Self   structs.InstanceID
@@ -38,7 +49,8 @@
 	// OnMessage is called for every message. Calls may be concurrent.
 	OnMessage func(Message)
 	// OnDisconnect, if set, is called when a connection from a peer has ended.
-	OnDisconnect func(structs.InstanceID)
+	OnDisconnect    func(structs.InstanceID)
+	MaxMessageBytes int // of one message; 0: MaxMessageBytes of the package
 	// Dial opens connections to peers; nil means the default dialer.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
@@ -59,6 +71,9 @@
 // New returns a transport without peers.
 func New(options Options) *Transport {
 	ctx, cancel := context.WithCancel(context.Background())
+	if options.MaxMessageBytes == 0 {
+		options.MaxMessageBytes = MaxMessageBytes
+	}
 	n := &Transport{options: options, ctx: ctx, cancel: cancel, links: map[structs.InstanceID]*link{}}
 	n.server = &fasthttp.Server{
 		Handler:            n.handleUpgrade,
@@ -146,7 +161,8 @@
 		ctx.Error(err.Error(), fasthttp.StatusForbidden)
 		return
 	}
-	if err := n.upgrader.Upgrade(ctx, n.readMessages); err != nil {
+	bounded := inbound.Of(ctx.Conn())
+	if err := n.upgrader.Upgrade(ctx, func(conn *websocket.Conn) { n.readMessages(conn, bounded) }); err != nil {
 		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
 	}
 }
@@ -167,11 +183,15 @@
 	return nil
 }
 
-func (n *Transport) readMessages(conn *websocket.Conn) {
+// readMessages reads messages until the connection ends. What a message takes while it arrives
+// is bounded together with those on other connections if the listener is an
+// inbound.Listener, which then also may close the connection that has been silent longest.
+func (n *Transport) readMessages(conn *websocket.Conn, bounded *inbound.Conn) {
 	stop := context.AfterFunc(n.ctx, func() { _ = conn.Close() })
 	defer stop()
 	defer func() { _ = conn.Close() }()
-	conn.SetReadLimit(MaxMessageBytes)
+	limits := inbound.BodyLimits{MaxBytes: n.options.MaxMessageBytes, FreeBytes: freeMessageBytes, Factor: messageCost}
+	conn.SetReadLimit(int64(limits.MaxBytes))
 	var from structs.InstanceID
 	defer func() {
 		if n.options.OnDisconnect != nil && n.ctx.Err() == nil {
@@ -180,7 +200,11 @@
 	}()
 	for {
 		_ = conn.SetReadDeadline(time.Now().Add(readTimeout))
-		kind, data, err := conn.ReadMessage()
+		kind, reader, err := conn.NextReader()
+		if err != nil {
+			return
+		}
+		data, err := inbound.ReadBody(reader, bounded, -1, limits)
 		if err != nil {
 			return
 		}
@@ -190,5 +214,6 @@
 		}
 		from = message.From
 		n.options.OnMessage(message)
+		bounded.Done()
 	}
 }
