Metrics have labels for members of the cell only

What callers saw: memory that grows for ever with messages from made-up senders.

Cause: lost messages and dropped replies are counted by peer, and the name came from the message.

--- a/cell/heartbeats.go
+++ b/cell/heartbeats.go
@@ -77,6 +77,13 @@
 	return true
 }
 
+// hasPeer reports whether an instance is a member of the cell.
+func (l *leader) hasPeer(id structs.InstanceID) bool {
+	l.peersMu.Lock()
+	defer l.peersMu.Unlock()
+	return l.peers[id] != nil
+}
+
 // instanceIDs returns the identifiers of the other instances.
 func (l *leader) instanceIDs() []structs.InstanceID {
 	l.peersMu.Lock()
--- a/cell/peers.go
+++ b/cell/peers.go
@@ -111,7 +111,7 @@
 			return
 		}
 		if !i.pendingCalls.deliver(m.CallID, reply) {
-			i.metrics.count("peer_replies_dropped", "peer", string(m.From))
+			i.metrics.count("peer_replies_dropped", "peer", i.peerLabel(m.From))
 		}
 	}
 }
@@ -189,10 +189,20 @@
 		return
 	}
 	if !i.transport.Send(to, peer.Message{Kind: kind, CallID: callID, Body: data}) {
-		i.metrics.count("peer_messages_lost", "peer", string(to))
+		i.metrics.count("peer_messages_lost", "peer", i.peerLabel(to))
 	}
 }
 
+// peerLabel returns the label of an instance in metrics. A message can give any name as its
+// sender, and a label for each would use memory without bound.
+func (i *Instance) peerLabel(id structs.InstanceID) string {
+	local, remote, _ := i.currentLeader()
+	if id == remote || (local != nil && local.hasPeer(id)) {
+		return string(id)
+	}
+	return "other"
+}
+
 // serveCall executes a call from a peer and sends the reply.
 func (i *Instance) serveCall(from structs.InstanceID, callID uint64, call peer.Call) {
 	var out any
