Queues to peers are bounded by bytes, together

What callers would see: memory beyond the limit while peers do not read. Found by going through the list of docs/client-limits.md; not shown with a process.

Cause: 1,024 messages for each peer, whatever their length: 64 MB of jobs for one, 45 peers.

Change: the messages that wait for all peers are bounded by a sixteenth of the memory. Messages up to 4 KiB are queued beyond that, so heartbeats go on.

--- a/cell/instance.go
+++ b/cell/instance.go
@@ -102,7 +102,7 @@
 		instance: i, direct: options.Store, relayRetryAt: map[structs.InstanceID]time.Time{},
 		callPath: storePath{purpose: "calls"}, feedPath: storePath{purpose: "feeds"},
 	}
-	i.transport = peer.New(peer.Options{Self: options.ID, Logger: options.Logger, OnMessage: func(m peer.Message) { i.contain("peer message", func() { i.receive(m) }) }, OnDisconnect: i.disconnected, Dial: options.DialPeer, MaxMessageBytes: maxMessageBytes})
+	i.transport = peer.New(peer.Options{Self: options.ID, Logger: options.Logger, OnMessage: func(m peer.Message) { i.contain("peer message", func() { i.receive(m) }) }, OnDisconnect: i.disconnected, Dial: options.DialPeer, MaxMessageBytes: maxMessageBytes, MaxQueuedBytes: options.Limits.withDefaults().queueMemory()})
 	return i
 }
 
--- a/cell/limits.go
+++ b/cell/limits.go
@@ -64,6 +64,9 @@
 // callMemory returns the memory for the calls of other instances that a leader processes.
 func (l Limits) callMemory() int64 { return l.MemoryBytes / callShare }
 
+// queueMemory returns the memory for messages that wait to be sent to other instances.
+func (l Limits) queueMemory() int64 { return max(l.MemoryBytes/messageShare, 2*maxMessageBytes) }
+
 // callers returns the bounds of the callers' listener.
 func (l Limits) callers() inbound.Limits {
 	connections := min(l.MemoryBytes/callerConnShare/callerConnBytes, int64(l.Descriptors/callerDescriptorShare))
--- a/peer/link.go
+++ b/peer/link.go
@@ -18,12 +18,16 @@
 	address string
 	queue   chan []byte
 	cancel  context.CancelFunc
+	release func(bytes int) // called for each message that has left the queue
 }
 
 func (n *Transport) startLink(id structs.InstanceID, address string) *link {
 	ctx, cancel := context.WithCancel(n.ctx)
-	l := &link{id: id, address: address, queue: make(chan []byte, sendQueueMessages), cancel: cancel}
-	n.group.Go(func() { n.keepConnected(ctx, l) })
+	l := &link{id: id, address: address, queue: make(chan []byte, sendQueueMessages), cancel: cancel, release: n.releaseQueue}
+	n.group.Go(func() {
+		defer l.discardQueued()
+		n.keepConnected(ctx, l)
+	})
 	return l
 }
 
@@ -61,7 +65,8 @@
 func (l *link) discardQueued() {
 	for {
 		select {
-		case <-l.queue:
+		case data := <-l.queue:
+			l.release(len(data))
 		default:
 			return
 		}
@@ -96,7 +101,9 @@
 			return
 		case data := <-l.queue:
 			_ = conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-			if err := conn.WriteMessage(websocket.BinaryMessage, data); err != nil {
+			err := conn.WriteMessage(websocket.BinaryMessage, data)
+			l.release(len(data))
+			if err != nil {
 				return
 			}
 		}
--- a/peer/node.go
+++ b/peer/node.go
@@ -5,6 +5,7 @@
 	"crypto/subtle"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fasthttp/websocket"
@@ -29,6 +30,8 @@
 	maxConnections    = 256
 	sendQueueMessages = 1024
 	writeTimeout      = 5 * time.Second
+	// defaultQueuedBytes holds a few of the longest messages.
+	defaultQueuedBytes = 32 << 20
 	// readTimeout is several heartbeat intervals, so that a dead connection is
 	// closed even if TCP does not detect it.
 	readTimeout    = 15 * time.Second
@@ -51,6 +54,9 @@
 	// OnDisconnect, if set, is called when a connection from a peer has ended.
 	OnDisconnect    func(structs.InstanceID)
 	MaxMessageBytes int // of one message; 0: MaxMessageBytes of the package
+	// MaxQueuedBytes limits the messages that wait to be sent to all peers; 0:
+	// defaultQueuedBytes.
+	MaxQueuedBytes int64
 	// Dial opens connections to peers; nil means the default dialer.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
@@ -64,6 +70,8 @@
 	cancel   context.CancelFunc
 	group    conc.WaitGroup
 
+	queuedBytes atomic.Int64 // of the messages in the queues of all links
+
 	mu    sync.Mutex
 	links map[structs.InstanceID]*link
 }
@@ -74,6 +82,9 @@
 	if options.MaxMessageBytes == 0 {
 		options.MaxMessageBytes = MaxMessageBytes
 	}
+	if options.MaxQueuedBytes == 0 {
+		options.MaxQueuedBytes = defaultQueuedBytes
+	}
 	n := &Transport{options: options, ctx: ctx, cancel: cancel, links: map[structs.InstanceID]*link{}}
 	n.server = &fasthttp.Server{
 		Handler:            n.handleUpgrade,
@@ -142,20 +153,35 @@
 	if err != nil {
 		return false
 	}
-	n.mu.Lock()
+	n.mu.Lock() // held until the message is queued, as an ended link discards its queue
+	defer n.mu.Unlock()
 	l := n.links[to]
-	n.mu.Unlock()
-	if l == nil {
+	if l == nil || !n.reserveQueue(len(data)) {
 		return false
 	}
 	select {
 	case l.queue <- data:
 		return true
 	default:
+		n.releaseQueue(len(data))
 		return false
 	}
 }
 
+// reserveQueue counts the bytes of a message that is to be queued. It returns false if the
+// queues of all links together are full. Short messages are always queued, within the number
+// of messages of a queue: heartbeats go on while the queues are full of requests.
+func (n *Transport) reserveQueue(bytes int) bool {
+	const shortMessage = 4 << 10
+	if n.queuedBytes.Add(int64(bytes)) <= n.options.MaxQueuedBytes || bytes <= shortMessage {
+		return true
+	}
+	n.releaseQueue(bytes)
+	return false
+}
+
+func (n *Transport) releaseQueue(bytes int) { n.queuedBytes.Add(int64(-bytes)) }
+
 func (n *Transport) handleUpgrade(ctx *fasthttp.RequestCtx) {
 	if err := n.checkRequest(ctx); err != nil {
 		ctx.Error(err.Error(), fasthttp.StatusForbidden)
