run: what callers, operators and peers use is bounded together

What callers saw: an instance that ended when a connection had no descriptor, and one that took more than its memory: 64 KiB set aside for each body that may be sent again, 4 MiB bodies of operators that were received before their secret was checked, messages of peers.

Change: the listeners are those of internal/inbound. The body that is kept for a repeat grows with what arrives and counts against an eighth of the memory; a body of an operator is read after its secret was checked. Connections of callers are bounded by shares of memory and descriptors besides max_connections; an idle one makes room. The Go runtime's limit is three quarters of the memory, as the program itself counts too.

TestCallerConnectionsAreLimited kept the first connection idle and wanted the second refused. An idle connection is now closed to make room, so the test keeps the first one busy; it wants the same refusal, and besides that the first one answered. TestIdleConnectionMakesRoom is new.

--- a/cell/body.go
+++ b/cell/body.go
@@ -26,14 +26,19 @@
 	retryAfterBusy = time.Second
 )
 
+// maxBody returns the limit, in bytes, of the body of a request.
+func (i *Instance) maxBody() int {
+	if config := i.config.current.Load(); config != nil && config.MaxBody > 0 {
+		return min(config.MaxBody, maxCallerBody)
+	}
+	return maxCallerBody
+}
+
 // readCallerBody reads the body of a request, judging its length before and while it
 // arrives. It answers the request and returns false if the body cannot be taken. Otherwise
 // the connection is not closed to make room until the request is answered.
 func (i *Instance) readCallerBody(ctx *fasthttp.RequestCtx) ([]byte, bool) {
-	limit := maxCallerBody
-	if configured := i.config.current.Load().MaxBody; configured > 0 {
-		limit = min(limit, configured)
-	}
+	limit := i.maxBody()
 	conn := inbound.Of(ctx.Conn())
 	stream := ctx.RequestBodyStream()
 	if stream == nil {
@@ -41,7 +46,7 @@
 	}
 	body, err := inbound.ReadBody(stream, conn, ctx.Request.Header.ContentLength(), inbound.BodyLimits{MaxBytes: limit, FreeBytes: freeBodyBytes, Factor: bodyCost})
 	switch {
-	case errors.Is(err, inbound.ErrTooLarge):
+	case inbound.IsTooLong(&ctx.Request.Header), errors.Is(err, inbound.ErrTooLarge):
 		writeError(ctx, fasthttp.StatusRequestEntityTooLarge, 0, "the body is larger than the "+strconv.Itoa(limit)+" bytes of the configuration")
 		return nil, false
 	case errors.Is(err, inbound.ErrBusy):
--- a/cell/callers.go
+++ b/cell/callers.go
@@ -50,6 +50,10 @@
 	return &fasthttp.Server{
 		Handler: i.handler("request", i.serveCaller), Name: "mangodrum", ReadBufferSize: callerReadBufferSize, WriteBufferSize: 1024,
 		ReadTimeout: callerReadTimeout, WriteTimeout: callerWriteTimeout, IdleTimeout: callerIdleTimeout,
+		HeaderReceived: func(header *fasthttp.RequestHeader) fasthttp.RequestConfig {
+			inbound.JudgeLength(header, i.maxBody())
+			return fasthttp.RequestConfig{}
+		},
 		StreamRequestBody: true, DisablePreParseMultipartForm: true, ReduceMemoryUsage: true,
 		NoDefaultServerHeader: true, NoDefaultDate: true, Logger: discardLogger{},
 	}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -301,6 +301,7 @@
 		s.result.Kind = router.Cancelled
 	}
 	s.call.attemptEnded(s.attempt, s.result, true)
+	boundOf(s.call.caller).Done()
 	return nil
 }
 
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -9,6 +9,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
+
+	"github.com/mangodrum/mangodrum/internal/inbound"
 )
 
 // requestBody is the body of a caller's request: the prefix that was read before
@@ -42,9 +44,10 @@
 	if b.length >= 0 {
 		size = min(b.length, size)
 	}
-	b.prefix = make([]byte, size)
-	n, err := io.ReadFull(stream, b.prefix)
-	b.prefix = b.prefix[:n]
+	n, err := b.fillPrefix(stream, boundOf(ctx.Conn()), size)
+	if errors.Is(err, inbound.ErrBusy) {
+		return err
+	}
 	b.remaining -= int64(n)
 	switch {
 	case b.remaining < 0:
@@ -61,6 +64,33 @@
 	return errIncompleteBody
 }
 
+// freeBodyBytes is the length of a prefix that the limit on connections allows for.
+const freeBodyBytes = 4 << 10
+
+// fillPrefix reads size bytes into the prefix, as io.ReadFull does. The prefix grows with
+// what arrives, and the connection holds the memory of a long one.
+func (b *requestBody) fillPrefix(stream io.Reader, conn *inbound.Conn, size int) (int, error) {
+	b.prefix = make([]byte, 0, min(size, freeBodyBytes))
+	for len(b.prefix) < size {
+		if len(b.prefix) == cap(b.prefix) {
+			grown := min(2*cap(b.prefix), size)
+			if !conn.Hold(int64(grown - cap(b.prefix))) {
+				return len(b.prefix), inbound.ErrBusy
+			}
+			b.prefix = append(make([]byte, 0, grown), b.prefix...)
+		}
+		n, err := io.ReadFull(stream, b.prefix[len(b.prefix):cap(b.prefix)])
+		b.prefix = b.prefix[:len(b.prefix)+n]
+		if err == io.EOF && len(b.prefix) > 0 {
+			err = io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return len(b.prefix), err
+		}
+	}
+	return len(b.prefix), nil
+}
+
 // atChunkedEOF reports whether a chunked stream is at its regular end.
 // io.ReadFull returns io.ErrUnexpectedEOF for both the regular end and a
 // truncated stream.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -24,11 +24,10 @@
 	claims  *claimWriter
 	metrics *gatewayMetrics
 
-	ready           atomic.Bool
-	draining        atomic.Bool
-	nextRef         atomic.Uint64
-	ticks           atomic.Uint64
-	openConnections atomic.Int64 // connections of callers
+	ready    atomic.Bool
+	draining atomic.Bool
+	nextRef  atomic.Uint64
+	ticks    atomic.Uint64
 
 	defaultClass atomic.Pointer[structs.ClassName]
 
@@ -44,7 +43,7 @@
 
 	closing bool // no hedge is started any more
 
-	listeners []net.Listener
+	listeners []callerListener
 
 	stop      chan struct{}
 	wakeTicks chan struct{} // signalled when a call is added during slow ticks
@@ -211,12 +210,13 @@
 func (g *Gateway) Serve(listener net.Listener) error {
 	g.mu.Lock()
 	listenersClosed := g.listenersClosed
-	g.listeners = append(g.listeners, listener)
+	bounded := newCallerListener(listener, g.opts.Limits, g.metrics.rejectedConnections.Inc)
+	g.listeners = append(g.listeners, bounded)
 	g.mu.Unlock()
 	if listenersClosed {
 		return listener.Close()
 	}
-	err := g.server.Serve(&callerListener{Listener: listener, g: g})
+	err := g.server.Serve(bounded)
 	if errors.Is(err, net.ErrClosed) {
 		return nil
 	}
@@ -341,9 +341,13 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	totals := g.state.Counts()
+	connections := 0
+	for _, l := range g.listeners {
+		connections += l.Counts().Open
+	}
 	return Stats{
 		Requests:      g.state.Requests(),
-		Connections:   int(g.openConnections.Load()),
+		Connections:   connections,
 		FirstAttempts: totals.FirstAttempts,
 		Retries:       totals.Retries,
 		Refused:       totals.Refused,
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -3,13 +3,16 @@
 import (
 	"bytes"
 	"crypto/rand"
+	"math"
 	"net"
 	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
 	"github.com/mangodrum/mangodrum/errs"
+	"github.com/mangodrum/mangodrum/internal/inbound"
 	"github.com/mangodrum/mangodrum/router"
 	"github.com/mangodrum/mangodrum/structs"
 )
@@ -24,14 +27,18 @@
 func (g *Gateway) newServer() *fasthttp.Server {
 	limits := g.opts.Limits
 	return &fasthttp.Server{
-		Handler:                       g.handle,
-		ErrorHandler:                  handleBadRequest,
-		Name:                          "mangodrum",
-		ReadBufferSize:                limits.MaxHeaderBytes,
+		Handler:        g.handleBounded,
+		ErrorHandler:   handleBadRequest,
+		Name:           "mangodrum",
+		ReadBufferSize: limits.MaxHeaderBytes,
+		HeaderReceived: func(header *fasthttp.RequestHeader) fasthttp.RequestConfig {
+			inbound.JudgeLength(header, int(min(limits.MaxBodyBytes, math.MaxInt)))
+			return fasthttp.RequestConfig{}
+		},
 		ReadTimeout:                   limits.ReadTimeout,
 		WriteTimeout:                  limits.WriteTimeout,
 		IdleTimeout:                   limits.IdleTimeout,
-		Concurrency:                   limits.MaxConnections + 1, // callerListener enforces the limit
+		Concurrency:                   2*limits.MaxConnections + 1, // callerListener enforces the limit; closed connections end later
 		StreamRequestBody:             true,
 		DisablePreParseMultipartForm:  true,
 		NoDefaultServerHeader:         true,
@@ -66,6 +73,15 @@
 	ctx.SetConnectionClose()
 }
 
+// handleBounded serves one request of a caller, and then releases what it holds. A
+// response that is streamed is written afterwards; its stream releases that.
+func (g *Gateway) handleBounded(ctx *fasthttp.RequestCtx) {
+	g.handle(ctx)
+	if !ctx.Response.IsBodyStream() {
+		boundOf(ctx.Conn()).Done()
+	}
+}
+
 // handle serves one request of a caller.
 func (g *Gateway) handle(ctx *fasthttp.RequestCtx) {
 	path := ctx.URI().PathOriginal()
@@ -81,9 +97,17 @@
 		g.reject(ctx, req.ID, problem)
 		return
 	}
+	if inbound.IsTooLong(&ctx.Request.Header) {
+		g.reject(ctx, req.ID, bodyProblem(errBodyTooLarge))
+		return
+	}
 	c := g.newCall(ctx, req)
 	if err := c.body.readPrefix(ctx, g.opts.Limits.MaxBodyBytes); err != nil {
-		g.reject(ctx, req.ID, bodyProblem(err))
+		g.rejectBody(ctx, req.ID, err)
+		return
+	}
+	if !boundOf(c.caller).Begin() {
+		ctx.SetConnectionClose() // closed to make room before anything was done
 		return
 	}
 	c.req.Replayable = c.body.rest == nil
@@ -119,6 +143,19 @@
 	return &problem{status: fasthttp.StatusBadRequest, message: message, remedy: remedy}
 }
 
+// rejectBody responds to a request whose body was not taken. Nothing was run.
+func (g *Gateway) rejectBody(ctx *fasthttp.RequestCtx, id string, err error) {
+	if !errors.Is(err, inbound.ErrBusy) {
+		g.reject(ctx, id, bodyProblem(err))
+		return
+	}
+	g.metrics.rejectedRequests.Inc()
+	ctx.SetConnectionClose()
+	ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, "1")
+	writeError(ctx, id, fasthttp.StatusServiceUnavailable, router.NotRun, errs.NotRun,
+		"too many requests are being received", "send the request again after the time in Retry-After")
+}
+
 func bodyProblem(err error) *problem {
 	if err == errBodyTooLarge {
 		return &problem{fasthttp.StatusRequestEntityTooLarge, err.Error(), "send a smaller body"}
--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -47,14 +47,15 @@
 // Guards against more connections of callers than the limit, and against a
 // refused connection that is closed without a response.
 func TestCallerConnectionsAreLimited(t *testing.T) {
-	f := newFixture(t, func(o *Options) { o.Limits.MaxConnections = 1 }, startFakeExecutor(t, "e1", respondOK))
-	first, err := net.Dial("tcp4", strings.TrimPrefix(f.url, "http://"))
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = first.Close() }()
-	_, _ = io.WriteString(first, "GET /readyz HTTP/1.1\r\nHost: x\r\n\r\n")
-	_, _ = first.Read(make([]byte, 1)) // the first connection is accepted
+	arrived, release := make(chan struct{}, 1), make(chan struct{})
+	executor := startFakeExecutor(t, "e1", func(r *http.Request, body string, w net.Conn) bool {
+		arrived <- struct{}{}
+		<-release
+		return respondOK(r, body, w)
+	})
+	f := newFixture(t, func(o *Options) { o.Limits.MaxConnections = 1 }, executor)
+	first := f.async("GET", "/", "")
+	await(t, "request at the executor", arrived) // the first connection is busy
 	second, err := net.Dial("tcp4", strings.TrimPrefix(f.url, "http://"))
 	if err != nil {
 		t.Fatal(err)
@@ -64,6 +65,28 @@
 	if !strings.Contains(string(response), "503") || !strings.Contains(string(response), "not-run") {
 		t.Errorf("the second connection got %q, want 503 not-run", response)
 	}
+	close(release)
+	if r := await(t, "reply", first); r.status != http.StatusOK {
+		t.Errorf("the first connection got %d %v, want 200", r.status, r.err)
+	}
+}
+
+// Guards against idle connections that keep callers out while the limit is reached.
+func TestIdleConnectionMakesRoom(t *testing.T) {
+	f := newFixture(t, func(o *Options) { o.Limits.MaxConnections = 1 }, startFakeExecutor(t, "e1", respondOK))
+	idle, err := net.Dial("tcp4", strings.TrimPrefix(f.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = idle.Close() }()
+	_, _ = io.WriteString(idle, "GET /readyz HTTP/1.1\r\nHost: x\r\n\r\n")
+	_, _ = idle.Read(make([]byte, 1)) // the connection is accepted and was used
+	if r := f.send("GET", "/", ""); r.status != http.StatusOK {
+		t.Errorf("a caller got %d %v beside an idle connection, want 200", r.status, r.err)
+	}
+	if n := f.Stats().Connections; n > 1 {
+		t.Errorf("%d connections are open, want at most 1", n)
+	}
 }
 
 // Guards against more concurrent requests or connections at an executor than it
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -17,6 +17,7 @@
 	MaxBodyBytes   int64         // size of a request's body
 	MaxHeaderBytes int           // size of the head of a request or a response
 	MaxConnections int           // open connections of callers
+	MaxHeldBytes   int64         // kept of all requests together, beyond freeBodyBytes of each
 	ReadTimeout    time.Duration // for reading the head and the body of a request
 	WriteTimeout   time.Duration // for writing a response that is not streamed
 	IdleTimeout    time.Duration // between two requests on a connection
@@ -28,6 +29,7 @@
 	DefaultMaxBodyBytes   = 64 << 20
 	DefaultMaxHeaderBytes = 16 << 10
 	DefaultMaxConnections = 4096
+	DefaultMaxHeldBytes   = 64 << 20
 	DefaultReadTimeout    = time.Minute
 	DefaultWriteTimeout   = 5 * time.Minute
 	DefaultIdleTimeout    = 2 * time.Minute
@@ -97,6 +99,7 @@
 	setDefault(&l.MaxBodyBytes, DefaultMaxBodyBytes)
 	setDefault(&l.MaxHeaderBytes, DefaultMaxHeaderBytes)
 	setDefault(&l.MaxConnections, DefaultMaxConnections)
+	setDefault(&l.MaxHeldBytes, DefaultMaxHeldBytes)
 	setDefault(&l.ReadTimeout, DefaultReadTimeout)
 	setDefault(&l.WriteTimeout, DefaultWriteTimeout)
 	setDefault(&l.IdleTimeout, DefaultIdleTimeout)
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -16,6 +16,7 @@
 	"github.com/mangodrum/mangodrum/core"
 	"github.com/mangodrum/mangodrum/errs"
 	"github.com/mangodrum/mangodrum/gateway"
+	"github.com/mangodrum/mangodrum/internal/inbound"
 	"github.com/mangodrum/mangodrum/operatorapi"
 	"github.com/mangodrum/mangodrum/peer"
 	"github.com/mangodrum/mangodrum/provider"
@@ -42,6 +43,7 @@
 	PeerListener     net.Listener
 
 	Limits       gateway.Limits
+	Bounds       Bounds // of the listeners for operators and peers
 	Logger       hclog.Logger
 	DrainTimeout time.Duration // 30 s if zero
 }
@@ -91,6 +93,7 @@
 	if options.DrainTimeout == 0 {
 		options.DrainTimeout = defaultDrainTimeout
 	}
+	options.Bounds = options.Bounds.withDefaults()
 	metrics.ExposeMetadata(true)
 	ctx, cancel := context.WithCancel(context.Background())
 	i := &Instance{
@@ -142,10 +145,12 @@
 	i.group.Go(func() { i.loop(i.ctx) })
 	i.group.Go(func() { i.keepDirectoryCurrent(i.ctx) })
 	i.group.Go(func() { i.sendHeartbeats(i.ctx) })
-	i.serve("peers", func() error { return i.peerNode.Serve(i.options.PeerListener) })
+	i.serve("peers", func() error {
+		return i.peerNode.Serve(inbound.NewListener(i.options.PeerListener, i.options.Bounds.Peers))
+	})
 	i.serve("callers", func() error { return i.gateway.Serve(i.options.CallerListener) })
 	i.serve("operators", func() error {
-		return i.operators.Listener(i.options.OperatorListener, fiber.ListenConfig{DisableStartupMessage: true})
+		return operatorapi.Serve(i.operators, inbound.NewListener(i.options.OperatorListener, i.options.Bounds.Operators))
 	})
 	var failure error
 	select {
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -38,9 +38,14 @@
 	}
 }
 
+// runMemoryFraction is the part of the instance's memory that is set as the memory limit of
+// the Go runtime. The rest is for the program itself and for what the collector has not
+// returned to the system yet.
+const runMemoryFraction = 0.75
+
 // runInstance runs an instance until ctx ends. It logs to logOut.
 func runInstance(ctx context.Context, cfg *config.Instance, hangups <-chan os.Signal, logOut io.Writer) error {
-	limitMemory(int64(cfg.Limits.Memory))
+	limitMemory(int64(runMemoryFraction * float64(cfg.Limits.Memory)))
 	log, err := telemetry.NewLogger(logOut, string(cfg.ID), cfg.Log.Level, cfg.Log.Format == "json")
 	if err != nil {
 		return err
@@ -50,12 +55,14 @@
 		return err
 	}
 	go logHangups(ctx, hangups, log)
+	limits := gatewayLimits(cfg.Limits)
+	bounds := instance.WithinProcess(&limits, int64(cfg.Limits.Memory), descriptorLimit(0))
 	client := httpapi.New(cfg.PlatformAddress, platformTimeout)
 	return instance.New(instance.Options{
 		Info: cfg.Info(), PeerSecret: cfg.Secrets.Peers, OperatorSecret: cfg.Secrets.Operators,
 		Table: client, Objects: client.Objects(), Directory: client, Workers: client,
 		CallerListener: listeners[0], OperatorListener: listeners[1], PeerListener: listeners[2],
-		Limits: gatewayLimits(cfg.Limits), Logger: log,
+		Limits: limits, Bounds: bounds, Logger: log,
 	}).Run(ctx)
 }
 
--- a/internal/inbound/listener.go
+++ b/internal/inbound/listener.go
@@ -16,7 +16,8 @@
 	HeldBytes   int64 // held by all connections together, see Conn.Hold
 	// Refusal is written to a connection that is refused because all others are busy.
 	// It is sent before the request is read, so it can say that nothing was run.
-	Refusal string
+	Refusal   string
+	OnRefused func() // if not nil, called for each refused connection
 }
 
 // Counts are the totals of a listener.
@@ -131,6 +132,9 @@
 }
 
 func (l *Listener) refuse(inner net.Conn) {
+	if l.limits.OnRefused != nil {
+		l.limits.OnRefused()
+	}
 	if l.limits.Refusal != "" {
 		_ = inner.SetWriteDeadline(time.Now().Add(refusalTimeout))
 		_, _ = inner.Write([]byte(l.limits.Refusal)) // the client may be gone
--- a/operatorapi/server.go
+++ b/operatorapi/server.go
@@ -15,8 +15,10 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/gofiber/fiber/v3"
 	"github.com/sourcegraph/conc/panics"
+	"github.com/valyala/fasthttp"
 
 	"github.com/mangodrum/mangodrum/errs"
+	"github.com/mangodrum/mangodrum/internal/inbound"
 )
 
 // defaultMaxBody is the default limit of request bodies, in bytes.
@@ -63,6 +65,7 @@
 		Immutable:                    true, // backends keep identifiers after the call
 		UnescapePath:                 true,
 		DisablePreParseMultipartForm: true,
+		StreamRequestBody:            true, // readBody reads the body
 		ErrorHandler:                 writeError,
 	}
 }
@@ -87,11 +90,17 @@
 	s.panicCount = s.set.NewCounter("mangodrum_operator_api_faults_total")
 	s.deniedCount = s.set.NewCounter("mangodrum_operator_api_denied_total")
 	app := fiber.New(options.fiberConfig())
+	app.Server().HeaderReceived = func(header *fasthttp.RequestHeader) fasthttp.RequestConfig {
+		inbound.JudgeLength(header, orDefault(options.MaxBody, defaultMaxBody))
+		return fasthttp.RequestConfig{}
+	}
+	app.Use(releaseHeld)
 	app.Get("/healthz", func(c fiber.Ctx) error { return c.SendString("ok\n") })
 	app.Get("/readyz", s.readyz)
 	registerPage(app)
 	app.Use(s.authenticate)
 	app.Get("/metrics", s.metrics)
+	app.Use(s.readBody)
 	s.registerRoutes(app)
 	return app
 }
