Refused requests are remembered up to a bound

What callers would see: a leader whose memory grows with refusals, which are remembered for 15 s so that late copies are refused too. Not shown with a process.

Change: 50,000 are remembered. Beyond that the answer is that the outcome is open, as a copy might still be accepted: "not accepted" stays true.

--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -93,18 +93,26 @@
 // 1.5 s.
 const refusalMemory = 15 * time.Second
 
-// add records the refusal of a request.
-func (r *refusedRequests) add(id RequestID, now structs.Timestamp) {
+// maxRefusedRequests limits the remembered requests to a few MB.
+const maxRefusedRequests = 50_000
+
+// add records the refusal of a request. It returns false if too many are remembered: the
+// caller must not be told that the job never runs, as a copy of the request may come later.
+func (r *refusedRequests) add(id RequestID, now structs.Timestamp) bool {
 	if id == "" {
-		return
+		return true
 	}
 	if r.refusedAt == nil {
 		r.refusedAt = map[RequestID]structs.Timestamp{}
 	}
 	if _, known := r.refusedAt[id]; !known {
+		if len(r.refusedAt) >= maxRefusedRequests {
+			return false
+		}
 		r.refusedAt[id] = now
 		r.oldest = append(r.oldest, id)
 	}
+	return true
 }
 
 // contains reports whether the request was refused.
--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -59,15 +59,23 @@
 
 // refuse refuses a submission that was not part of any commit.
 func (c *Dispatcher) refuse(e SubmitJob, reason RefusalReason) {
-	c.refused.add(e.Request, c.now)
+	verdict := c.refusalOf(e.Request)
 	retryAfter := c.outages.retryAfter(c.now, e.Queue.Priority)
 	if reason == RefusedNoMemory {
 		retryAfter = max(retryAfter, retryAfterFull)
 	}
-	c.emit(Reply{Call: e.Call, Verdict: Refused, RetryAfter: retryAfter})
+	c.emit(Reply{Call: e.Call, Verdict: verdict, RetryAfter: retryAfter})
 	c.logDecision(Decision{Event: "refuse", Job: e.Job.ID, Reason: string(reason)})
 }
 
+// refusalOf records the refusal of a request and returns the verdict for its caller.
+func (c *Dispatcher) refusalOf(id RequestID) Verdict {
+	if c.refused.add(id, c.now) {
+		return Refused
+	}
+	return CommitPending
+}
+
 // newJob returns the state of a job that was accepted at the given time.
 func (c *Dispatcher) newJob(spec workflow.Job, queue workflow.Queue, accepted structs.Timestamp) *job {
 	j := &job{spec: spec, queue: queue, acceptedAt: accepted, visibleState: workflow.Pending}
--- a/dispatch/reduce.go
+++ b/dispatch/reduce.go
@@ -188,9 +188,9 @@
 		reason = RefusedStoreAway
 	}
 	for _, call := range j.pendingSubmits {
-		c.refused.add(call.request, c.now)
+		c.emit(Reply{Call: call.id, Verdict: c.refusalOf(call.request), RetryAfter: c.retryAfter(j)})
 	}
-	c.replyAll(&j.pendingSubmits, Refused, c.retryAfter(j))
+	j.pendingSubmits = nil
 	c.replyAll(&j.pendingCancels, NoSuchJob, 0)
 	c.logDecision(Decision{Event: "refuse", Job: j.spec.ID, Reason: string(reason), Value: int64(c.now.Sub(j.acceptedAt) / time.Millisecond)})
 	j.state = jobCancelled // late advice must not start its tasks
