A full inbox delays a tick by 20 ms at most

What callers would see: a leader that loses its leadership while many large jobs arrive, as up to 4,096 events, each of up to 20,000 tasks, came before the next heartbeat. Found by reading; no test, as it depends on the machine's speed.

Change: draining the inbox ends after 20 ms, and goes on after a tick.

--- a/cell/leader.go
+++ b/cell/leader.go
@@ -257,10 +257,23 @@
 	l.reduce(dispatch.Tick{WallOffset: time.Duration(time.Now().UnixNano()) - time.Duration(l.now())})
 }
 
+const (
+	// maxDrainTime bounds how long the events in the inbox delay a tick, whose heartbeats
+	// and renewals keep the leadership and the leases. A full inbox of large jobs takes
+	// many seconds.
+	maxDrainTime = 20 * time.Millisecond
+	// eventsPerClockRead keeps the cost of reading the clock small.
+	eventsPerClockRead = 16
+)
+
 // drainInbox processes the events that are already queued, so that one
 // placement pass covers many events.
 func (l *leader) drainInbox() {
-	for range inboxSize {
+	started := time.Now()
+	for n := range inboxSize {
+		if n%eventsPerClockRead == eventsPerClockRead-1 && time.Since(started) > maxDrainTime {
+			return
+		}
 		select {
 		case event := <-l.inbox:
 			event()
