run: the bodies of outcomes that wait for the table are bounded

What callers would see: memory that grows to 268 MB while the table is away: 4,096 outcomes of 64 KiB. Found by going through the list; not shown with a process.

Change: beyond 16 MiB an outcome waits without its body. A repeat then gets the status only, as for long bodies.

Test: TestQueuedBodiesAreBounded, which fails without the change.

--- a/gateway/claims.go
+++ b/gateway/claims.go
@@ -30,6 +30,10 @@
 	maxQueuedUpdates = 4096
 )
 
+// maxQueuedBodyBytes limits the bodies of queued outcomes while the table is unavailable. A
+// repeat of a request whose body was dropped gets the status only.
+const maxQueuedBodyBytes = 16 << 20
+
 // claimsPrefix is the prefix of the keys of all claims.
 const claimsPrefix = "claims/"
 
@@ -73,6 +77,14 @@
 	reported     bool // the result was reported to the router
 }
 
+// bodyBytes returns the size of the stored body.
+func (o *claimOp) bodyBytes() int {
+	if o.row.Stored == nil {
+		return 0
+	}
+	return len(o.row.Stored.Body)
+}
+
 // claimWriter writes claims, outcomes and releases in group commits.
 type claimWriter struct {
 	table        provider.Table
@@ -85,6 +97,7 @@
 	inFlight      []*claimOp
 	held          map[string]heldClaim // claims of running requests, by key
 	queuedUpdates int                  // outcomes and releases in queue
+	queuedBytes   int                  // of the bodies of the outcomes in queue
 	sweepCursor   string               // last key of the previous page of the sweep
 }
 
@@ -129,12 +142,16 @@
 	claim, ok := w.held[key]
 	delete(w.held, key)
 	full := w.queuedUpdates >= maxQueuedUpdates
+	bodiesFull := w.queuedBytes >= maxQueuedBodyBytes
 	w.mu.Unlock()
 	if !ok || full {
 		return
 	}
 	row := claimRow{Holder: w.opts.Instance, Token: claim.token, Expires: claim.expires}
 	change(&row)
+	if bodiesFull && row.Stored != nil {
+		row.Stored.Truncated, row.Stored.Body = true, nil
+	}
 	w.enqueue(&claimOp{kind: kind, key: key, row: row, version: claim.version})
 }
 
@@ -143,6 +160,7 @@
 	w.queue = append(w.queue, op)
 	if op.kind != opClaim {
 		w.queuedUpdates++
+		w.queuedBytes += op.bodyBytes()
 	}
 	w.mu.Unlock()
 	select {
@@ -235,10 +253,11 @@
 	}
 	w.queue = rest
 	w.inFlight = batch
-	w.queuedUpdates = 0
+	w.queuedUpdates, w.queuedBytes = 0, 0
 	for _, op := range rest {
 		if op.kind != opClaim {
 			w.queuedUpdates++
+			w.queuedBytes += op.bodyBytes()
 		}
 	}
 	if len(rest) > 0 {
