serve: the receive buffers of clients' connections are bounded

What callers would see: bytes that were received and not read count against the memory of an instance, and the system lets the buffer of each connection grow to several MB. Not measurable as memory of the process.

Change: listeners for callers, probes and scrapes ask for 16 KiB, which the system doubles. Peers keep the system's, as their messages are long and cross regions.

--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"runtime/debug"
+	"syscall"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -67,7 +68,10 @@
 	if err != nil {
 		return err
 	}
-	listeners, err := listenTCP4(settings.CallerAddress, settings.ReadinessAddress, settings.PeerAddress, settings.MetricsAddress)
+	listeners, err := listenTCP4(
+		listenAddress{settings.CallerAddress, clientReceiveBuffer}, listenAddress{settings.ReadinessAddress, clientReceiveBuffer},
+		listenAddress{settings.PeerAddress, 0}, listenAddress{settings.MetricsAddress, clientReceiveBuffer},
+	)
 	if err != nil {
 		return err
 	}
@@ -102,11 +106,33 @@
 	return policy
 }
 
+// clientReceiveBuffer is the size, in bytes, of the receive buffer of a connection of a client.
+// What is received and not read yet counts against the instance's memory, and the system would
+// let the buffer of each connection grow to several MB. Messages of peers are long and cross
+// regions, so their buffers are left to the system.
+const clientReceiveBuffer = 16 << 10
+
+// listenAddress is an address to listen on, with the size of the receive buffers of its
+// connections; 0 leaves it to the system.
+type listenAddress struct {
+	address       string
+	receiveBuffer int
+}
+
 // listenTCP4 opens a listener on each address. After an error none is open.
-func listenTCP4(addresses ...string) ([]net.Listener, error) {
+func listenTCP4(addresses ...listenAddress) ([]net.Listener, error) {
 	var listeners []net.Listener
-	for _, address := range addresses {
-		listener, err := net.Listen("tcp4", address)
+	for _, a := range addresses {
+		address := a.address
+		config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+			if a.receiveBuffer == 0 {
+				return nil
+			}
+			return raw.Control(func(fd uintptr) { // a system that does not support it keeps its default
+				_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, a.receiveBuffer)
+			})
+		}}
+		listener, err := config.Listen(context.Background(), "tcp4", address)
 		if err != nil {
 			for _, opened := range listeners {
 				_ = opened.Close()
