--- a/config/instance.go
+++ b/config/instance.go
@@ -59,7 +59,7 @@
 // Limits bounds the connections, the requests and the memory of an instance. A
 // field that is zero takes its default.
 type Limits struct {
-	MaxConnections int               `yaml:"max_connections" min:"1" max:"100000" doc:"Largest number of connections of one listener. Default: 4096."`
+	MaxConnections int               `yaml:"max_connections" min:"1" max:"100000" doc:"Largest number of connections of callers; fewer where the memory or the descriptors of the process do not suffice. Default: 4096."`
 	MaxBody        settings.Bytes    `yaml:"max_body" min:"1KiB" max:"1GiB" doc:"Largest request body. Default: 8MiB."`
 	MaxHeader      settings.Bytes    `yaml:"max_header" min:"1KiB" max:"1MiB" doc:"Largest request header. Default: 16KiB."`
 	ReadTimeout    settings.Duration `yaml:"read_timeout" min:"100ms" max:"1h" doc:"Longest time to read a request. Default: 30s."`
