--- a/review/harness-3/main.go
+++ b/review/harness-3/main.go
@@ -14,6 +14,7 @@
 	"lost-executor": lostExecutor,
 	"silent-peers":  silentPeers,
 	"backlog":       backlog,
+	"refused":       refused,
 }
 
 func main() {
--- a/review/harness-3/proxy.go
+++ b/review/harness-3/proxy.go
@@ -18,6 +18,34 @@
 
 	mu    sync.Mutex
 	pairs map[*pair]bool
+	cut   chan struct{} // closed when the cut has healed; nil if there is none
+}
+
+// arrivalDelay is how long after the end of a cut what was sent during it arrives. TCP repeats
+// lost data in growing intervals.
+const arrivalDelay = 1200 * time.Millisecond
+
+// setCut begins or ends a cut: nothing passes meanwhile, and what was sent arrives after it.
+func (p *peerProxy) setCut(cut bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if cut {
+		p.cut = make(chan struct{})
+		return
+	}
+	close(p.cut)
+	p.cut = nil
+}
+
+// await waits for the end of a cut, and then for another time.
+func (p *peerProxy) await(then time.Duration) {
+	p.mu.Lock()
+	cut := p.cut
+	p.mu.Unlock()
+	if cut != nil {
+		<-cut
+		time.Sleep(then)
+	}
 }
 
 // pair is a connection and its continuation. Once it is silent, nothing passes in either
@@ -33,18 +61,23 @@
 		if err != nil {
 			return
 		}
-		out, err := net.Dial("tcp4", p.target)
-		if err != nil {
-			_ = in.Close()
-			continue
-		}
-		c := &pair{in: in, out: out}
-		p.mu.Lock()
-		p.pairs[c] = true
-		p.mu.Unlock()
-		go p.copy(c, out, in, true)
-		go p.copy(c, in, out, false)
+		go p.forward(in)
+	}
+}
+
+func (p *peerProxy) forward(in net.Conn) {
+	p.await(0)
+	out, err := net.Dial("tcp4", p.target)
+	if err != nil {
+		_ = in.Close()
+		return
 	}
+	c := &pair{in: in, out: out}
+	p.mu.Lock()
+	p.pairs[c] = true
+	p.mu.Unlock()
+	go p.copy(c, out, in, true)
+	p.copy(c, in, out, false)
 }
 
 // delayed is data that is on its way.
@@ -81,10 +114,14 @@
 	go func() {
 		for d := range queue {
 			time.Sleep(time.Until(d.due))
+			p.await(arrivalDelay)
 			if _, err := to.Write(d.data); err != nil {
 				_ = from.Close()
 			}
 		}
+		if !p.isSilent(c) {
+			_ = to.Close() // after all that was sent before the end
+		}
 	}()
 	for header := true; ; {
 		var data []byte
@@ -106,7 +143,6 @@
 			p.mu.Lock()
 			delete(p.pairs, c)
 			p.mu.Unlock()
-			_, _ = c.in.Close(), c.out.Close()
 			return
 		}
 	}
--- a/review/harness-3/store.go
+++ b/review/harness-3/store.go
@@ -28,6 +28,28 @@
 	// lastWriter is the instance whose conditional write succeeded last.
 	lastWriter int
 	writtenAt  time.Time
+
+	down   bool // for all instances
+	cutOff int  // the instance that is cut off from the store; -1: none
+}
+
+// isAway reports whether the store answers an instance.
+func (s *store) isAway(instance int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.down || s.cutOff == instance
+}
+
+func (s *store) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+func (s *store) setCutOff(instance int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cutOff = instance
 }
 
 type rowID struct{ Table, Part, Key string }
@@ -42,7 +64,7 @@
 }
 
 func newStore(rec *recorder) *store {
-	return &store{rec: rec, started: time.Now(), txTime: 8 * time.Millisecond, rows: map[rowID]row{}, changed: make(chan struct{}), lastWriter: -1}
+	return &store{rec: rec, started: time.Now(), txTime: 8 * time.Millisecond, rows: map[rowID]row{}, changed: make(chan struct{}), lastWriter: -1, cutOff: -1}
 }
 
 // put writes a row as another program than an instance.
@@ -105,9 +127,17 @@
 	mux.HandleFunc("GET /-/rows-feed", func(w http.ResponseWriter, r *http.Request) { s.feed(w, r, view) })
 	_ = http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { // returns when the listener is closed
 		time.Sleep(oneWay)
+		if s.isAway(instance) { // nothing is done, and no answer comes
+			<-r.Context().Done()
+			return
+		}
 		answer := &delayedAnswer{header: http.Header{}, status: http.StatusServiceUnavailable}
 		mux.ServeHTTP(answer, r)
 		time.Sleep(oneWay + time.Duration(len(answer.body))*time.Second/linkBytesPerSecond)
+		if s.isAway(instance) {
+			<-r.Context().Done()
+			return
+		}
 		w.Header().Set("Content-Type", "application/json")
 		w.WriteHeader(answer.status)
 		_, _ = w.Write(answer.body)
