Review: cases 12 and 14 stay inside the limits of the site

The outage of case 12 is 4.2 s, as the site's longest silent one, and case 14 loses one executor of eight.

--- a/review/harness-3/case_lost_executor.go
+++ b/review/harness-3/case_lost_executor.go
@@ -8,7 +8,7 @@
 
 // lostExecutor loses an executor that runs a task that lasts, and the leader soon after.
 func lostExecutor(rec *recorder, trouble bool) {
-	c := startCell(rec, 3, 6, 30*time.Millisecond)
+	c := startCell(rec, 3, 8, 30*time.Millisecond)
 	defer c.close()
 	c.waitReady()
 	lasting := &job{id: "5c0e7a21d94b36f8", spec: "door watch", tasks: 3}
--- a/review/harness-3/case_refused.go
+++ b/review/harness-3/case_refused.go
@@ -13,11 +13,11 @@
 // must not run.
 func refused(rec *recorder, trouble bool) {
 	const (
-		rounds    = 1
+		rounds    = 2
 		roundTime = 14 * time.Second
 		cutTime   = 5500 * time.Millisecond
-		downAfter = 1200 * time.Millisecond // after the begin of the cut
-		downTime  = 4500 * time.Millisecond
+		downAfter = 1500 * time.Millisecond // after the begin of the cut
+		downTime  = 4200 * time.Millisecond
 	)
 	c := startCell(rec, 3, 6, 30*time.Millisecond)
 	defer c.close()
